--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: build test demo measure slopes faults moves lint format venv docs
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt 2>/dev/null
+	touch $@
+
+build: venv
+	mkdir -p dist
+	$(BIN)/python -m shiv --quiet --console-script carobladder --root /dev/shm/carobladder --output-file dist/carobladder . -r requirements.txt
+
+test: venv
+	$(BIN)/python tests/run.py
+
+lint: venv
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python -m compileall -q carobladder standins demo benchmarks tests
+
+format: venv
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: venv
+	$(BIN)/python -m demo
+
+measure: venv
+	$(BIN)/python -m benchmarks.measure
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/carobladder/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Operator interface and client."""
--- /dev/null
+++ b/carobladder/bookings/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency keys and claims of calls that must not repeat."""
--- /dev/null
+++ b/carobladder/clock.py
@@ -0,0 +1,72 @@
+"""Clock interface, the system clock and a virtual clock."""
+
+import asyncio
+import heapq
+import itertools
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+__all__ = ["Clock", "SystemClock", "VirtualClock"]
+
+
+class Clock(Protocol):
+    """Give the time and wait for it to pass."""
+
+    def now(self) -> datetime:
+        """Return the current time in UTC."""
+
+    def monotonic(self) -> float:
+        """Return seconds from an arbitrary start; never goes back."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for the given number of seconds."""
+
+
+class SystemClock:
+    """Read the clock of the operating system."""
+
+    def now(self) -> datetime:
+        """Return the current time in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic(self) -> float:
+        """Return seconds from an arbitrary start; never goes back."""
+        return time.monotonic()
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for the given number of seconds."""
+        await asyncio.sleep(seconds)
+
+
+class VirtualClock:
+    """Advance only when told, so that a test's verdict needs no wall time."""
+
+    def __init__(self, start: datetime | None = None) -> None:
+        self._start = start or datetime(2026, 1, 1, tzinfo=UTC)
+        self._elapsed_seconds = 0.0
+        self._order = itertools.count()
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+
+    def now(self) -> datetime:
+        """Return the virtual time in UTC."""
+        return self._start + timedelta(seconds=self._elapsed_seconds)
+
+    def monotonic(self) -> float:
+        """Return the virtual seconds since the start."""
+        return self._elapsed_seconds
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait until the virtual time was advanced by the given seconds."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        due = self._elapsed_seconds + seconds
+        heapq.heappush(self._sleepers, (due, next(self._order), future))
+        await future
+
+    def advance(self, seconds: float) -> None:
+        """Move the time forward and wake the sleepers that are due."""
+        self._elapsed_seconds += seconds
+        while self._sleepers and self._sleepers[0][0] <= self._elapsed_seconds:
+            _, _, future = heapq.heappop(self._sleepers)
+            if not future.done():
+                future.set_result(None)
--- /dev/null
+++ b/carobladder/exceptions.py
@@ -0,0 +1,216 @@
+"""Typed errors of the package; each message names its remedy."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import ClassVar
+
+__all__ = [
+    "BadCredentialsError",
+    "BodyTooLargeError",
+    "CallerError",
+    "CarobladderError",
+    "ConnectionBrokenError",
+    "DeadlineExceededError",
+    "HeaderTooLargeError",
+    "IdempotencyKeyError",
+    "LogUnavailableError",
+    "MalformedRequestError",
+    "NoCapacityError",
+    "NotReadyError",
+    "OffsetDroppedError",
+    "Outcome",
+    "OutcomeUnknownError",
+    "PeerMessageError",
+    "RequestTimeoutError",
+    "RevisionConflictError",
+    "SettingsError",
+    "TargetError",
+    "TargetRefusedError",
+    "UnknownModelError",
+    "UnknownPathError",
+]
+
+
+class Outcome(StrEnum):
+    """Tell a caller what is known about the effect of its request."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class CarobladderError(Exception):
+    """Base of all errors that the package raises on purpose."""
+
+
+class SettingsError(CarobladderError):
+    """Report a setting that is unknown, missing or contradictory."""
+
+
+class LogUnavailableError(CarobladderError):
+    """Report that the platform's log did not answer.
+
+    ``may_have_taken_effect`` is true when an append was sent and its answer lost.
+    """
+
+    def __init__(self, message: str, may_have_taken_effect: bool = False) -> None:
+        super().__init__(message)
+        self.may_have_taken_effect = may_have_taken_effect
+
+
+class OffsetDroppedError(CarobladderError):
+    """Report that the log no longer retains the requested offset."""
+
+    def __init__(self, oldest_offset: int) -> None:
+        super().__init__(
+            f"log offset is no longer retained; read from {oldest_offset} or a snapshot"
+        )
+        self.oldest_offset = oldest_offset
+
+
+class PeerMessageError(CarobladderError):
+    """Report a message from another instance that cannot be used."""
+
+
+class TargetError(CarobladderError):
+    """Base of failures of a call to a target.
+
+    ``request_written`` is true when any byte of the request may have arrived.
+    """
+
+    def __init__(self, message: str, request_written: bool) -> None:
+        super().__init__(message)
+        self.request_written = request_written
+
+
+class ConnectionBrokenError(TargetError):
+    """Report a connection to a target that failed or closed too early."""
+
+
+class TargetRefusedError(TargetError):
+    """Report that a target answered with a refusal instead of running the request."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message, request_written=True)
+        self.status = status
+
+
+@dataclass(eq=False)
+class CallerError(CarobladderError):
+    """Base of errors that are answered to a caller as JSON."""
+
+    message: str
+    retry_after_seconds: float | None = None
+
+    status: ClassVar[int] = 500
+    code: ClassVar[str] = "internal_error"
+    remedy: ClassVar[str] = "retry later; report the request id if it happens again"
+    outcome: ClassVar[Outcome] = Outcome.NOT_RUN
+
+    def __str__(self) -> str:
+        return f"{self.message}; {self.remedy}"
+
+
+class MalformedRequestError(CallerError):
+    """Report a request that is not valid HTTP or not a valid body."""
+
+    status = 400
+    code = "malformed_request"
+    remedy = "send a well-formed HTTP/1.1 request with a JSON body"
+
+
+class BadCredentialsError(CallerError):
+    """Report missing or unknown credentials."""
+
+    status = 401
+    code = "bad_credentials"
+    remedy = "send the team's key as 'Authorization: Bearer KEY'"
+
+
+class UnknownModelError(CallerError):
+    """Report a model that the team may not use or that does not exist."""
+
+    status = 404
+    code = "unknown_model"
+    remedy = "use a model that the operator declared for this team"
+
+
+class UnknownPathError(CallerError):
+    """Report a path that no service of the team declares."""
+
+    status = 404
+    code = "unknown_path"
+    remedy = "use /v1/chat/completions or a path that a service declares"
+
+
+class RequestTimeoutError(CallerError):
+    """Report a caller that did not send its request in time."""
+
+    status = 408
+    code = "request_timeout"
+    remedy = "send the whole request without long pauses"
+
+
+class BodyTooLargeError(CallerError):
+    """Report a request body over the limit."""
+
+    status = 413
+    code = "body_too_large"
+    remedy = "shorten the body or ask the operator to raise --max-body-bytes"
+
+
+class HeaderTooLargeError(CallerError):
+    """Report request headers over the limit."""
+
+    status = 431
+    code = "header_too_large"
+    remedy = "send fewer or shorter headers"
+
+
+class IdempotencyKeyError(CallerError):
+    """Report a missing or unusable idempotency key."""
+
+    status = 400
+    code = "idempotency_key"
+    remedy = "send a fresh UUIDv7 in the Idempotency-Key header and keep it on retries"
+
+
+class NoCapacityError(CallerError):
+    """Report that the request cannot be served in time."""
+
+    status = 429
+    code = "no_capacity"
+    remedy = "retry after the time in the Retry-After header"
+
+
+class NotReadyError(CallerError):
+    """Report that the instance or the platform cannot accept the request now."""
+
+    status = 503
+    code = "not_ready"
+    remedy = "retry after the time in the Retry-After header, on any instance"
+
+
+class DeadlineExceededError(CallerError):
+    """Report a request whose deadline passed before it was started."""
+
+    status = 504
+    code = "deadline_exceeded"
+    remedy = "send the request with a later X-Deadline-Ms"
+
+
+class OutcomeUnknownError(CallerError):
+    """Report a call that may have taken effect."""
+
+    status = 502
+    code = "outcome_unknown"
+    remedy = "ask GET /v1/outcomes/KEY or repeat the call with the same Idempotency-Key"
+    outcome = Outcome.UNKNOWN
+
+
+class RevisionConflictError(CallerError):
+    """Report a change whose expected revision is not the current one."""
+
+    status = 409
+    code = "revision_conflict"
+    remedy = "read the resource again and repeat the change on its current revision"
--- /dev/null
+++ b/carobladder/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Caller interface."""
--- /dev/null
+++ b/carobladder/gateway/ports.py
@@ -0,0 +1,136 @@
+"""Interfaces that the gateway consumes from the rest of the instance."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from carobladder.targets import RequestClass, TargetState
+
+__all__ = [
+    "Admission",
+    "Bookings",
+    "Directory",
+    "Permit",
+    "ServiceAnswer",
+    "ServiceRoute",
+    "SlotRequest",
+    "Team",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """Describe a team as far as requests need it.
+
+    ``weight`` is the team's relative share of contended slots.
+    """
+
+    name: str
+    weight: float = 1.0
+    models: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRoute:
+    """Describe a path prefix of a plain service.
+
+    ``repeatable`` is false for calls that may run at most once.
+    ``lookup_path`` has ``{key}`` for the idempotency key, or is empty.
+    """
+
+    service: str
+    path_prefix: str
+    repeatable: bool
+    lookup_path: str = ""
+
+
+class Directory(Protocol):
+    """Look up teams, models and targets in the configuration in force."""
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a configuration is in force."""
+
+    def find_team(self, credential: str) -> Team | None:
+        """Return the team of a credential, or None."""
+
+    def find_route(self, team: Team, method: str, path: str) -> ServiceRoute | None:
+        """Return the service route of the team for a path, or None."""
+
+    def list_targets(self, pool: str) -> Sequence[TargetState]:
+        """Return the targets of a model or service."""
+
+    def version_shares(self, model: str) -> dict[str, float]:
+        """Return the share of each version of a model; the shares sum to 1."""
+
+
+@dataclass(frozen=True, slots=True)
+class SlotRequest:
+    """Ask for slots on the first of the ranked targets that can take them.
+
+    ``deadline`` is in monotonic seconds. ``sticky_seconds`` is how long waiting
+    for the first target beats going to the next one.
+    """
+
+    team: Team
+    request_class: RequestClass
+    pool: str
+    ranked: Sequence[str]
+    deadline: float
+    sticky_seconds: float = 0.0
+
+
+class Permit(Protocol):
+    """Hold slots of one target until released."""
+
+    @property
+    def target(self) -> TargetState:
+        """Return the target that the slots belong to."""
+
+    def is_valid(self) -> bool:
+        """Tell whether the lease behind the slots still runs."""
+
+    def release(
+        self, *, failed: bool = False, first_byte_seconds: float | None = None
+    ) -> None:
+        """Give the slots back and report how the target did."""
+
+
+class Admission(Protocol):
+    """Decide which target takes a request now."""
+
+    async def acquire(self, request: SlotRequest) -> Permit:
+        """Return a permit, waiting in the queue if needed.
+
+        Raises NoCapacityError with a retry time if the deadline cannot be met.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """Carry the whole answer of a plain service."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = field(default=())
+    body: bytes = b""
+
+
+class Bookings(Protocol):
+    """Run calls that must not repeat at most once."""
+
+    async def run_once(
+        self,
+        team: Team,
+        route: ServiceRoute,
+        key: str,
+        call: Callable[[], Awaitable[ServiceAnswer]],
+    ) -> ServiceAnswer:
+        """Return the one answer of the key.
+
+        ``call`` raises TargetError; its ``request_written`` tells whether the
+        service may have seen the request. Raises IdempotencyKeyError,
+        NotReadyError for a call that did not run, OutcomeUnknownError otherwise.
+        """
+
+    async def find_outcome(self, team: Team, key: str) -> ServiceAnswer | None:
+        """Return the recorded answer of a key, or None if there is none."""
--- /dev/null
+++ b/carobladder/instance/__init__.py
@@ -0,0 +1,1 @@
+"""Composition of one running instance."""
--- /dev/null
+++ b/carobladder/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets, allowances, warm-up and queues."""
--- /dev/null
+++ b/carobladder/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instance list, live view and ownership of targets."""
--- /dev/null
+++ b/carobladder/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Version moves and data centre moves."""
--- /dev/null
+++ b/carobladder/peers/messages.py
@@ -0,0 +1,133 @@
+"""Messages between instances and their versioned codec."""
+
+import msgspec
+
+from carobladder.exceptions import PeerMessageError
+
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "PROTOCOL_VERSION",
+    "AllowanceItem",
+    "Allowances",
+    "EvidenceItem",
+    "Heartbeat",
+    "PeerMessage",
+    "Report",
+    "SnapshotAnswer",
+    "SnapshotRequest",
+    "decode_message",
+    "encode_message",
+]
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 64 * 1024
+
+
+class Report(msgspec.Struct, array_like=True, frozen=True):
+    """Report the slots of one target that a holder uses and wants.
+
+    ``acked`` is the sequence number of the newest allowance applied.
+    """
+
+    target_id: str
+    in_flight: int
+    wanted: int
+    acked: int
+
+
+class EvidenceItem(msgspec.Struct, array_like=True, frozen=True):
+    """Count outcomes of one version on one route since the last heartbeat.
+
+    ``slow`` counts answers over the latency bound of the move.
+    """
+
+    move_id: str
+    version: str
+    route: str
+    requests: int
+    errors: int
+    slow: int
+
+
+class Heartbeat(msgspec.Struct, tag=1, array_like=True, frozen=True):
+    """Tell a peer that the sender lives and which slots it uses and wants."""
+
+    sender: str
+    incarnation: int
+    sequence: int
+    listed: int
+    view_hash: int
+    config_offset: int
+    delegating: bool
+    reports: list[Report]
+    evidence: list[EvidenceItem] = []
+
+
+class AllowanceItem(msgspec.Struct, array_like=True, frozen=True):
+    """Grant a holder an absolute number of slots of one target.
+
+    ``load`` is the weighted number of requests in flight of all holders and
+    ``limit`` the greatest that the owner allows, both in slots.
+    """
+
+    target_id: str
+    slots: int
+    sequence: int
+    ready: bool
+    cold: bool
+    boot_id: str
+    load: int
+    limit: int
+
+
+class Allowances(msgspec.Struct, tag=2, array_like=True, frozen=True):
+    """Answer a heartbeat with the slots that its sender may use."""
+
+    sender: str
+    incarnation: int
+    answers: int
+    items: list[AllowanceItem]
+
+
+class SnapshotRequest(msgspec.Struct, tag=3, array_like=True, frozen=True):
+    """Ask a peer for its configuration from the given part on."""
+
+    sender: str
+    part: int
+
+
+class SnapshotAnswer(msgspec.Struct, tag=4, array_like=True, frozen=True):
+    """Carry one part of a peer's configuration."""
+
+    sender: str
+    offset: int
+    part: int
+    parts: int
+    data: bytes
+
+
+PeerMessage = Heartbeat | Allowances | SnapshotRequest | SnapshotAnswer
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(PeerMessage)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return the wire form: one version byte, then MessagePack."""
+    return bytes([PROTOCOL_VERSION]) + _encoder.encode(message)
+
+
+def decode_message(frame: bytes) -> PeerMessage:
+    """Return the message of a wire frame.
+
+    Raises PeerMessageError for a frame that is too large, of another version
+    or not decodable.
+    """
+    if len(frame) > MAX_MESSAGE_BYTES:
+        raise PeerMessageError("peer message exceeds 64 KiB; lower the batch size")
+    if not frame or frame[0] != PROTOCOL_VERSION:
+        raise PeerMessageError("unknown peer protocol version; upgrade the instance")
+    try:
+        return _decoder.decode(frame[1:])
+    except msgspec.DecodeError as error:
+        raise PeerMessageError(f"undecodable peer message: {error}") from error
--- /dev/null
+++ b/carobladder/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the target of a request."""
--- /dev/null
+++ b/carobladder/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Resources that operators declare, and their configuration state."""
--- /dev/null
+++ b/carobladder/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry decisions, retry budgets and stream resumption."""
--- /dev/null
+++ b/carobladder/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings from flags and environment variables."""
+
+from carobladder.settings import check, definition
+from carobladder.settings.check import *  # noqa: F403
+from carobladder.settings.definition import *  # noqa: F403
+
+__all__ = [*check.__all__, *definition.__all__]
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of both deployments as separate processes."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,1 @@
+"""Start the demonstration."""
