Prove bookings run at most once under seeded fault schedules

Cause: the claim rules were written but not exercised under faults. Change: an in-memory log and service with faults in virtual time; 60 seeded schedules of outages, lost answers, deaths and pauses over three instances.

--- a/carobladder/bookings/runner.py
+++ b/carobladder/bookings/runner.py
@@ -142,7 +142,9 @@
         except (LogUnavailableError, TimeoutError) as error:
             self._abandon(attempt)
             raise NotReadyError(
-                f"the claim could not be written: {error}", _RETRY_AFTER_SECONDS
+                "this call ran nothing, earlier calls with the key are not affected; "
+                f"the claim could not be written: {error}",
+                _RETRY_AFTER_SECONDS,
             ) from error
 
     async def _append_and_read(self, attempt: _Call) -> LedgerEntry:
--- a/carobladder/bookings/writer.py
+++ b/carobladder/bookings/writer.py
@@ -123,13 +123,13 @@
             self._queue.task_done()
 
 
-def _settle(item: _PendingRecord, error: LogUnavailableError | None) -> None:
+def _settle(item: _PendingRecord, result: int | LogUnavailableError) -> None:
     if item.appended.done():
         return
-    if error is None:
-        item.appended.set_result(None)
+    if isinstance(result, LogUnavailableError):
+        item.appended.set_exception(result)
     else:
-        item.appended.set_exception(error)
+        item.appended.set_result(result)
 
 
 def _discard_result(future: asyncio.Future[int]) -> None:
--- /dev/null
+++ b/tests/bookings/test_runner.py
@@ -0,0 +1,367 @@
+"""Tests of at-most-once calls under faults, in virtual time."""
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from datetime import timedelta
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from carobladder.bookings import (
+    BookingRunner,
+    ClaimLedger,
+    ClaimReader,
+    ClaimWriter,
+    Withdrawal,
+)
+from carobladder.clock import VirtualClock
+from carobladder.exceptions import (
+    CallerError,
+    ConnectionBrokenError,
+    IdempotencyKeyError,
+    NotReadyError,
+    Outcome,
+    OutcomeUnknownError,
+)
+from carobladder.gateway.ports import ServiceAnswer, ServiceRoute, Team
+from tests.bookings.test_keys import make_key
+from tests.support.logs import FakeLog, LogFaults
+from tests.support.virtual import drive, settle
+
+TEAM = Team("sales")
+ROUTE = ServiceRoute("orders", "/orders", repeatable=False)
+ROUTE_WITH_LOOKUP = ServiceRoute("orders", "/orders", False, "/orders/{key}")
+WINDOW = timedelta(minutes=30)
+
+
+class FakeService:
+    """Record the effect of each call; answers can be lost."""
+
+    def __init__(self, clock: VirtualClock, source: random.Random) -> None:
+        self.clock = clock
+        self.random = source
+        self.effects: Counter[str] = Counter()
+        self.effects_by_call: Counter[int] = Counter()
+        self.lose_answer = 0.0
+        self.refuse = 0.0
+        self.delay_seconds = 0.2
+
+    async def book(self, key: str, call_id: int = 0) -> ServiceAnswer:
+        if self.random.random() < self.refuse:
+            raise ConnectionBrokenError("connection refused", request_written=False)
+        await self.clock.sleep(self.random.random() * self.delay_seconds)
+        self.effects[key] += 1
+        self.effects_by_call[call_id] += 1
+        await self.clock.sleep(self.random.random() * self.delay_seconds)
+        if self.random.random() < self.lose_answer:
+            raise ConnectionBrokenError("closed", request_written=True)
+        return ServiceAnswer(201, (("content-type", "text/plain"),), key.encode())
+
+    async def look_up(self, route: ServiceRoute, key: str) -> ServiceAnswer | None:
+        if not self.effects[key]:
+            return None
+        return ServiceAnswer(200, (), key.encode())
+
+
+class Instance:
+    """One instance's booking tasks."""
+
+    def __init__(self, name: str, clock: VirtualClock, log: FakeLog, service) -> None:
+        self.reader = ClaimReader(log, clock, WINDOW)
+        self.writer = ClaimWriter(log, clock, linger_seconds=0.02)
+        self.runner = BookingRunner(
+            name, clock, self.reader, self.writer, service, WINDOW
+        )
+        self.service = service
+        self.tasks = [
+            asyncio.ensure_future(self.reader.run()),
+            asyncio.ensure_future(self.writer.run()),
+        ]
+
+    async def book(
+        self, key: str, route: ServiceRoute = ROUTE, body: str = "", call_id: int = 0
+    ) -> ServiceAnswer:
+        return await self.runner.run_once(
+            TEAM,
+            route,
+            key,
+            lambda: self.service.book(key, call_id),
+            fingerprint=body,
+        )
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+class World:
+    """Several instances over one log and one service."""
+
+    def __init__(self, seed_value: int, count: int = 3, instance=Instance) -> None:
+        self.clock = VirtualClock()
+        self.random = random.Random(seed_value)
+        self.log = FakeLog(self.clock, self.random)
+        self.service = FakeService(self.clock, self.random)
+        self.instances = [
+            instance(f"entry-{at}", self.clock, self.log, self.service)
+            for at in range(count)
+        ]
+
+    def new_key(self) -> str:
+        return make_key(self.clock.now(), self.random.getrandbits(62))
+
+    async def warm_up(self) -> None:
+        await drive(self.clock, self.clock.sleep(0.2))
+
+    async def stop(self) -> None:
+        for instance in self.instances:
+            instance.stop()
+        await settle()
+
+
+class RunOnceTest(unittest.IsolatedAsyncioTestCase):
+    """Guard the three outcomes of a single call, one fault at a time."""
+
+    async def asyncSetUp(self):
+        self.world = World(1)
+        await self.world.warm_up()
+        self.key = self.world.new_key()
+
+    async def asyncTearDown(self):
+        await self.world.stop()
+
+    async def book(self, at: int = 0, **options):
+        work = self.world.instances[at].book(self.key, **options)
+        return await drive(self.world.clock, work)
+
+    def count(self) -> int:
+        return self.world.service.effects[self.key]
+
+    async def test_retry_through_other_instance_gets_the_recorded_answer(self):
+        first = await self.book(0)
+        await drive(self.world.clock, self.world.clock.sleep(1))
+        self.assertEqual(await self.book(1), first)
+        self.assertEqual(self.count(), 1)
+
+    async def test_two_instances_at_once_run_one_call(self):
+        both = asyncio.gather(*(i.book(self.key) for i in self.world.instances))
+
+        async def wait():
+            return await both
+
+        answers = await drive(self.world.clock, wait())
+        self.assertEqual(len(set(answers)), 1)
+        self.assertEqual(self.count(), 1)
+
+    async def test_lost_service_answer_is_unknown_and_stays_single(self):
+        self.world.service.lose_answer = 1.0
+        with self.assertRaises(OutcomeUnknownError):
+            await self.book(0)
+        with self.assertRaises(OutcomeUnknownError):
+            await self.book(1)
+        self.assertEqual(self.count(), 1)
+
+    async def test_lookup_resolves_a_lost_service_answer(self):
+        self.world.service.lose_answer = 1.0
+        answer = await self.book(0, route=ROUTE_WITH_LOOKUP)
+        self.assertEqual(answer.status, 200)
+
+    async def test_refused_connection_is_not_run_and_key_opens_again(self):
+        self.world.service.refuse = 1.0
+        with self.assertRaises(NotReadyError) as caught:
+            await self.book(0)
+        self.assertEqual(caught.exception.outcome, Outcome.NOT_RUN)
+        self.world.service.refuse = 0.0
+        await drive(self.world.clock, self.world.clock.sleep(1))
+        self.assertEqual((await self.book(1)).status, 201)
+        self.assertEqual(self.count(), 1)
+
+    async def test_log_outage_is_not_run(self):
+        self.world.log.faults.outage = True
+        with self.assertRaises(NotReadyError):
+            await self.book(0)
+        self.world.log.faults.outage = False
+        await drive(self.world.clock, self.world.clock.sleep(3))
+        self.assertEqual(self.count(), 0)
+
+    async def test_lost_append_answer_is_not_run_and_key_opens_again(self):
+        self.world.log.faults.lose_answer = 1.0
+        with self.assertRaises(NotReadyError):
+            await self.book(0)
+        self.assertEqual(self.count(), 0)
+        self.world.log.faults.lose_answer = 0.0
+        await drive(self.world.clock, self.world.clock.sleep(3))
+        self.assertEqual((await self.book(1)).status, 201)
+
+    async def test_pause_after_claim_sends_nothing(self):
+        instance = self.world.instances[0]
+        original = instance.runner._append_and_read
+
+        async def pause_after(attempt):
+            entry = await original(attempt)
+            self.world.clock.advance(6.0)
+            return entry
+
+        instance.runner._append_and_read = pause_after
+        with self.assertRaises(NotReadyError):
+            await self.book(0)
+        self.assertEqual(self.count(), 0)
+
+    async def test_other_request_under_the_same_key_is_refused(self):
+        await self.book(0, body="one")
+        await drive(self.world.clock, self.world.clock.sleep(1))
+        with self.assertRaises(IdempotencyKeyError):
+            await self.book(1, body="two")
+
+    async def test_fresh_instance_learns_claims_from_the_log(self):
+        await self.book(0)
+        await drive(self.world.clock, self.world.clock.sleep(1))
+        fresh = Instance(
+            "entry-9", self.world.clock, self.world.log, self.world.service
+        )
+        self.world.instances.append(fresh)
+        await self.world.warm_up()
+        self.assertEqual((await self.book(3)).status, 201)
+        self.assertEqual(self.count(), 1)
+
+    async def test_claims_share_appends(self):
+        instance = self.world.instances[0]
+        keys = [self.world.new_key() for _ in range(50)]
+        before = self.world.log.appends
+
+        async def book_all():
+            await asyncio.gather(*(instance.book(key) for key in keys))
+
+        await drive(self.world.clock, book_all())
+        self.assertEqual(sum(self.world.service.effects.values()), 50)
+        self.assertLess(self.world.log.appends - before, 50)
+
+
+class LedgerTest(unittest.TestCase):
+    """Guard the rules of the ledger against reordered records."""
+
+    def test_withdrawal_before_its_delayed_claim_voids_the_claim(self):
+        world_claim = Withdrawal("sales", "k", "c1")
+        ledger = ClaimLedger()
+        ledger.apply(0, world_claim)
+        self.assertIsNone(ledger.find("sales", "k"))
+
+
+class _UnclaimedInstance(Instance):
+    """Broken on purpose: sends without a claim in the log."""
+
+    async def book(
+        self, key: str, route: ServiceRoute = ROUTE, body: str = "", call_id: int = 0
+    ) -> ServiceAnswer:
+        return await self.service.book(key, call_id)
+
+
+class _HastyInstance(Instance):
+    """Broken on purpose: calls a lost answer 'not run'."""
+
+    async def book(
+        self, key: str, route: ServiceRoute = ROUTE, body: str = "", call_id: int = 0
+    ) -> ServiceAnswer:
+        try:
+            return await super().book(key, route, body, call_id)
+        except OutcomeUnknownError as error:
+            raise NotReadyError("no answer") from error
+
+
+async def run_schedule(seed_value: int, instance=Instance) -> tuple[World, Counter]:
+    """Book keys through random instances under random faults.
+
+    Returns the world and the count of outcomes that were false.
+    """
+    world = World(seed_value, instance=instance)
+    await world.warm_up()
+    world.log.faults = LogFaults(
+        lose_answer=world.random.choice([0.0, 0.3]),
+        refuse=world.random.choice([0.0, 0.2]),
+        delay_seconds=world.random.choice([0.0, 0.5]),
+    )
+    world.service.lose_answer = world.random.choice([0.0, 0.4])
+    world.service.refuse = world.random.choice([0.0, 0.3])
+    wrong: Counter[str] = Counter()
+    await drive(world.clock, _book_with_retries(world, wrong))
+    await world.stop()
+    return world, wrong
+
+
+async def _book_with_retries(world: World, wrong: Counter) -> None:
+    callers = [_call_until_done(world, wrong) for _ in range(6)]
+    await asyncio.gather(_cause_faults(world), *callers)
+
+
+async def _cause_faults(world: World) -> None:
+    for _ in range(4):
+        await world.clock.sleep(world.random.random() * 3)
+        fault = world.random.choice(["outage", "death", "pause"])
+        if fault == "outage":
+            world.log.faults.outage = True
+            await world.clock.sleep(world.random.random() * 4)
+            world.log.faults.outage = False
+        elif fault == "death":
+            at = world.random.randrange(len(world.instances))
+            world.instances[at].stop()
+            kind = type(world.instances[at])
+            world.instances[at] = kind(
+                f"fresh-{at}", world.clock, world.log, world.service
+            )
+        else:
+            world.clock.advance(7.0)
+
+
+async def _call_until_done(world: World, wrong: Counter) -> None:
+    key = world.new_key()
+    for _ in range(4):
+        ids = [world.random.getrandbits(60) for _ in range(2)]
+        calls = [
+            world.random.choice(world.instances).book(key, call_id=call_id)
+            for call_id in ids
+        ]
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        for call_id, result in zip(ids, results, strict=True):
+            _judge(world, key, call_id, result, wrong)
+        if any(isinstance(result, ServiceAnswer) for result in results):
+            return
+
+
+def _judge(world: World, key: str, call_id: int, result, wrong: Counter) -> None:
+    if isinstance(result, ServiceAnswer):
+        if result.body != key.encode() or not world.service.effects[key]:
+            wrong["foreign or invented answer"] += 1
+    elif isinstance(result, CallerError):
+        ran = world.service.effects_by_call[call_id]
+        if result.outcome is Outcome.NOT_RUN and ran:
+            wrong["false 'not run'"] += 1
+    elif not isinstance(result, asyncio.CancelledError | ConnectionBrokenError):
+        raise result
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Guard against doubled bookings under random schedules of faults."""
+
+    @seed(20261204)
+    @settings(max_examples=60, deadline=None, database=None)
+    @given(st.integers(min_value=0, max_value=10**6))
+    def test_no_schedule_doubles_a_booking(self, seed_value):
+        world, wrong = asyncio.run(run_schedule(seed_value))
+        doubled = {k: n for k, n in world.service.effects.items() if n > 1}
+        self.assertEqual(doubled, {})
+        self.assertEqual(wrong, Counter())
+
+    def test_check_catches_calls_without_claims(self):
+        doubled = 0
+        for seed_value in range(5):
+            world, _ = asyncio.run(run_schedule(seed_value, _UnclaimedInstance))
+            doubled += sum(1 for n in world.service.effects.values() if n > 1)
+        self.assertGreater(doubled, 0)
+
+    def test_check_catches_a_false_not_run(self):
+        wrong: Counter[str] = Counter()
+        for seed_value in range(20):
+            wrong += asyncio.run(run_schedule(seed_value, _HastyInstance))[1]
+        self.assertGreater(wrong["false 'not run'"], 0)
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Shared fakes of the tests."""
