--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 
 measure: venv
 	$(BIN)/python -m benchmarks.measure
+
+docs: venv
+	$(BIN)/python -m carobladder.settings.reference > docs/settings.md
--- a/carobladder/cli.py
+++ b/carobladder/cli.py
@@ -1,15 +1,83 @@
 """Command line."""
 
+import asyncio
+import os
+import sys
+from dataclasses import dataclass
+
 import cappa
+import zmq
 
 from carobladder import __version__
+from carobladder.exceptions import SettingsError
+from carobladder.settings import (
+    InstanceSettings,
+    SettingsArguments,
+    build_settings_arguments,
+    describe_settings,
+    load_settings,
+)
+
+__all__ = ["Carobladder", "main"]
+
+USAGE_EXIT_STATUS = 2
+_ERROR_FORMAT = "carobladder: {message}; see --help for flags and variables"
+
+
+@cappa.command(name="serve", help="Run an entry instance.")
+class Serve(build_settings_arguments("ServeArguments")):  # type: ignore[misc]
+    """Run an entry instance."""
+
+    def __call__(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        from carobladder.instance.runtime import run_instance
+
+        settings = _load_or_exit(self)
+        raise cappa.Exit(code=asyncio.run(run_instance(settings)))
+
 
+@cappa.command(name="check", help="Validate settings and print them, secrets masked.")
+class Check(build_settings_arguments("CheckArguments")):  # type: ignore[misc]
+    """Validate settings and print them, secrets masked."""
 
-@cappa.command(name="carobladder")
+    def __call__(self) -> None:
+        """Print the resolved settings."""
+        print("\n".join(describe_settings(_load_or_exit(self))))
+
+
+@cappa.command(name="keys", help="Print a new CURVE key pair for the fleet.")
+@dataclass
+class Keys:
+    """Print a new CURVE key pair for the fleet."""
+
+    def __call__(self) -> None:
+        """Print the pair as environment variables."""
+        public_key, secret_key = zmq.curve_keypair()
+        print(f"CAROBLADDER_PEER_PUBLIC_KEY={public_key.decode()}")
+        print(f"CAROBLADDER_PEER_SECRET_KEY={secret_key.decode()}")
+
+
+@cappa.command(
+    name="carobladder",
+    help="Router fleet between callers and model engines or plain services.",
+)
+@dataclass
 class Carobladder:
     """Router fleet between callers and model engines or plain services."""
 
+    command: cappa.Subcommands[Serve | Check | Keys]
+
 
 def main() -> None:
     """Run the command line."""
-    cappa.invoke(Carobladder, version=__version__)
+    output = cappa.Output(error_format=_ERROR_FORMAT)
+    version = f"carobladder {__version__}"
+    cappa.invoke(Carobladder, version=version, output=output)
+
+
+def _load_or_exit(arguments: SettingsArguments) -> InstanceSettings:
+    try:
+        return load_settings(arguments.read_flags(), os.environ)
+    except SettingsError as error:
+        print(f"carobladder: {error}", file=sys.stderr)
+        raise cappa.Exit(code=USAGE_EXIT_STATUS) from error
--- a/carobladder/settings/check.py
+++ b/carobladder/settings/check.py
@@ -16,6 +16,9 @@
 
 _MASK = "********"
 
+# Variables of the operator's client, which may be set beside an instance's.
+_CLIENT_VARIABLES = frozenset({"CAROBLADDER_SERVER", "CAROBLADDER_KEY"})
+
 
 def load_settings(
     flags: Mapping[str, str | None], environment: Mapping[str, str]
@@ -44,6 +47,7 @@
 
 def _refuse_unknown_variables(environment: Mapping[str, str]) -> None:
     known = {variable_name(name) for name in InstanceSettings.model_fields}
+    known |= _CLIENT_VARIABLES
     for variable in sorted(environment):
         if variable.startswith(ENVIRONMENT_PREFIX) and variable not in known:
             raise SettingsError(
