--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -11,23 +11,30 @@
     "CarobladderError",
     "ConnectionBrokenError",
     "DeadlineExceededError",
+    "ForbiddenError",
     "HeaderTooLargeError",
     "IdempotencyKeyError",
+    "InvalidResourceError",
     "LogUnavailableError",
     "MalformedRequestError",
     "NoCapacityError",
     "NotReadyError",
     "OffsetDroppedError",
+    "OffsetGapError",
     "Outcome",
     "OutcomeUnknownError",
     "PeerMessageError",
+    "RecordVersionError",
     "RequestTimeoutError",
     "RevisionConflictError",
     "SettingsError",
+    "SnapshotError",
     "TargetError",
     "TargetRefusedError",
     "UnknownModelError",
     "UnknownPathError",
+    "UnknownResourceError",
+    "WatchExpiredError",
 ]
 
 
@@ -214,3 +221,54 @@
     status = 409
     code = "revision_conflict"
     remedy = "read the resource again and repeat the change on its current revision"
+
+
+class InvalidResourceError(CallerError):
+    """Report a resource or change that the schema or the fleet's state refuses."""
+
+    status = 422
+    code = "invalid_resource"
+    remedy = "correct the named field and send the resource again"
+
+
+class ForbiddenError(CallerError):
+    """Report an operator request outside the scope of its credentials."""
+
+    status = 403
+    code = "forbidden"
+    remedy = "use credentials of the operator role or of the team's administrators"
+
+
+class UnknownResourceError(CallerError):
+    """Report a resource, kind or change that does not exist."""
+
+    status = 404
+    code = "unknown_resource"
+    remedy = "list the kind to see its names"
+
+
+class WatchExpiredError(CallerError):
+    """Report a watch cursor that is older than the retained events."""
+
+    status = 410
+    code = "watch_expired"
+    remedy = "list the resources and watch from the revision of the list"
+
+
+class RecordVersionError(CarobladderError):
+    """Report a configuration record that this version cannot read."""
+
+
+class SnapshotError(CarobladderError):
+    """Report snapshot parts that do not form a whole snapshot."""
+
+
+class OffsetGapError(CarobladderError):
+    """Report a record that does not follow the last applied one."""
+
+    def __init__(self, expected: int, offset: int) -> None:
+        super().__init__(
+            f"record at offset {offset} does not follow; read again from {expected}"
+        )
+        self.expected = expected
+        self.offset = offset
