--- /dev/null
+++ b/tests/gateway/test_http_client.py
@@ -0,0 +1,175 @@
+"""Tests of the HTTP client and its connection pool."""
+
+import asyncio
+import socket
+import unittest
+
+from carobladder.clock import VirtualClock
+from carobladder.exceptions import ConnectionBrokenError
+from carobladder.platform.http import HttpClient
+from tests.gateway.wires import ScriptedServer, plain_answer, read_head
+
+LONG_SECONDS = 30.0
+
+
+async def answer_forever(reader, writer, number):
+    """Answer each request with the number of its connection."""
+    while True:
+        await read_head(reader)
+        writer.write(plain_answer(b"%d" % number))
+
+
+async def answer_once_then_close(reader, writer, number):
+    """Close the connection when a second request arrives on it."""
+    await read_head(reader)
+    writer.write(plain_answer(b"%d" % number))
+    await read_head(reader)
+
+
+class HttpClientTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against crossed answers and against false claims about a call."""
+
+    def setUp(self):
+        self.clock = VirtualClock()
+        self.client = HttpClient(self.clock)
+
+    async def asyncTearDown(self):
+        self.client.close()
+
+    async def fetch(self, server, method="GET", **options):
+        options.setdefault("timeout_seconds", LONG_SECONDS)
+        answer = await self.client.fetch(method, server.address, "/", **options)
+        return answer.body
+
+    async def fail(self, server, method="GET", **options):
+        with self.assertRaises(ConnectionBrokenError) as caught:
+            await self.fetch(server, method, **options)
+        return caught.exception
+
+    async def test_connection_is_reused_after_a_whole_answer(self):
+        async with ScriptedServer(answer_forever) as server:
+            bodies = [await self.fetch(server) for _ in range(3)]
+        self.assertEqual(bodies, [b"0", b"0", b"0"])
+
+    async def test_connection_idle_too_long_is_not_reused(self):
+        async with ScriptedServer(answer_forever) as server:
+            await self.fetch(server)
+            self.clock.advance(60.0)
+            self.assertEqual(await self.fetch(server), b"1")
+
+    async def test_stale_connection_is_replaced_where_the_call_may_repeat(self):
+        async with ScriptedServer(answer_once_then_close) as server:
+            await self.fetch(server)
+            self.assertEqual(await self.fetch(server), b"1")
+
+    async def test_stale_connection_never_repeats_another_call(self):
+        async with ScriptedServer(answer_once_then_close) as server:
+            await self.fetch(server)
+            error = await self.fail(server, "POST", body=b"x")
+            self.assertTrue(error.request_written)
+            self.assertEqual(server.connections, 1)
+
+    async def test_fresh_call_takes_no_pooled_connection(self):
+        async with ScriptedServer(answer_once_then_close) as server:
+            await self.fetch(server)
+            body = await self.fetch(server, "POST", body=b"x", fresh=True)
+            self.assertEqual(body, b"1")
+
+    async def test_refused_connection_tells_that_nothing_was_written(self):
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+            with self.assertRaises(ConnectionBrokenError) as caught:
+                await self.client.fetch(
+                    "GET", address, "/", timeout_seconds=LONG_SECONDS
+                )
+        self.assertFalse(caught.exception.request_written)
+
+    async def test_silent_server_ends_in_a_time_out_after_writing(self):
+        async def stay_silent(reader, writer, number):
+            await reader.read()
+
+        async with ScriptedServer(stay_silent) as server:
+            error = await self.fail(server, timeout_seconds=0.05)
+        self.assertTrue(error.request_written)
+
+    async def test_cut_answer_is_an_error_and_not_a_short_body(self):
+        async def cut(reader, writer, number):
+            await read_head(reader)
+            writer.write(plain_answer(b"whole")[:-2])
+
+        async with ScriptedServer(cut) as server:
+            self.assertTrue((await self.fail(server)).request_written)
+
+    async def test_half_read_stream_is_closed_and_not_reused(self):
+        closed = asyncio.Event()
+
+        async def stream(reader, writer, number):
+            await read_head(reader)
+            if number:
+                writer.write(plain_answer(b"second"))
+                return
+            writer.write(plain_answer(b"x" * 100)[:-50])
+            await reader.read()
+            closed.set()
+
+        async with ScriptedServer(stream) as server:
+            answer = await self.client.open(
+                "GET", server.address, "/", timeout_seconds=LONG_SECONDS
+            )
+            async with answer:
+                await answer.read(LONG_SECONDS)
+            self.assertEqual(await self.fetch(server), b"second")
+            async with asyncio.timeout(LONG_SECONDS):
+                await closed.wait()
+
+    async def test_abandoned_request_leaves_no_late_answer_to_the_next(self):
+        release = asyncio.Event()
+
+        async def answer_late(reader, writer, number):
+            await read_head(reader)
+            if number == 0:
+                await release.wait()
+            writer.write(plain_answer(b"%d" % number))
+            await reader.read()
+
+        async with ScriptedServer(answer_late) as server:
+            first = asyncio.create_task(self.fetch(server))
+            await server.connected.wait()
+            first.cancel()
+            await asyncio.gather(first, return_exceptions=True)
+            release.set()
+            self.assertEqual(await self.fetch(server), b"1")
+
+    async def test_unrequested_bytes_are_never_taken_for_an_answer(self):
+        sent = asyncio.Event()
+
+        async def answer_twice(reader, writer, number):
+            await read_head(reader)
+            writer.write(plain_answer(b"%d" % number))
+            await writer.drain()
+            if number == 0:
+                writer.write(plain_answer(b"stray"))
+                await reader.read()
+                sent.set()
+            await reader.read()
+
+        async with ScriptedServer(answer_twice) as server:
+            self.assertEqual(await self.fetch(server), b"0")
+            async with asyncio.timeout(LONG_SECONDS):
+                await sent.wait()
+            self.assertEqual(await self.fetch(server), b"1")
+
+    async def test_large_answer_is_read_whole_through_paused_reading(self):
+        async def send_much(reader, writer, number):
+            await read_head(reader)
+            writer.write(plain_answer(b"y" * 5_000_000))
+            await writer.drain()
+
+        async with ScriptedServer(send_much) as server:
+            answer = await self.client.open(
+                "GET", server.address, "/", timeout_seconds=LONG_SECONDS
+            )
+            await asyncio.sleep(0.05)
+            async with answer:
+                self.assertEqual(len(await answer.read_all(LONG_SECONDS)), 5_000_000)
