Add membership, limits and the exchange between instances

Cause: a target may take one more request only if the whole fleet stays within its limit, without a coordination service. Change: member view, ownership, delegated shares, owner's ledger, holder's book, warm-up, fair queue, admission task, and the heartbeat exchange over pyzmq with CURVE keys. Conclusion: usable by the gateway; schedules with faults are not tested yet.

--- /dev/null
+++ b/carobladder/limits/budgets.py
@@ -0,0 +1,231 @@
+"""Owner's ledger of one target: who may have how many slots in flight."""
+
+import heapq
+import itertools
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from fractions import Fraction
+
+__all__ = ["Allotment", "HolderReport", "Ledger", "Terms"]
+
+# Holders that were busy within this time receive idle slots.
+RECENT_SECONDS = 30.0
+# Part of the unused slots that may lie idle at holders; the rest answers asks.
+IDLE_SHARE = Fraction(3, 4)
+IDLE_UNITS = 2
+MAX_GRANTS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """State what bounds a target now.
+
+    ``limit`` is the fleet-wide limit in slots; ``load_cap`` the load up to which a
+    further request is allowed (multiple x mean), or None without such a rule.
+    ``foreign`` are slots in use that no reporting holder accounts for.
+    """
+
+    limit: int
+    usable: bool
+    cold: bool
+    load_cap: float | None = None
+    foreign: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HolderReport:
+    """Carry what a holder uses and wants, in slots.
+
+    ``sent_floor`` is a time on the owner's clock at or before the sending.
+    """
+
+    in_flight: int
+    wanted: int
+    unit: int
+    acked: int
+    sent_floor: float
+
+
+@dataclass(frozen=True, slots=True)
+class Allotment:
+    """Grant an absolute number of slots to a holder."""
+
+    slots: int
+    sequence: int
+
+
+@dataclass(slots=True)
+class _Grant:
+    sequence: int
+    slots: int
+    expires: float
+
+
+@dataclass(slots=True)
+class _Delegation:
+    share: Fraction
+    expires: float
+    confirmed: bool
+
+
+@dataclass(slots=True)
+class _Holder:
+    in_flight: int = 0
+    wanted: int = 0
+    unit: int = 1
+    reported: float = -math.inf
+    active: float = -math.inf
+    waiting_since: float = math.inf
+    grants: list[_Grant] = field(default_factory=list)
+
+    def count_used(self) -> int:
+        """Return the most slots that the holder may have in flight."""
+        return max([self.in_flight, *(grant.slots for grant in self.grants)])
+
+
+class Ledger:
+    """Divide the delegated part of a target's limit between holders."""
+
+    def __init__(self, lease_seconds: float, hold_until: float) -> None:
+        self._lease_seconds = lease_seconds
+        # An earlier owner's allowances must lapse and the holders report first.
+        self._hold_until = hold_until
+        self._delegations: dict[str, _Delegation] = {}
+        self._holders: dict[str, _Holder] = {}
+        self._sequences = itertools.count(1)
+
+    def delegate(
+        self, holder: str, share: Fraction, expires: float, confirmed: bool = True
+    ) -> None:
+        """Take a share; an older message never shortens a newer delegation."""
+        current = self._delegations.get(holder)
+        if current is None or expires >= current.expires:
+            self._delegations[holder] = _Delegation(share, expires, confirmed)
+
+    def report(self, holder: str, report: HolderReport, now: float) -> None:
+        """Take a holder's report; the caller drops older ones."""
+        state = self._holders.setdefault(holder, _Holder())
+        state.in_flight = report.in_flight
+        state.unit = max(1, report.unit)
+        state.reported = now
+        if report.in_flight or report.wanted:
+            state.active = now
+        if report.wanted and not state.wanted:
+            state.waiting_since = now
+        if not report.wanted:
+            state.waiting_since = math.inf
+        state.wanted = report.wanted
+        state.grants = [
+            grant
+            for grant in state.grants
+            if grant.sequence >= report.acked and grant.expires > report.sent_floor
+        ]
+
+    def forget(self, holder: str) -> None:
+        """Drop a holder that has stopped; its requests ended with it."""
+        self._holders.pop(holder, None)
+        self._delegations.pop(holder, None)
+
+    def list_holders(self) -> Iterable[str]:
+        """Return the holders that reported."""
+        return tuple(self._holders)
+
+    def count_load(self) -> int:
+        """Return the weighted requests in flight as reported by all holders."""
+        return sum(state.in_flight for state in self._holders.values())
+
+    def count_used(self) -> int:
+        """Return the most slots that all holders together may have in flight."""
+        return sum(state.count_used() for state in self._holders.values())
+
+    def count_capacity(self, terms: Terms, now: float) -> int:
+        """Return the slots that this owner may hand out in all."""
+        if now < self._hold_until or not terms.usable:
+            return 0
+        # An unconfirmed share may be counted twice, which a cold target cannot bear.
+        share = sum(
+            (
+                item.share
+                for item in self._delegations.values()
+                if item.expires > now and (item.confirmed or not terms.cold)
+            ),
+            Fraction(0),
+        )
+        return max(0, math.floor(terms.limit * min(share, Fraction(1))) - terms.foreign)
+
+    def is_idle(self, now: float) -> bool:
+        """Tell whether nothing has reached this ledger for a long time."""
+        delegated = any(item.expires > now for item in self._delegations.values())
+        recent = any(
+            now - state.reported < RECENT_SECONDS for state in self._holders.values()
+        )
+        return not delegated and not recent
+
+    def allot(self, holder: str, terms: Terms, now: float) -> Allotment:
+        """Return the slots that the holder may have in flight from now on."""
+        state = self._holders.setdefault(holder, _Holder())
+        capacity = self.count_capacity(terms, now)
+        others = self.count_used() - state.count_used()
+        slots = min(self._divide(capacity, terms, now)[holder], capacity - others)
+        slots = max(0, min(slots, _cap_by_load(state, others, terms.load_cap)))
+        sequence = next(self._sequences)
+        self._add_grant(state, _Grant(sequence, slots, now + self._lease_seconds))
+        return Allotment(slots, sequence)
+
+    def _add_grant(self, state: _Holder, grant: _Grant) -> None:
+        state.grants.append(grant)
+        if len(state.grants) > MAX_GRANTS:
+            first, second = state.grants[:2]
+            merged = _Grant(
+                second.sequence,
+                max(first.slots, second.slots),
+                max(first.expires, second.expires),
+            )
+            state.grants[:2] = [merged]
+
+    def _divide(self, capacity: int, terms: Terms, now: float) -> dict[str, int]:
+        """Return the fair share of each holder: the least supplied goes first."""
+        shares = {name: state.in_flight for name, state in self._holders.items()}
+        spare = capacity - sum(shares.values())
+        wanted = {name: state.wanted for name, state in self._holders.items()}
+        spare = self._hand_out(shares, wanted, spare)
+        idle = {
+            name: max(0, IDLE_UNITS * state.unit - state.wanted)
+            for name, state in self._holders.items()
+            if now - state.active <= RECENT_SECONDS
+        }
+        self._hand_out(shares, idle, math.floor(spare * IDLE_SHARE))
+        return shares
+
+    def _hand_out(
+        self, shares: dict[str, int], wanted: dict[str, int], spare: int
+    ) -> int:
+        """Add up to the wanted slots to the shares and return what is left."""
+        queue = []
+        for name, amount in wanted.items():
+            if amount > 0:
+                waiting = self._holders[name].waiting_since
+                queue.append((shares[name], waiting, name, amount))
+        heapq.heapify(queue)
+        while queue and spare > 0:
+            held, waiting, name, amount = heapq.heappop(queue)
+            unit = min(self._holders[name].unit, amount)
+            if unit > spare:
+                continue
+            spare -= unit
+            shares[name] += unit
+            if amount > unit:
+                heapq.heappush(queue, (held + unit, waiting, name, amount - unit))
+        return spare
+
+
+def _cap_by_load(state: _Holder, others: int, load_cap: float | None) -> int:
+    """Return the slots so that each request starts at a load of at most the cap."""
+    if load_cap is None:
+        return state.in_flight + state.wanted + IDLE_UNITS * state.unit
+    load = others + state.in_flight
+    if load > load_cap:
+        return state.in_flight
+    requests = math.floor((load_cap - load) / state.unit) + 1
+    return state.in_flight + requests * state.unit
--- a/carobladder/membership/__init__.py
+++ b/carobladder/membership/__init__.py
@@ -1,1 +1,8 @@
-"""Instance list, live view and ownership of targets."""
+"""Instance list, member view, target ownership and delegated shares."""
+
+from carobladder.membership import delegations, ownership, views
+from carobladder.membership.delegations import *  # noqa: F403
+from carobladder.membership.ownership import *  # noqa: F403
+from carobladder.membership.views import *  # noqa: F403
+
+__all__ = [*delegations.__all__, *ownership.__all__, *views.__all__]
--- a/carobladder/peers/__init__.py
+++ b/carobladder/peers/__init__.py
@@ -1,6 +1,16 @@
 """Messages and transport between instances."""
 
-from carobladder.peers import messages
+from carobladder.peers import coordination, exchange, messages, ownerside, transport
+from carobladder.peers.coordination import *  # noqa: F403
+from carobladder.peers.exchange import *  # noqa: F403
 from carobladder.peers.messages import *  # noqa: F403
+from carobladder.peers.ownerside import *  # noqa: F403
+from carobladder.peers.transport import *  # noqa: F403
 
-__all__ = [*messages.__all__]
+__all__ = [
+    *coordination.__all__,
+    *exchange.__all__,
+    *messages.__all__,
+    *ownerside.__all__,
+    *transport.__all__,
+]
--- /dev/null
+++ b/carobladder/peers/coordination.py
@@ -0,0 +1,381 @@
+"""Protocol between instances as pure code: messages in, messages out."""
+
+import itertools
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field, replace
+from fractions import Fraction
+
+from carobladder.limits.admission import Demand
+from carobladder.limits.allowances import Allowance, AllowanceBook
+from carobladder.limits.budgets import HolderReport
+from carobladder.membership.delegations import Delegator
+from carobladder.membership.ownership import OwnerMap, hash_view
+from carobladder.membership.views import ListedInstance, MemberView
+from carobladder.peers.messages import (
+    AllowanceItem,
+    Allowances,
+    EvidenceItem,
+    Heartbeat,
+    PeerMessage,
+    Report,
+)
+from carobladder.peers.ownerside import OwnedTargets, TargetDeclaration, TargetProbe
+from carobladder.targets import TargetState
+
+__all__ = ["Coordinator", "Outgoing", "Timing"]
+
+SENT_MEMORY = 1024
+HOUSEKEEPING_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Bundle the times and ratios of the protocol."""
+
+    heartbeat_seconds: float = 0.25
+    lease_seconds: float = 1.5
+    list_window_seconds: float = 10.0
+    ask_seconds: float = 0.01
+    load_multiple: float = 1.25
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """Address a message to a peer."""
+
+    peer: str
+    message: PeerMessage
+
+
+@dataclass(slots=True)
+class _Link:
+    """Hold the state of the exchange with one peer."""
+
+    sequence: int = 0
+    sent: deque[tuple[int, float]] = field(default_factory=deque)
+    due: float = 0.0
+    last_sent: float = float("-inf")
+    asked: bool = False
+    incarnation: int = 0
+    heard_sequence: int = 0
+    evidence: list[EvidenceItem] = field(default_factory=list)
+
+    def record(self, now: float) -> int:
+        """Return the next sequence number and remember its time of sending."""
+        self.sequence += 1
+        self.sent.append((self.sequence, now))
+        if len(self.sent) > SENT_MEMORY:
+            self.sent.popleft()
+        return self.sequence
+
+    def find_sent(self, sequence: int) -> float | None:
+        """Return when a sequence number was sent, or None if it is not known."""
+        if not self.sent:
+            return None
+        index = sequence - self.sent[0][0]
+        if 0 <= index < len(self.sent):
+            return self.sent[index][1]
+        return None
+
+
+class Coordinator:
+    """Combine membership, delegations, ledgers and the holder's book."""
+
+    def __init__(
+        self,
+        own_id: str,
+        incarnation: int,
+        timing: Timing,
+        now: float,
+        demand: Callable[[str], Demand] = lambda _: Demand(),
+    ) -> None:
+        self.own_id = own_id
+        self.incarnation = incarnation
+        self.timing = timing
+        self.book = AllowanceBook()
+        self.view = MemberView(
+            own_id, timing.lease_seconds, timing.list_window_seconds, now
+        )
+        self.demand = demand
+        self.config_offset = 0
+        self.owned = OwnedTargets(
+            timing.lease_seconds,
+            now + timing.lease_seconds + 2 * timing.heartbeat_seconds,
+            timing.load_multiple,
+        )
+        self._delegator = Delegator(timing.lease_seconds, now)
+        self._owners = OwnerMap()
+        self._links: dict[str, _Link] = {}
+        self._own_sequences = itertools.count(1)
+        self._housekeeping_due = now
+        self._own_due = now
+        self._own_asked = False
+
+    def set_targets(self, declarations: Iterable[TargetDeclaration]) -> None:
+        """Take the declared targets; an owner allots nothing to a leaving one."""
+        self.owned.set_declarations(declarations)
+
+    def apply_list(self, instances: Sequence[ListedInstance], now: float) -> None:
+        """Take an answer of the platform's list."""
+        self.view.apply_list(instances, now)
+
+    def note_probe(self, target_id: str, probe: TargetProbe | None, now: float) -> None:
+        """Take a load report of an owned target; None means no answer."""
+        known = self.book.find(target_id, now)
+        self.owned.note_probe(target_id, probe, known, now)
+
+    def list_owned(self, now: float) -> list[TargetDeclaration]:
+        """Return the targets that this instance owns by its own view."""
+        self._owners.update(self.view.list_live(now))
+        return [
+            item
+            for item in self.owned.declarations.values()
+            if self._owners.find(item.state.target_id) == self.own_id
+        ]
+
+    def find_target(self, target_id: str, now: float) -> TargetState | None:
+        """Return the declared state joined with what the owner reports, or None."""
+        declaration = self.owned.declarations.get(target_id)
+        if declaration is None:
+            return None
+        allowance = self.book.find(target_id, now)
+        if allowance is None:
+            return declaration.state
+        return replace(
+            declaration.state,
+            boot_id=allowance.boot_id,
+            ready=allowance.ready,
+            cold=allowance.cold,
+        )
+
+    def ask(self, target_ids: Iterable[str], now: float) -> None:
+        """Make the heartbeats to the owners of the targets due."""
+        self._owners.update(self.view.list_live(now))
+        for target_id in target_ids:
+            owner = self._owners.find(target_id)
+            if owner == self.own_id:
+                self._own_asked = True
+            elif owner is not None and owner in self._links:
+                link = self._links[owner]
+                link.due = min(link.due, link.last_sent + self.timing.ask_seconds)
+
+    def add_evidence(self, items: Sequence[EvidenceItem]) -> None:
+        """Queue evidence for the next heartbeat to each peer."""
+        for link in self._links.values():
+            link.evidence.extend(items)
+
+    def next_due(self, now: float) -> float:
+        """Return the time of the next call of ``tick``."""
+        if self._own_asked:
+            return now
+        dues = [self._own_due]
+        for peer in self.view.list_peers():
+            link = self._links.get(peer.instance_id)
+            dues.append(now if link is None else link.due)
+        return min(dues)
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Return the heartbeats that are due and serve the owned targets."""
+        if now >= self._housekeeping_due:
+            self._housekeeping_due = now + HOUSEKEEPING_SECONDS
+            self._clean_up(now)
+        self._owners.update(self.view.list_live(now))
+        if self._own_asked or now >= self._own_due:
+            self._own_asked = False
+            self._own_due = now + self.timing.heartbeat_seconds
+            self._serve_itself(now)
+        due = []
+        for peer in self.view.list_peers():
+            link = self._links.setdefault(peer.instance_id, _Link(due=now))
+            if now >= link.due:
+                due.append(Outgoing(peer.instance_id, self._beat(peer, link, now)))
+        return due
+
+    def receive(self, message: PeerMessage, now: float) -> list[Outgoing]:
+        """Take a heartbeat or allowances and return the answers."""
+        if isinstance(message, Heartbeat):
+            return self._receive_heartbeat(message, now)
+        if isinstance(message, Allowances):
+            self._receive_allowances(message, now)
+        return []
+
+    def _beat(self, peer: ListedInstance, link: _Link, now: float) -> Heartbeat:
+        live = self.view.list_live(now)
+        delegating = self.view.may_delegate(now)
+        reports = [
+            self._report(target_id, peer.instance_id, delegating, now)
+            for target_id in self.owned.declarations
+            if self._owners.find(target_id) == peer.instance_id
+        ]
+        evidence, link.evidence = link.evidence, []
+        link.due = now + self.timing.heartbeat_seconds
+        link.last_sent = now
+        return Heartbeat(
+            sender=self.own_id,
+            incarnation=self.incarnation,
+            sequence=link.record(now),
+            listed=self.view.count_listed(now),
+            view_hash=hash_view(live),
+            config_offset=self.config_offset,
+            delegating=delegating,
+            reports=reports,
+            evidence=evidence,
+            echo=link.heard_sequence,
+            echo_incarnation=link.incarnation,
+            confirmed=self.view.is_confirmed(now),
+            leaving=self.view.own_leaving,
+        )
+
+    def _report(
+        self, target_id: str, owner: str, delegating: bool, now: float
+    ) -> Report:
+        delegated = (
+            delegating and self._delegator.choose(target_id, owner, now) == owner
+        )
+        if delegated:
+            self._delegator.mark_sent(target_id, owner, now)
+        usage = self.book.describe(target_id, owner)
+        demand = self.demand(target_id)
+        return Report(
+            target_id=target_id,
+            in_flight=usage.in_flight,
+            wanted=demand.wanted,
+            acked=usage.acked,
+            delegated=delegated,
+            unit=demand.unit,
+            answers=usage.answers,
+            errors=usage.errors,
+            first_byte_ms=usage.first_byte_ms,
+        )
+
+    def _receive_heartbeat(self, message: Heartbeat, now: float) -> list[Outgoing]:
+        link = self._links.setdefault(message.sender, _Link(due=now))
+        if message.incarnation < link.incarnation:
+            return []
+        if message.incarnation > link.incarnation:
+            if link.incarnation:
+                self.owned.forget_holder(message.sender)
+            link.incarnation = message.incarnation
+            link.heard_sequence = 0
+        if message.sequence <= link.heard_sequence:
+            return []
+        link.heard_sequence = message.sequence
+        self.view.hear(
+            message.sender, message.incarnation, message.listed, message.leaving, now
+        )
+        floor = None
+        if message.echo_incarnation == self.incarnation:
+            floor = link.find_sent(message.echo)
+        if floor is None or not message.reports:
+            return []
+        items = self._serve_holder(message, floor, now)
+        answer = Allowances(
+            sender=self.own_id,
+            incarnation=self.incarnation,
+            answers=message.sequence,
+            items=items,
+            answers_incarnation=message.incarnation,
+        )
+        return [Outgoing(message.sender, answer)]
+
+    def _serve_holder(
+        self, message: Heartbeat, floor: float, now: float
+    ) -> list[AllowanceItem]:
+        share = Fraction(1, max(1, message.listed))
+        for report in message.reports:
+            self._take_report(
+                message.sender, report, share, message.confirmed, floor, now
+            )
+        known = [report.target_id for report in message.reports]
+        return self.owned.allot(message.sender, known, self.book, now)
+
+    def _take_report(
+        self,
+        holder: str,
+        report: Report,
+        share: Fraction,
+        confirmed: bool,
+        floor: float,
+        now: float,
+    ) -> None:
+        if report.delegated:
+            expires = floor + self.timing.lease_seconds
+            self.owned.delegate(
+                report.target_id, holder, share, expires, confirmed, now
+            )
+        usage = HolderReport(
+            in_flight=max(0, report.in_flight),
+            wanted=max(0, report.wanted),
+            unit=report.unit,
+            acked=report.acked,
+            sent_floor=floor,
+        )
+        self.owned.report(report.target_id, holder, usage, now)
+        self.owned.note_evidence(report, holder)
+
+    def _serve_itself(self, now: float) -> None:
+        """Act as holder and owner for the targets that this instance owns."""
+        delegating = self.view.may_delegate(now)
+        share = Fraction(1, self.view.count_listed(now))
+        confirmed = self.view.is_confirmed(now)
+        known = []
+        for declaration in self.owned.declarations.values():
+            target_id = declaration.state.target_id
+            if self._owners.find(target_id) != self.own_id:
+                continue
+            report = self._report(target_id, self.own_id, delegating, now)
+            self._take_report(self.own_id, report, share, confirmed, now, now)
+            known.append(target_id)
+        items = self.owned.allot(self.own_id, known, self.book, now)
+        for item in items:
+            self._apply(item, self.own_id, self.incarnation, now, now)
+
+    def _receive_allowances(self, message: Allowances, now: float) -> None:
+        link = self._links.get(message.sender)
+        if link is None or message.answers_incarnation != self.incarnation:
+            return
+        if message.incarnation < link.incarnation:
+            return
+        sent = link.find_sent(message.answers)
+        if sent is None:
+            return
+        for item in message.items:
+            if self._owners.find(item.target_id) == message.sender:
+                self._apply(item, message.sender, message.incarnation, sent, now)
+
+    def _apply(
+        self,
+        item: AllowanceItem,
+        owner: str,
+        incarnation: int,
+        sent: float,
+        now: float,
+    ) -> None:
+        expires = sent + self.timing.lease_seconds
+        if now >= expires:
+            return
+        allowance = Allowance(
+            target_id=item.target_id,
+            owner=owner,
+            incarnation=incarnation,
+            sequence=item.sequence,
+            slots=item.slots,
+            expires=expires,
+            ready=item.ready,
+            cold=item.cold,
+            boot_id=item.boot_id,
+            load=item.load,
+            limit=item.limit,
+        )
+        self.book.apply(allowance, now)
+
+    def _clean_up(self, now: float) -> None:
+        targets = set(self.owned.declarations)
+        self._owners.forget(targets)
+        self._delegator.forget(targets, now)
+        self.book.forget(targets)
+        self.owned.clean_up(now, lambda name: self.view.is_gone(name, now))
+        self.view.forget(now)
+        for peer in [name for name in self._links if self.view.is_gone(name, now)]:
+            del self._links[peer]
--- a/carobladder/peers/messages.py
+++ b/carobladder/peers/messages.py
@@ -26,13 +26,21 @@
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """Report the slots of one target that a holder uses and wants.
 
-    ``acked`` is the sequence number of the newest allowance applied.
+    ``acked`` is the sequence number of the newest allowance applied. ``delegated``
+    says that the message delegates the sender's share to the receiver. ``unit`` is
+    the weight of the next request. ``answers``, ``errors`` and ``first_byte_ms``
+    are totals since the sender's start, so that a lost message loses nothing.
     """
 
     target_id: str
     in_flight: int
     wanted: int
     acked: int
+    delegated: bool = False
+    unit: int = 1
+    answers: int = 0
+    errors: int = 0
+    first_byte_ms: int = 0
 
 
 class EvidenceItem(msgspec.Struct, array_like=True, frozen=True):
@@ -50,7 +58,12 @@
 
 
 class Heartbeat(msgspec.Struct, tag=1, array_like=True, frozen=True):
-    """Tell a peer that the sender lives and which slots it uses and wants."""
+    """Tell a peer that the sender lives and which slots it uses and wants.
+
+    ``echo`` is the newest sequence number received from the peer under
+    ``echo_incarnation``; it bounds the time of sending on the peer's clock.
+    ``confirmed`` says that no instance can have dropped the sender from its N.
+    """
 
     sender: str
     incarnation: int
@@ -61,6 +74,10 @@
     delegating: bool
     reports: list[Report]
     evidence: list[EvidenceItem] = []
+    echo: int = 0
+    echo_incarnation: int = 0
+    confirmed: bool = False
+    leaving: bool = False
 
 
 class AllowanceItem(msgspec.Struct, array_like=True, frozen=True):
@@ -81,12 +98,16 @@
 
 
 class Allowances(msgspec.Struct, tag=2, array_like=True, frozen=True):
-    """Answer a heartbeat with the slots that its sender may use."""
+    """Answer a heartbeat with the slots that its sender may use.
+
+    ``answers`` is the heartbeat's sequence number under ``answers_incarnation``.
+    """
 
     sender: str
     incarnation: int
     answers: int
     items: list[AllowanceItem]
+    answers_incarnation: int = 0
 
 
 class SnapshotRequest(msgspec.Struct, tag=3, array_like=True, frozen=True):
--- /dev/null
+++ b/carobladder/peers/ownerside.py
@@ -0,0 +1,229 @@
+"""Owner's side of the protocol: ledgers, warm-up and load of owned targets."""
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from fractions import Fraction
+
+from carobladder.limits.allowances import Allowance, AllowanceBook
+from carobladder.limits.budgets import HolderReport, Ledger, Terms
+from carobladder.limits.warmup import DEFAULT_COLD_SLOTS, Warmup
+from carobladder.peers.messages import AllowanceItem, Report
+from carobladder.targets import TargetState
+
+__all__ = ["OwnedTargets", "TargetDeclaration", "TargetProbe"]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetDeclaration:
+    """Describe a declared target; ``cold_slots`` is its configured cold limit."""
+
+    state: TargetState
+    cold_slots: int = DEFAULT_COLD_SLOTS
+    # Plain services are not balanced against the mean of their pool.
+    balanced: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class TargetProbe:
+    """Carry a target's load report; ``bearable`` is in slots, None if not stated."""
+
+    boot_id: str
+    ready: bool
+    cold: bool
+    bearable: int | None = None
+    running: int = 0
+    waiting: int = 0
+
+
+@dataclass(slots=True)
+class _Owned:
+    ledger: Ledger
+    warmup: Warmup
+    ready: bool = False
+    totals: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+
+
+class OwnedTargets:
+    """Hold ledgers and warm-up of the targets that this instance serves as owner."""
+
+    def __init__(
+        self, lease_seconds: float, hold_until: float, load_multiple: float
+    ) -> None:
+        self.declarations: dict[str, TargetDeclaration] = {}
+        self._lease_seconds = lease_seconds
+        self._hold_until = hold_until
+        self._load_multiple = load_multiple
+        self._owned: dict[str, _Owned] = {}
+        self._pools: dict[tuple[str, str], list[str]] = {}
+
+    def set_declarations(self, declarations: Iterable[TargetDeclaration]) -> None:
+        """Take the declared targets."""
+        self.declarations = {item.state.target_id: item for item in declarations}
+        self._pools = {}
+        for target_id, item in self.declarations.items():
+            key = (item.state.model, item.state.version)
+            self._pools.setdefault(key, []).append(target_id)
+        for target_id in [
+            name for name in self._owned if name not in self.declarations
+        ]:
+            del self._owned[target_id]
+        for target_id, owned in self._owned.items():
+            owned.warmup.warm_slots = self.declarations[target_id].state.slots
+
+    def note_probe(
+        self,
+        target_id: str,
+        probe: TargetProbe | None,
+        known: Allowance | None,
+        now: float,
+    ) -> None:
+        """Take a load report; ``known`` is what an earlier owner said of the target."""
+        owned = self._find(target_id, now)
+        if owned is None:
+            return
+        if probe is None:
+            owned.ready = False
+            return
+        if not owned.warmup.boot_id and known is not None and known.boot_id:
+            owned.warmup.adopt(known.boot_id, known.cold, known.limit)
+        owned.warmup.observe(probe.boot_id, probe.cold, probe.bearable, now)
+        owned.ready = probe.ready
+
+    def delegate(
+        self,
+        target_id: str,
+        holder: str,
+        share: Fraction,
+        expires: float,
+        confirmed: bool,
+        now: float,
+    ) -> None:
+        """Take a holder's share of a target."""
+        owned = self._find(target_id, now)
+        if owned is not None:
+            owned.ledger.delegate(holder, share, expires, confirmed)
+
+    def report(
+        self, target_id: str, holder: str, report: HolderReport, now: float
+    ) -> None:
+        """Take a holder's report."""
+        owned = self._find(target_id, now)
+        if owned is not None:
+            owned.ledger.report(holder, report, now)
+
+    def note_evidence(self, report: Report, holder: str) -> None:
+        """Count what a holder's totals add since its last report."""
+        owned = self._owned.get(report.target_id)
+        if owned is None:
+            return
+        totals = (report.answers, report.errors, report.first_byte_ms)
+        last = owned.totals.get(holder)
+        owned.totals[holder] = totals
+        # Totals from before this owner's first report say nothing about the present.
+        if last is None or any(
+            new < old for new, old in zip(totals, last, strict=True)
+        ):
+            return
+        answers, errors, first_byte_ms = (
+            new - old for new, old in zip(totals, last, strict=True)
+        )
+        owned.warmup.note_answers(answers, errors, first_byte_ms / 1000)
+
+    def allot(
+        self, holder: str, target_ids: Sequence[str], book: AllowanceBook, now: float
+    ) -> list[AllowanceItem]:
+        """Return what the holder may use of each target from now on."""
+        items = []
+        for target_id in target_ids:
+            owned = self._find(target_id, now)
+            if owned is None:
+                continue
+            owned.warmup.tick(now)
+            terms = self._state_terms(target_id, owned, book, now)
+            allotment = owned.ledger.allot(holder, terms, now)
+            item = AllowanceItem(
+                target_id=target_id,
+                slots=allotment.slots,
+                sequence=allotment.sequence,
+                ready=terms.usable,
+                cold=owned.warmup.cold,
+                boot_id=owned.warmup.boot_id,
+                load=owned.ledger.count_load(),
+                limit=owned.warmup.limit,
+            )
+            items.append(item)
+        return items
+
+    def forget_holder(self, holder: str) -> None:
+        """Drop a holder that has restarted."""
+        for owned in self._owned.values():
+            owned.ledger.forget(holder)
+            owned.totals.pop(holder, None)
+
+    def clean_up(self, now: float, is_gone: Callable[[str], bool]) -> None:
+        """Drop holders that have left and ledgers that nobody uses."""
+        for target_id, owned in list(self._owned.items()):
+            for holder in owned.ledger.list_holders():
+                if is_gone(holder):
+                    owned.ledger.forget(holder)
+                    owned.totals.pop(holder, None)
+            if owned.ledger.is_idle(now):
+                del self._owned[target_id]
+
+    def _find(self, target_id: str, now: float) -> _Owned | None:
+        owned = self._owned.get(target_id)
+        if owned is not None:
+            return owned
+        declaration = self.declarations.get(target_id)
+        if declaration is None:
+            return None
+        hold_until = max(self._hold_until, now + self._lease_seconds)
+        owned = _Owned(
+            Ledger(self._lease_seconds, hold_until),
+            Warmup(declaration.state.slots, declaration.cold_slots, now),
+        )
+        self._owned[target_id] = owned
+        return owned
+
+    def _state_terms(
+        self, target_id: str, owned: _Owned, book: AllowanceBook, now: float
+    ) -> Terms:
+        declaration = self.declarations[target_id]
+        usable = owned.ready and not declaration.state.leaving
+        load_cap = None
+        if declaration.balanced:
+            load_cap = self._find_load_cap(declaration.state, book, now)
+        return Terms(
+            limit=owned.warmup.limit,
+            usable=usable,
+            cold=owned.warmup.cold,
+            load_cap=load_cap,
+        )
+
+    def _find_load_cap(
+        self, state: TargetState, book: AllowanceBook, now: float
+    ) -> float | None:
+        """Return multiple x mean load over the ready targets of the pool.
+
+        None if no other ready target is known, as there is nothing to compare with.
+        """
+        loads = []
+        for target_id in self._pools.get((state.model, state.version), ()):
+            load = self._find_load(target_id, book, now)
+            if load is not None:
+                loads.append(load)
+        if len(loads) < 2:
+            return None
+        return self._load_multiple * math.fsum(loads) / len(loads)
+
+    def _find_load(self, target_id: str, book: AllowanceBook, now: float) -> int | None:
+        if self.declarations[target_id].state.leaving:
+            return None
+        allowance = book.find(target_id, now)
+        if allowance is None or not allowance.ready:
+            return None
+        owned = self._owned.get(target_id)
+        if owned is not None and allowance.owner in owned.ledger.list_holders():
+            return max(allowance.load, owned.ledger.count_load())
+        return allowance.load
