--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -5,16 +5,20 @@
 from typing import ClassVar
 
 __all__ = [
+    "AnswerTimeoutError",
     "BadCredentialsError",
     "BodyTooLargeError",
     "CallerError",
+    "CallerGoneError",
     "CarobladderError",
     "ConnectionBrokenError",
     "DeadlineExceededError",
     "HeaderTooLargeError",
     "IdempotencyKeyError",
+    "InternalFaultError",
     "LogUnavailableError",
     "MalformedRequestError",
+    "MethodNotAllowedError",
     "NoCapacityError",
     "NotReadyError",
     "OffsetDroppedError",
@@ -22,11 +26,14 @@
     "OutcomeUnknownError",
     "PeerMessageError",
     "RequestTimeoutError",
+    "RequestWithheldError",
     "RevisionConflictError",
     "SettingsError",
     "TargetError",
+    "TargetFailedError",
     "TargetRefusedError",
     "UnknownModelError",
+    "UnknownOutcomeError",
     "UnknownPathError",
 ]
 
@@ -95,6 +102,14 @@
         self.status = status
 
 
+class RequestWithheldError(TargetError):
+    """Report a request that was not written because its permit had lapsed."""
+
+
+class CallerGoneError(CarobladderError):
+    """Report a caller that no longer takes its answer."""
+
+
 @dataclass(eq=False)
 class CallerError(CarobladderError):
     """Base of errors that are answered to a caller as JSON."""
@@ -214,3 +229,47 @@
     status = 409
     code = "revision_conflict"
     remedy = "read the resource again and repeat the change on its current revision"
+
+
+@dataclass(eq=False)
+class MethodNotAllowedError(CallerError):
+    """Report a known path with a method that it does not serve."""
+
+    allowed: str = ""
+
+    status = 405
+    code = "method_not_allowed"
+    remedy = "use the method that the Allow header names"
+
+
+class UnknownOutcomeError(CallerError):
+    """Report an idempotency key of the team that has no recorded answer."""
+
+    status = 404
+    code = "unknown_outcome"
+    remedy = "check the key, or repeat the call with the same Idempotency-Key"
+    outcome = Outcome.UNKNOWN
+
+
+class AnswerTimeoutError(CallerError):
+    """Report a request that was started but not answered by its deadline."""
+
+    status = 504
+    code = "answer_timeout"
+    remedy = "send the request again with a later X-Deadline-Ms"
+    outcome = Outcome.UNKNOWN
+
+
+class TargetFailedError(CallerError):
+    """Report targets that failed after the request was written to one of them."""
+
+    status = 502
+    code = "target_failed"
+    remedy = "send the request again"
+    outcome = Outcome.UNKNOWN
+
+
+class InternalFaultError(CallerError):
+    """Report a fault of the instance itself."""
+
+    outcome = Outcome.UNKNOWN
--- /dev/null
+++ b/carobladder/gateway/attempts.py
@@ -0,0 +1,322 @@
+"""Attempts of one call on the targets that admission chooses."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+
+from carobladder.clock import Clock
+from carobladder.exceptions import (
+    AnswerTimeoutError,
+    CallerError,
+    ConnectionBrokenError,
+    DeadlineExceededError,
+    NotReadyError,
+    RequestWithheldError,
+    TargetError,
+    TargetFailedError,
+    TargetRefusedError,
+)
+from carobladder.gateway.ports import Admission, Permit, Ranking, SlotRequest, Team
+from carobladder.platform.http import AnswerStream, HttpClient
+from carobladder.retries import (
+    FailedAttempt,
+    RetryBudget,
+    RetryDecision,
+    decide_retry,
+)
+from carobladder.targets import RequestClass, TargetState
+from carobladder.telemetry import GatewayMetrics
+
+__all__ = ["CallSession", "OpenCall", "TargetCall", "TargetCaller", "WholeAnswer"]
+
+# Time in which a broken stream must find a target that resumes it.
+_RESUME_SECONDS = 5.0
+# The key of the team stays inside the fleet, so these answers of a target are
+# faults between fleet and target and not the caller's.
+_FAULT_STATUSES = frozenset({401, 403, 407, 408, 429})
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCall:
+    """Describe a call independently of the target that runs it.
+
+    ``list_targets`` and ``rank`` are asked again for each attempt. ``deadline`` is
+    in monotonic seconds. ``repeatable`` is false for calls that may run only once.
+    """
+
+    team: Team
+    request_class: RequestClass
+    pool: str
+    list_targets: Callable[[], Sequence[TargetState]]
+    rank: Callable[[Sequence[TargetState]], Ranking]
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    request_id: str
+    deadline: float
+    first_byte_seconds: float
+    repeatable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """Carry a whole answer and the target that gave it."""
+
+    target: TargetState
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCaller:
+    """Hold what the calls of an instance share."""
+
+    client: HttpClient
+    admission: Admission
+    budget: RetryBudget
+    clock: Clock
+    metrics: GatewayMetrics
+
+    def start(self, call: TargetCall) -> "CallSession":
+        """Begin a call; nothing is sent yet."""
+        self.budget.record_request()
+        return CallSession(self, call)
+
+
+class OpenCall:
+    """Hold the permit and the answer of one attempt until closed."""
+
+    def __init__(
+        self, permit: Permit, answer: AnswerStream, clock: Clock, sent_at: float
+    ) -> None:
+        self.answer = answer
+        self.target = _with_boot_id(permit.target, answer)
+        self._permit: Permit | None = permit
+        self._clock = clock
+        self._sent_at = sent_at
+        self._first_byte_seconds: float | None = None
+
+    def note_first_byte(self) -> None:
+        """Record how long the target took to its first byte."""
+        self._first_byte_seconds = self._clock.monotonic() - self._sent_at
+
+    def close(self, *, failed: bool = False) -> None:
+        """Close the answer and give the permit back; later calls do nothing."""
+        self.answer.close()
+        if self._permit is not None:
+            permit, self._permit = self._permit, None
+            permit.release(failed=failed, first_byte_seconds=self._first_byte_seconds)
+
+
+class CallSession:
+    """Run the attempts of one call.
+
+    ``written`` is true once any attempt may have reached a target; from then on no
+    error claims that the call did not run.
+    """
+
+    def __init__(self, caller: TargetCaller, call: TargetCall) -> None:
+        self.written = False
+        self._caller = caller
+        self._call = call
+        self._attempts = 0
+        self._failed_targets: set[str] = set()
+        self._version: str | None = None
+        self._deadline: float | None = call.deadline
+
+    async def open(self, extra_headers: Headers = ()) -> OpenCall:
+        """Return the first answer whose headers arrived.
+
+        Raises CallerError when no further attempt is allowed.
+        """
+        while True:
+            permit = await self._acquire()
+            sent_at = self._caller.clock.monotonic()
+            try:
+                answer = await self._send(permit, extra_headers)
+            except RequestWithheldError:
+                permit.release()
+                # Lets the task that renews permits run.
+                await asyncio.sleep(0)
+                continue
+            except TargetError as error:
+                permit.release(failed=_is_target_fault(error))
+                self.written = self.written or error.request_written
+                self.note_failure(permit.target, error)
+                continue
+            except BaseException:
+                permit.release()
+                raise
+            self.written = True
+            return OpenCall(permit, answer, self._caller.clock, sent_at)
+
+    async def fetch(self) -> WholeAnswer:
+        """Return the first whole answer; raises CallerError if there is none."""
+        while True:
+            opened = await self.open()
+            try:
+                opened.note_first_byte()
+                body = await opened.answer.read_all(max(0.0, self._remaining()))
+                answer = opened.answer
+                opened.close(failed=answer.status >= 500)
+                return WholeAnswer(opened.target, answer.status, answer.headers, body)
+            except TargetError as error:
+                opened.close(failed=True)
+                self.note_failure(opened.target, error)
+            finally:
+                opened.close()
+
+    def note_relayed(self, target: TargetState) -> None:
+        """Note that the caller received a part of the answer.
+
+        Another version would continue the answer with other tokens, so only targets
+        of the same version may resume it.
+        """
+        self._attempts = 1
+        self._version = target.version
+        self._deadline = None
+
+    def note_failure(
+        self, target: TargetState, error: TargetError, *, resumable: bool = False
+    ) -> None:
+        """Allow a further attempt, or raise the CallerError that ends the call."""
+        self._failed_targets.add(target.target_id)
+        relayed = self._version is not None
+        failed = FailedAttempt(
+            attempts=self._attempts,
+            repeatable=self._call.repeatable,
+            request_written=error.request_written,
+            answer_relayed=relayed,
+            resumable=resumable or not relayed,
+            targets_left=len(self._candidates()),
+            deadline=self._deadline,
+        )
+        now = self._caller.clock.monotonic()
+        decision = decide_retry(failed, self._caller.budget, now)
+        if decision is RetryDecision.RETRY:
+            self._caller.metrics.count_retry(_name_reason(error, relayed))
+            return
+        self._caller.metrics.count_denied_retry(decision.value)
+        raise self._final_error(decision, str(error))
+
+    async def _acquire(self) -> Permit:
+        call = self._call
+        now = self._caller.clock.monotonic()
+        deadline = self._deadline
+        if deadline is None:
+            deadline = now + _RESUME_SECONDS
+        if now >= deadline:
+            raise self._final_error(RetryDecision.DEADLINE, "the deadline has passed")
+        ranking = call.rank(self._candidates())
+        if not ranking.ranked:
+            raise self._final_error(
+                RetryDecision.NO_TARGET, f"no target of {call.pool} is ready"
+            )
+        slot_request = SlotRequest(
+            team=call.team,
+            request_class=call.request_class,
+            pool=call.pool,
+            ranked=ranking.ranked,
+            deadline=deadline,
+            sticky_seconds=ranking.sticky_seconds,
+        )
+        permit = await self._acquire_slot(slot_request)
+        first = permit.target.target_id == ranking.ranked[0]
+        decision = "first_choice" if first else "later_choice"
+        self._caller.metrics.count_decision(decision)
+        return permit
+
+    async def _acquire_slot(self, slot_request: SlotRequest) -> Permit:
+        try:
+            return await self._caller.admission.acquire(slot_request)
+        except CallerError as error:
+            if not self.written:
+                raise
+            # An earlier attempt may have run, so the refusal's "not run" is untrue.
+            raise TargetFailedError(
+                f"an attempt failed and no further one is possible: {error.message}",
+                error.retry_after_seconds,
+            ) from error
+
+    async def _send(self, permit: Permit, extra_headers: Headers) -> AnswerStream:
+        call = self._call
+        self._attempts += 1
+        try:
+            answer = await self._caller.client.open(
+                call.method,
+                permit.target.address,
+                call.path,
+                headers=(*call.headers, *extra_headers),
+                body=call.body,
+                timeout_seconds=min(call.first_byte_seconds, self._remaining()),
+                may_repeat=call.repeatable,
+                fresh=not call.repeatable,
+                confirm=permit.is_valid,
+            )
+        except RequestWithheldError:
+            self._attempts -= 1
+            raise
+        self._check_answer(answer)
+        return answer
+
+    def _check_answer(self, answer: AnswerStream) -> None:
+        """Raise TargetError for an answer that must not reach the caller."""
+        for name, value in answer.headers:
+            if name == "x-request-id" and value != self._call.request_id:
+                answer.close()
+                raise ConnectionBrokenError(
+                    "the target sent the answer of another request",
+                    request_written=True,
+                )
+        status = answer.status
+        if self._call.repeatable and (status >= 500 or status in _FAULT_STATUSES):
+            answer.close()
+            raise TargetRefusedError(status, f"the target answered {status}")
+
+    def _candidates(self) -> Sequence[TargetState]:
+        targets = self._call.list_targets()
+        if self._version is not None:
+            targets = [t for t in targets if t.version == self._version]
+        others = [t for t in targets if t.target_id not in self._failed_targets]
+        if others or self._version is None:
+            return others
+        # A stream may resume on the engine whose connection broke.
+        return targets
+
+    def _remaining(self) -> float:
+        if self._deadline is None:
+            return self._call.first_byte_seconds
+        return max(0.0, self._deadline - self._caller.clock.monotonic())
+
+    def _final_error(self, decision: RetryDecision, reason: str) -> CallerError:
+        if decision is RetryDecision.DEADLINE:
+            if self.written:
+                return AnswerTimeoutError("no answer arrived before the deadline")
+            return DeadlineExceededError("the deadline passed before the start")
+        if self.written:
+            return TargetFailedError(f"the call failed at its target: {reason}")
+        return NotReadyError(f"the call reached no target: {reason}")
+
+
+def _with_boot_id(target: TargetState, answer: AnswerStream) -> TargetState:
+    for name, value in answer.headers:
+        if name == "x-boot-id" and value != target.boot_id:
+            return replace(target, boot_id=value)
+    return target
+
+
+def _is_target_fault(error: TargetError) -> bool:
+    # A refusal such as 429 says that the target is busy, not that it is broken.
+    return not isinstance(error, TargetRefusedError) or error.status >= 500
+
+
+def _name_reason(error: TargetError, relayed: bool) -> str:
+    if relayed:
+        return "stream_broken"
+    if isinstance(error, TargetRefusedError):
+        return "target_refused"
+    return "no_answer" if error.request_written else "not_written"
--- /dev/null
+++ b/carobladder/gateway/chats.py
@@ -0,0 +1,240 @@
+"""Chat completions."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from carobladder.clock import Clock
+from carobladder.exceptions import (
+    CallerGoneError,
+    DeadlineExceededError,
+    MalformedRequestError,
+    UnknownModelError,
+)
+from carobladder.gateway.attempts import (
+    CallSession,
+    Headers,
+    TargetCall,
+    TargetCaller,
+)
+from carobladder.gateway.ports import (
+    Answer,
+    ChatRequest,
+    ChatTurn,
+    Directory,
+    Placement,
+    Ranking,
+    Request,
+    Responder,
+)
+from carobladder.gateway.relay import (
+    RelayTimes,
+    StreamObserver,
+    StreamRelay,
+    pick_content_type,
+)
+from carobladder.gateway.requests import authenticate, read_class, read_deadline
+from carobladder.targets import CLASS_PRIORITY, RequestClass, TargetState
+from carobladder.telemetry import GatewayMetrics
+
+__all__ = ["ChatHandler", "ChatOptions"]
+
+_ENGINE_PATH = "/v1/chat/completions"
+# Estimates the length of a context whose tokens the engine has not counted.
+_BYTES_FOR_TOKEN = 4
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str | list[msgspec.Raw] | None = None
+
+
+class _ChatBody(msgspec.Struct):
+    model: str
+    messages: list[_Message]
+    stream: bool | None = False
+
+
+class _Usage(msgspec.Struct):
+    total_tokens: int = 0
+
+
+class _ChatAnswer(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ChatOptions:
+    """Hold the settings of chat completions."""
+
+    default_deadline_seconds: float = 60.0
+    times: RelayTimes = field(default_factory=RelayTimes)
+
+
+class ChatHandler:
+    """Check a completion request, place it and answer with the engine's answer."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        placement: Placement,
+        caller: TargetCaller,
+        options: ChatOptions,
+    ) -> None:
+        self._directory = directory
+        self._placement = placement
+        self._caller = caller
+        self._options = options
+        self._body_decoder = msgspec.json.Decoder(_ChatBody)
+        self._answer_decoder = msgspec.json.Decoder(_ChatAnswer)
+
+    @property
+    def _clock(self) -> Clock:
+        return self._caller.clock
+
+    @property
+    def _metrics(self) -> GatewayMetrics:
+        return self._caller.metrics
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer POST /v1/chat/completions."""
+        team = authenticate(request, self._directory)
+        body = self._decode_body(request.body)
+        if body.model not in team.models:
+            raise UnknownModelError(f"model {body.model!r} is not declared")
+        chat = ChatRequest(
+            team=team,
+            model=body.model,
+            request_class=read_class(request, RequestClass.QUICK),
+            turns=tuple(_read_turn(message) for message in body.messages),
+            chat_id=request.headers.get("x-chat-id", ""),
+            chat_token=request.headers.get("x-chat-token", ""),
+        )
+        streamed = bool(body.stream)
+        session = self._caller.start(self._build_call(request, chat, streamed))
+        if streamed:
+            await self._answer_stream(request, responder, chat, session)
+        else:
+            await self._answer_whole(responder, chat, session)
+        seconds = self._clock.monotonic() - request.received
+        self._metrics.observe_request(team.name, chat.request_class, seconds)
+
+    def _decode_body(self, raw: bytes) -> _ChatBody:
+        try:
+            body = self._body_decoder.decode(raw)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise MalformedRequestError(
+                f"body is not a completion request: {error}"
+            ) from None
+        if not body.messages:
+            raise MalformedRequestError("messages must not be empty")
+        return body
+
+    def _build_call(
+        self, request: Request, chat: ChatRequest, streamed: bool
+    ) -> TargetCall:
+        options = self._options
+        deadline = read_deadline(request, options.default_deadline_seconds)
+        if self._clock.monotonic() >= deadline:
+            raise DeadlineExceededError("the deadline passed before the start")
+
+        def rank(targets: Sequence[TargetState]) -> Ranking:
+            shares = self._directory.version_shares(chat.model)
+            return self._placement.rank(chat, targets, shares)
+
+        # The headers of a whole answer arrive only after its last token.
+        first_byte_seconds = (
+            options.times.first_byte_seconds
+            if streamed
+            else options.default_deadline_seconds + deadline - request.received
+        )
+        return TargetCall(
+            team=chat.team,
+            request_class=chat.request_class,
+            pool=chat.model,
+            list_targets=lambda: self._directory.list_targets(chat.model),
+            rank=rank,
+            method="POST",
+            path=_ENGINE_PATH,
+            headers=(
+                ("Content-Type", "application/json"),
+                ("X-Priority", str(CLASS_PRIORITY[chat.request_class])),
+                ("X-Request-Id", request.request_id),
+            ),
+            body=request.body,
+            request_id=request.request_id,
+            deadline=deadline,
+            first_byte_seconds=first_byte_seconds,
+        )
+
+    async def _answer_whole(
+        self, responder: Responder, chat: ChatRequest, session: CallSession
+    ) -> None:
+        answer = await session.fetch()
+        headers = (
+            ("Content-Type", pick_content_type(answer.headers)),
+            *self._token_headers(chat, answer.target, self._count_tokens(answer.body)),
+        )
+        await responder.send_answer(Answer(answer.status, headers, answer.body))
+
+    async def _answer_stream(
+        self,
+        request: Request,
+        responder: Responder,
+        chat: ChatRequest,
+        session: CallSession,
+    ) -> None:
+        metrics = self._metrics
+        team, request_class = chat.team.name, chat.request_class
+        observer = StreamObserver(
+            monotonic=self._clock.monotonic,
+            received=request.received,
+            observe_first=lambda seconds: metrics.observe_first_token(
+                team, request_class, seconds
+            ),
+            observe_gap=metrics.gap_observer(request_class),
+        )
+        relay = StreamRelay(
+            session,
+            responder,
+            self._options.times,
+            observer,
+            lambda target: self._token_headers(chat, target, 0),
+        )
+        try:
+            with metrics.open_streams.track_inprogress():
+                error = await relay.run()
+        except (asyncio.CancelledError, CallerGoneError):
+            metrics.count_cancelled_stream()
+            raise
+        if error is not None:
+            metrics.count_broken_stream(error.code)
+
+    def _token_headers(
+        self, chat: ChatRequest, target: TargetState, tokens: int
+    ) -> Headers:
+        if not tokens:
+            size = sum(len(turn.text) for turn in chat.turns)
+            tokens = size // _BYTES_FOR_TOKEN
+        token = self._placement.issue_token(chat, target, tokens)
+        return (("X-Chat-Token", token),) if token else ()
+
+    def _count_tokens(self, body: bytes) -> int:
+        """Return the tokens that the engine counted, or 0."""
+        try:
+            usage = self._answer_decoder.decode(body).usage
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return 0
+        return usage.total_tokens if usage else 0
+
+
+def _read_turn(message: _Message) -> ChatTurn:
+    content = message.content
+    if content is None:
+        return ChatTurn(message.role, "")
+    if isinstance(content, str):
+        return ChatTurn(message.role, content)
+    text = b"\n".join(bytes(part) for part in content)
+    return ChatTurn(message.role, text.decode("utf-8", "replace"))
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -1,6 +1,6 @@
 """Interfaces that the gateway consumes from the rest of the instance."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -8,9 +8,17 @@
 
 __all__ = [
     "Admission",
+    "Answer",
     "Bookings",
+    "ChatRequest",
+    "ChatTurn",
     "Directory",
+    "Handler",
     "Permit",
+    "Placement",
+    "Ranking",
+    "Request",
+    "Responder",
     "ServiceAnswer",
     "ServiceRoute",
     "SlotRequest",
@@ -124,9 +132,12 @@
         route: ServiceRoute,
         key: str,
         call: Callable[[], Awaitable[ServiceAnswer]],
+        fingerprint: str = "",
     ) -> ServiceAnswer:
         """Return the one answer of the key.
 
+        ``fingerprint`` stands for the request, so that a key that comes again with
+        another request is refused instead of answered with the first one's answer.
         ``call`` raises TargetError; its ``request_written`` tells whether the
         service may have seen the request. Raises IdempotencyKeyError,
         NotReadyError for a call that did not run, OutcomeUnknownError otherwise.
@@ -134,3 +145,120 @@
 
     async def find_outcome(self, team: Team, key: str) -> ServiceAnswer | None:
         """Return the recorded answer of a key, or None if there is none."""
+
+
+@dataclass(frozen=True, slots=True)
+class ChatTurn:
+    """Carry one message of a prompt as text."""
+
+    role: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChatRequest:
+    """Describe a chat completion as far as its placement needs it.
+
+    ``chat_id`` and ``chat_token`` are empty if the caller sent none; the token is
+    not verified yet.
+    """
+
+    team: Team
+    model: str
+    request_class: RequestClass
+    turns: tuple[ChatTurn, ...]
+    chat_id: str = ""
+    chat_token: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ranking:
+    """Give target ids, best first.
+
+    ``sticky_seconds`` is how long waiting for the first is worth it.
+    """
+
+    ranked: Sequence[str]
+    sticky_seconds: float = 0.0
+
+
+class Placement(Protocol):
+    """Choose targets for chats and remember the choice in a token."""
+
+    def rank(
+        self,
+        chat: ChatRequest,
+        targets: Sequence[TargetState],
+        shares: Mapping[str, float],
+    ) -> Ranking:
+        """Return the usable targets of the chat's version, best first."""
+
+    def issue_token(
+        self, chat: ChatRequest, target: TargetState, context_tokens: int
+    ) -> str:
+        """Return the signed token that names the target which served the chat.
+
+        ``context_tokens`` is an estimate when the answer is a stream, because the
+        token is sent before the answer's length is known.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Carry one parsed request; header names are lower case.
+
+    Headers that were sent several times are joined by a comma. ``received`` is in
+    monotonic seconds.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    body: bytes
+    request_id: str
+    received: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Carry a whole answer to a caller, without its framing headers."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class Responder(Protocol):
+    """Answer one request, either as a whole or as a stream.
+
+    The handler is cancelled when the caller closes its connection.
+    """
+
+    @property
+    def started(self) -> bool:
+        """Tell whether any part of the answer was sent."""
+
+    async def send_answer(self, answer: Answer) -> None:
+        """Send a whole answer."""
+
+    async def start_stream(
+        self, status: int, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        """Send the status and headers of a streamed answer."""
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send a part of a streamed answer; waits while the caller is slow."""
+
+    async def end_stream(self) -> None:
+        """Mark a streamed answer as whole.
+
+        A stream that is not ended before the handler returns is cut visibly.
+        """
+
+
+class Handler(Protocol):
+    """Answer the requests of a part of the paths."""
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer the request through the responder; a CallerError is sent as JSON."""
--- /dev/null
+++ b/carobladder/gateway/relay.py
@@ -0,0 +1,189 @@
+"""Relay of event streams from engines to callers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from carobladder.exceptions import CallerError, ConnectionBrokenError, TargetError
+from carobladder.gateway.attempts import CallSession, Headers, OpenCall
+from carobladder.gateway.ports import Answer, Responder
+from carobladder.gateway.problems import encode_problem
+from carobladder.retries import StreamFault, StreamTracker
+from carobladder.targets import TargetState
+
+__all__ = ["RelayTimes", "StreamObserver", "StreamRelay", "pick_content_type"]
+
+_EVENT_STREAM = "text/event-stream"
+# The end of an answer directly follows its final event.
+_END_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RelayTimes:
+    """Bound the pauses of a target's answer."""
+
+    first_byte_seconds: float = 20.0
+    stream_gap_seconds: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamObserver:
+    """Receive the times of a stream in seconds.
+
+    ``received`` is the monotonic time of the request.
+    """
+
+    monotonic: Callable[[], float]
+    received: float
+    observe_first: Callable[[float], None]
+    observe_gap: Callable[[float], None]
+
+
+class StreamRelay:
+    """Relay one streamed answer, resuming it where its connection breaks."""
+
+    def __init__(
+        self,
+        session: CallSession,
+        responder: Responder,
+        times: RelayTimes,
+        observer: StreamObserver,
+        answer_headers: Callable[[TargetState], Headers],
+    ) -> None:
+        self._session = session
+        self._responder = responder
+        self._times = times
+        self._observer = observer
+        self._answer_headers = answer_headers
+        self._tracker = StreamTracker()
+        self._last_at: float | None = None
+
+    async def run(self) -> CallerError | None:
+        """Relay to the end; return the error that the caller saw in the stream.
+
+        Raises CallerError if nothing was relayed yet.
+        """
+        try:
+            while not await self._run_attempt():
+                pass
+        except CallerError as error:
+            if not self._responder.started:
+                raise
+            await self._send_error(error)
+            return error
+        return None
+
+    async def _run_attempt(self) -> bool:
+        """Relay one attempt; tell whether the answer is complete."""
+        opened = await self._session.open(self._resume_headers())
+        try:
+            failure = await self._relay_answer(opened)
+            if failure is None:
+                return True
+            opened.close(failed=True)
+            self._session.note_failure(
+                opened.target, failure, resumable=self._tracker.resumable
+            )
+            return False
+        finally:
+            opened.close()
+
+    def _resume_headers(self) -> Headers:
+        last_index = self._tracker.last_index
+        if last_index is None:
+            return ()
+        return (("Last-Event-ID", str(last_index)),)
+
+    async def _relay_answer(self, opened: OpenCall) -> TargetError | None:
+        if pick_content_type(opened.answer.headers).startswith(_EVENT_STREAM):
+            return await self._relay_events(opened)
+        if self._tracker.relayed:
+            return _broken(f"answered {opened.answer.status} instead of resuming")
+        return await self._relay_whole(opened)
+
+    async def _relay_whole(self, opened: OpenCall) -> TargetError | None:
+        answer = opened.answer
+        opened.note_first_byte()
+        try:
+            body = await answer.read_all(self._times.first_byte_seconds)
+        except TargetError as error:
+            return error
+        headers = (
+            ("Content-Type", pick_content_type(answer.headers)),
+            *self._answer_headers(opened.target),
+        )
+        await self._responder.send_answer(Answer(answer.status, headers, body))
+        return None
+
+    async def _relay_events(self, opened: OpenCall) -> TargetError | None:
+        """Relay whole events; return what broke the stream, or None at its end."""
+        tracker = self._tracker
+        answer = opened.answer
+        responder = self._responder
+        limit_seconds = self._times.first_byte_seconds
+        first = True
+        tracker.start_attempt()
+        while not tracker.finished:
+            try:
+                data = await answer.read(limit_seconds)
+            except TargetError as error:
+                return error
+            if not data:
+                return _broken("the stream ended without its final event")
+            events = tracker.feed(data)
+            if events:
+                if first:
+                    first = False
+                    limit_seconds = self._times.stream_gap_seconds
+                    await self._note_first_events(opened)
+                await responder.send_chunk(events)
+                self._note_chunk()
+            if tracker.fault is not StreamFault.NONE:
+                return _broken(f"the stream cannot be followed: {tracker.fault}")
+        await responder.end_stream()
+        await self._read_end(opened)
+        return None
+
+    async def _note_first_events(self, opened: OpenCall) -> None:
+        opened.note_first_byte()
+        self._session.note_relayed(opened.target)
+        if not self._responder.started:
+            headers = (
+                ("Content-Type", _EVENT_STREAM),
+                ("Cache-Control", "no-cache"),
+                *self._answer_headers(opened.target),
+            )
+            await self._responder.start_stream(200, headers)
+
+    def _note_chunk(self) -> None:
+        now = self._observer.monotonic()
+        if self._last_at is None:
+            self._observer.observe_first(now - self._observer.received)
+        else:
+            self._observer.observe_gap(now - self._last_at)
+        self._last_at = now
+
+    async def _read_end(self, opened: OpenCall) -> None:
+        """Read the end of the answer, so that its connection can be used again."""
+        try:
+            if await opened.answer.read(_END_SECONDS):
+                opened.answer.close()
+        except TargetError:
+            opened.answer.close()
+
+    async def _send_error(self, error: CallerError) -> None:
+        """End the stream with a visible error and without the final event."""
+        event = b"event: error\ndata: " + encode_problem(error) + b"\n\n"
+        await self._responder.send_chunk(event)
+        await self._responder.end_stream()
+
+
+def pick_content_type(headers: Headers) -> str:
+    """Return the content type of an answer."""
+    for name, value in headers:
+        if name == "content-type":
+            return value
+    return "application/octet-stream"
+
+
+def _broken(reason: str) -> ConnectionBrokenError:
+    return ConnectionBrokenError(f"{reason}; try another target", request_written=True)
--- /dev/null
+++ b/carobladder/gateway/requests.py
@@ -0,0 +1,169 @@
+"""Checks of requests and the meaning of their headers."""
+
+import uuid
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import h11
+
+from carobladder.exceptions import (
+    BadCredentialsError,
+    BodyTooLargeError,
+    CallerError,
+    HeaderTooLargeError,
+    MalformedRequestError,
+    NotReadyError,
+)
+from carobladder.gateway.ports import Directory, Request, Team
+from carobladder.targets import RequestClass
+
+__all__ = [
+    "RequestLimits",
+    "authenticate",
+    "body_too_large",
+    "build_request",
+    "check_head",
+    "explain_protocol_error",
+    "new_request_id",
+    "read_class",
+    "read_deadline",
+]
+
+_HEADER_OVERHEAD_BYTES = 4
+_TOO_LARGE_STATUS = 431
+_BEARER = "bearer"
+_MAX_DEADLINE_MS = 3_600_000
+_DOT_SEGMENTS = frozenset({".", ".."})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Bound what a caller may send and how long it may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    read_seconds: float = 10.0
+    idle_seconds: float = 75.0
+    stalled_write_seconds: float = 30.0
+
+
+def new_request_id() -> str:
+    """Return an id that no other request has."""
+    return uuid.uuid4().hex
+
+
+def check_head(head: h11.Request, limits: RequestLimits) -> None:
+    """Raise HeaderTooLargeError or BodyTooLargeError before the body is read."""
+    size = len(head.target)
+    for name, value in head.headers:
+        size += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+    if size > limits.max_header_bytes:
+        raise header_too_large(limits)
+    for name, value in head.headers:
+        if name == b"content-length" and int(value) > limits.max_body_bytes:
+            raise body_too_large(limits)
+
+
+def header_too_large(limits: RequestLimits) -> HeaderTooLargeError:
+    """Return the error of headers over the limit."""
+    return HeaderTooLargeError(f"headers exceed {limits.max_header_bytes} bytes")
+
+
+def body_too_large(limits: RequestLimits) -> BodyTooLargeError:
+    """Return the error of a body over the limit."""
+    return BodyTooLargeError(f"body exceeds {limits.max_body_bytes} bytes")
+
+
+def explain_protocol_error(
+    error: h11.RemoteProtocolError, limits: RequestLimits
+) -> CallerError:
+    """Return the caller's error for bytes that are not an HTTP request."""
+    if error.error_status_hint == _TOO_LARGE_STATUS:
+        return header_too_large(limits)
+    return MalformedRequestError(f"request is not valid HTTP/1.1: {error}")
+
+
+def build_request(
+    head: h11.Request, body: bytes, request_id: str, received: float
+) -> Request:
+    """Return the parsed request; raises MalformedRequestError for a bad path."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name = raw_name.decode("ascii")
+        value = raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    path, query = _split_target(head.target.decode("latin-1"))
+    return Request(
+        method=head.method.decode("ascii"),
+        path=path,
+        query=query,
+        headers=headers,
+        body=body,
+        request_id=request_id,
+        received=received,
+    )
+
+
+def authenticate(request: Request, directory: Directory) -> Team:
+    """Return the team of the request's key.
+
+    Raises NotReadyError without a configuration, BadCredentialsError otherwise.
+    """
+    scheme, _, credential = request.headers.get("authorization", "").partition(" ")
+    if scheme.lower() != _BEARER or not credential.strip():
+        raise BadCredentialsError("the request has no bearer key")
+    if not directory.ready:
+        raise NotReadyError("no configuration is in force yet")
+    team = directory.find_team(credential.strip())
+    if team is None:
+        raise BadCredentialsError("no team has this key")
+    return team
+
+
+def read_class(request: Request, default: RequestClass) -> RequestClass:
+    """Return the class that the request names, or the default."""
+    text = request.headers.get("x-request-class")
+    if text is None:
+        return default
+    try:
+        return RequestClass(text.strip().lower())
+    except ValueError:
+        names = ", ".join(RequestClass)
+        raise MalformedRequestError(f"X-Request-Class must be one of {names}") from None
+
+
+def read_deadline(request: Request, default_seconds: float) -> float:
+    """Return the deadline in monotonic seconds.
+
+    X-Deadline-Ms counts from the request's first byte, because the clocks of
+    callers and instances differ.
+    """
+    text = request.headers.get("x-deadline-ms")
+    if text is None:
+        return request.received + default_seconds
+    try:
+        milliseconds = int(text)
+    except ValueError:
+        raise MalformedRequestError(
+            "X-Deadline-Ms must be a whole number of milliseconds"
+        ) from None
+    return request.received + min(milliseconds, _MAX_DEADLINE_MS) / 1000
+
+
+def _split_target(target: str) -> tuple[str, str]:
+    if not target.startswith("/"):
+        target = _strip_authority(target)
+    path, _, query = target.partition("?")
+    # A service that resolves dot segments would leave the prefix that the
+    # team was checked for.
+    if not _DOT_SEGMENTS.isdisjoint(unquote(path).replace("\\", "/").split("/")):
+        raise MalformedRequestError("the path must not have dot segments")
+    return path, query
+
+
+def _strip_authority(target: str) -> str:
+    scheme, separator, rest = target.partition("://")
+    if not separator or scheme.lower() != "http":
+        raise MalformedRequestError("the request target must be a path")
+    _, _, path = rest.partition("/")
+    return f"/{path}"
--- a/carobladder/platform/http.py
+++ b/carobladder/platform/http.py
@@ -1,13 +1,14 @@
 """HTTP/1.1 client with a connection pool for each target address."""
 
 import asyncio
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
 import h11
 
 from carobladder.clock import Clock
-from carobladder.exceptions import ConnectionBrokenError
+from carobladder.exceptions import ConnectionBrokenError, RequestWithheldError
 from carobladder.platform.ports import HttpAnswer
 
 __all__ = ["AnswerStream", "HttpClient"]
@@ -275,10 +276,12 @@
         return data
 
     async def read_all(self, timeout_seconds: float) -> bytes:
-        """Return the rest of the body."""
+        """Return the rest of the body; the time limit holds for all of it."""
+        loop = asyncio.get_running_loop()
+        limit_at = loop.time() + timeout_seconds
         parts = []
         size = 0
-        while data := await self.read(timeout_seconds):
+        while data := await self.read(max(0.0, limit_at - loop.time())):
             parts.append(data)
             size += len(data)
             if size > _MAX_ANSWER_BYTES:
@@ -317,7 +320,8 @@
         fresh: bool = False,
     ) -> HttpAnswer:
         """Return the whole answer of the server; see ``open`` for the arguments."""
-        limit_at = asyncio.get_running_loop().time() + timeout_seconds
+        loop = asyncio.get_running_loop()
+        limit_at = loop.time() + timeout_seconds
         stream = await self.open(
             method,
             address,
@@ -328,14 +332,8 @@
             may_repeat=may_repeat,
             fresh=fresh,
         )
-        try:
-            async with stream, asyncio.timeout_at(limit_at):
-                content = await stream.read_all(timeout_seconds)
-        except TimeoutError:
-            raise ConnectionBrokenError(
-                f"{address}: no whole answer within the time limit; try another target",
-                request_written=True,
-            ) from None
+        async with stream:
+            content = await stream.read_all(max(0.0, limit_at - loop.time()))
         return HttpAnswer(stream.status, stream.headers, content)
 
     async def open(
@@ -349,13 +347,16 @@
         timeout_seconds: float,
         may_repeat: bool | None = None,
         fresh: bool = False,
+        confirm: Callable[[], bool] | None = None,
     ) -> AnswerStream:
         """Send a request and return its answer once the headers have arrived.
 
         ``may_repeat`` allows a second try when a pooled connection proves stale; by
         default it follows the method. ``fresh`` avoids pooled connections, so that a
-        stale one cannot leave the outcome of the call in doubt.
-        Raises ConnectionBrokenError with ``request_written``.
+        stale one cannot leave the outcome of the call in doubt. ``confirm`` is asked
+        directly before the request is written.
+        Raises ConnectionBrokenError with ``request_written``, or
+        RequestWithheldError if ``confirm`` returned false.
         """
         if may_repeat is None:
             may_repeat = method in _REPEATABLE_METHODS
@@ -364,6 +365,7 @@
         limit_at = loop.time() + timeout_seconds
         connection = None if fresh else self._take(address)
         if connection is not None:
+            self._confirm(connection, confirm)
             try:
                 return await self._exchange(connection, request, body, limit_at)
             except ConnectionBrokenError as error:
@@ -371,6 +373,7 @@
                 if not (stale and (may_repeat or not error.request_written)):
                     raise
         connection = await self._connect(address, limit_at)
+        self._confirm(connection, confirm)
         return await self._exchange(connection, request, body, limit_at)
 
     def close(self) -> None:
@@ -380,6 +383,18 @@
                 connection.abort()
         self._pool.clear()
 
+    def _confirm(
+        self, connection: _Connection, confirm: Callable[[], bool] | None
+    ) -> None:
+        """Put the unused connection back and raise if the request must not go out."""
+        if confirm is None or confirm():
+            return
+        self._keep(connection, self._clock.monotonic())
+        raise RequestWithheldError(
+            f"{connection.address}: the permit lapsed; acquire it again",
+            request_written=False,
+        )
+
     async def _exchange(
         self,
         connection: _Connection,
@@ -425,9 +440,14 @@
     def _release(self, connection: _Connection) -> None:
         now = self._clock.monotonic()
         self._prune(now)
+        if connection.finish_cycle():
+            self._keep(connection, now)
+        else:
+            connection.abort()
+
+    def _keep(self, connection: _Connection, now: float) -> None:
         connections = self._pool.setdefault(connection.address, [])
-        full = len(connections) >= _MAX_IDLE_FOR_ADDRESS
-        if full or not connection.finish_cycle():
+        if len(connections) >= _MAX_IDLE_FOR_ADDRESS:
             connection.abort()
             return
         connection.idle_since = now
--- /dev/null
+++ b/carobladder/retries/decisions.py
@@ -0,0 +1,62 @@
+"""Decide whether a failed attempt may be repeated."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from carobladder.retries.budgets import RetryBudget
+
+__all__ = ["FailedAttempt", "RetryDecision", "decide_retry"]
+
+_MAX_ATTEMPTS = 3
+
+
+class RetryDecision(StrEnum):
+    """Name the decision about a failed attempt."""
+
+    RETRY = "retry"
+    UNSAFE = "unsafe"
+    ATTEMPTS_USED = "attempts_used"
+    NO_TARGET = "no_target"
+    DEADLINE = "deadline"
+    BUDGET = "budget"
+
+
+@dataclass(frozen=True, slots=True)
+class FailedAttempt:
+    """Describe an attempt that failed.
+
+    ``answer_relayed`` is true once the caller received a byte of the answer;
+    ``resumable`` is true if the rest can be requested by its token index.
+    ``deadline`` is in monotonic seconds, or None once a stream has started.
+    """
+
+    attempts: int
+    repeatable: bool
+    request_written: bool
+    answer_relayed: bool
+    resumable: bool
+    targets_left: int
+    deadline: float | None
+
+
+def decide_retry(
+    failed: FailedAttempt, budget: RetryBudget, now: float
+) -> RetryDecision:
+    """Return the decision; the budget is charged only if it is a retry."""
+    if not _is_safe(failed):
+        return RetryDecision.UNSAFE
+    if failed.attempts >= _MAX_ATTEMPTS:
+        return RetryDecision.ATTEMPTS_USED
+    if failed.targets_left == 0:
+        return RetryDecision.NO_TARGET
+    if failed.deadline is not None and now >= failed.deadline:
+        return RetryDecision.DEADLINE
+    if not budget.withdraw(now):
+        return RetryDecision.BUDGET
+    return RetryDecision.RETRY
+
+
+def _is_safe(failed: FailedAttempt) -> bool:
+    if failed.answer_relayed:
+        return failed.repeatable and failed.resumable
+    return failed.repeatable or not failed.request_written
--- /dev/null
+++ b/carobladder/retries/streams.py
@@ -0,0 +1,118 @@
+"""Follow the token index of an event stream so that it can be resumed."""
+
+from enum import StrEnum
+
+__all__ = ["StreamFault", "StreamTracker"]
+
+_EVENT_END = b"\n\n"
+_DONE = b"data: [DONE]"
+_DONE_WITHOUT_SPACE = b"data:[DONE]"
+_MAX_EVENT_BYTES = 1_048_576
+# Engines number the first token 0 or 1.
+_FIRST_INDEXES = (0, 1)
+
+
+class StreamFault(StrEnum):
+    """Name why the events of an attempt cannot be relayed further."""
+
+    NONE = ""
+    WRONG_INDEX = "wrong_index"
+    BAD_INDEX = "bad_index"
+    EVENT_TOO_LARGE = "event_too_large"
+
+
+class StreamTracker:
+    """Release whole events in the order of their token index.
+
+    Only whole events are released, so that a cut inside an event leaves nothing
+    at the caller that a resumed stream would repeat.
+    """
+
+    def __init__(self) -> None:
+        self.last_index: int | None = None
+        self.finished = False
+        self.relayed = False
+        self.fault = StreamFault.NONE
+        self._numbered = True
+        self._tail = b""
+
+    @property
+    def resumable(self) -> bool:
+        """Tell whether the rest can be requested after the last index.
+
+        An event without an index cannot be placed in a resumed stream.
+        """
+        if self.finished or not self._numbered:
+            return False
+        return self.last_index is not None or not self.relayed
+
+    def start_attempt(self) -> None:
+        """Drop the incomplete event of the attempt before."""
+        self._tail = b""
+        self.fault = StreamFault.NONE
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that may be relayed now.
+
+        ``fault`` is set if an event is not the next one; it and all later bytes of
+        the attempt are dropped. Bytes after the final event are dropped too.
+        """
+        if self.fault or self.finished:
+            return b""
+        if self._tail:
+            data = self._tail + data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        start = 0
+        while not self.finished:
+            end = data.find(_EVENT_END, start)
+            if end < 0:
+                break
+            if not self._accept(data, start, end):
+                break
+            start = end + len(_EVENT_END)
+        self._keep_tail(data, start)
+        if start:
+            self.relayed = True
+        return data[:start]
+
+    def _keep_tail(self, data: bytes, start: int) -> None:
+        if self.fault or self.finished:
+            self._tail = b""
+            return
+        self._tail = data[start:]
+        if len(self._tail) > _MAX_EVENT_BYTES:
+            self.fault = StreamFault.EVENT_TOO_LARGE
+            self._tail = b""
+
+    def _accept(self, data: bytes, start: int, end: int) -> bool:
+        if data.startswith(b"id:", start):
+            line = start
+        else:
+            # Payloads are JSON on one line, so a line that starts with "id:" is
+            # never part of one.
+            line = data.find(b"\nid:", start, end) + 1
+            if line == 0:
+                self._accept_unnumbered(data[start:end])
+                return True
+        line_end = data.find(b"\n", line, end)
+        return self._accept_index(data[line + 3 : line_end if line_end >= 0 else end])
+
+    def _accept_index(self, text: bytes) -> bool:
+        try:
+            index = int(text)
+        except ValueError:
+            self.fault = StreamFault.BAD_INDEX
+            return False
+        last = self.last_index
+        if index != last + 1 if last is not None else index not in _FIRST_INDEXES:
+            self.fault = StreamFault.WRONG_INDEX
+            return False
+        self.last_index = index
+        return True
+
+    def _accept_unnumbered(self, event: bytes) -> None:
+        if event.startswith((_DONE, _DONE_WITHOUT_SPACE)):
+            self.finished = True
+        elif event.startswith(b"data:") or b"\ndata:" in event:
+            self._numbered = False
--- /dev/null
+++ b/carobladder/telemetry/metrics.py
@@ -0,0 +1,176 @@
+"""Metrics of the callers' data path."""
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+from carobladder.targets import RequestClass
+
+__all__ = ["GatewayMetrics"]
+
+_TEAM_LIMIT = 50
+_OTHER_TEAMS = "other"
+_LATENCY_BUCKETS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    0.72,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+_GAP_BUCKETS = (0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.25, 1.0, 5.0)
+
+
+class GatewayMetrics:
+    """Hold the metrics of one instance; label sets are bounded.
+
+    Teams up to the limit keep their name, in order of first use; all later ones
+    share the label ``other``.
+    """
+
+    def __init__(
+        self,
+        registry: CollectorRegistry | None = None,
+        team_limit: int = _TEAM_LIMIT,
+    ) -> None:
+        self.registry = registry or CollectorRegistry()
+        self._team_limit = team_limit
+        self._teams: set[str] = set()
+        self._create_histograms()
+        self._create_counters()
+        self.open_connections = Gauge(
+            "carobladder_open_connections",
+            "Open connections of callers",
+            registry=self.registry,
+        )
+        self.open_streams = Gauge(
+            "carobladder_open_streams",
+            "Streamed answers being relayed",
+            registry=self.registry,
+        )
+
+    @property
+    def content_type(self) -> str:
+        """Return the content type of ``render``."""
+        return CONTENT_TYPE_LATEST
+
+    def render(self) -> bytes:
+        """Return all metrics in the exposition format."""
+        return generate_latest(self.registry)
+
+    def observe_request(
+        self, team: str, request_class: RequestClass, seconds: float
+    ) -> None:
+        """Record the time from a request's first byte to the end of its answer."""
+        self._latency.labels(request_class.value).observe(seconds)
+        self._team_latency.labels(self._label_team(team)).observe(seconds)
+
+    def observe_first_token(
+        self, team: str, request_class: RequestClass, seconds: float
+    ) -> None:
+        """Record the time from a request's first byte to its first token."""
+        self._first_token.labels(request_class.value).observe(seconds)
+        self._team_first_token.labels(self._label_team(team)).observe(seconds)
+
+    def gap_observer(self, request_class: RequestClass) -> Callable[[float], None]:
+        """Return the function that records the seconds between relayed chunks.
+
+        It is looked up once for each stream, to keep the path of a chunk short.
+        """
+        return self._gaps.labels(request_class.value).observe
+
+    def count_answer(self, status: int) -> None:
+        """Count an answer by its status."""
+        self._answers.labels(str(status)).inc()
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a request that ended in an error of the gateway."""
+        self._refusals.labels(reason).inc()
+
+    def count_decision(self, decision: str) -> None:
+        """Count a placement decision."""
+        self._decisions.labels(decision).inc()
+
+    def count_retry(self, reason: str) -> None:
+        """Count a further attempt by what made it necessary."""
+        self._retries.labels(reason).inc()
+
+    def count_denied_retry(self, reason: str) -> None:
+        """Count a failed attempt that was not repeated."""
+        self._denied_retries.labels(reason).inc()
+
+    def count_broken_stream(self, reason: str) -> None:
+        """Count a stream that ended in a visible error."""
+        self._broken_streams.labels(reason).inc()
+
+    def count_cancelled_stream(self) -> None:
+        """Count a stream whose caller went away."""
+        self._cancelled_streams.inc()
+
+    def _create_histograms(self) -> None:
+        self._latency = self._histogram("request_seconds", "class", _LATENCY_BUCKETS)
+        self._team_latency = self._histogram(
+            "team_request_seconds", "team", _LATENCY_BUCKETS
+        )
+        self._first_token = self._histogram(
+            "first_token_seconds", "class", _LATENCY_BUCKETS
+        )
+        self._team_first_token = self._histogram(
+            "team_first_token_seconds", "team", _LATENCY_BUCKETS
+        )
+        self._gaps = self._histogram("inter_token_seconds", "class", _GAP_BUCKETS)
+
+    def _create_counters(self) -> None:
+        self._answers = self._counter("answers", "status")
+        self._refusals = self._counter("refusals", "reason")
+        self._decisions = self._counter("placement_decisions", "decision")
+        self._retries = self._counter("retries", "reason")
+        self._denied_retries = self._counter("denied_retries", "reason")
+        self._broken_streams = self._counter("broken_streams", "reason")
+        self._cancelled_streams = Counter(
+            "carobladder_cancelled_streams",
+            "Streams cancelled because the caller went away",
+            registry=self.registry,
+        )
+
+    def _histogram(
+        self, name: str, label: str, buckets: tuple[float, ...]
+    ) -> Histogram:
+        return Histogram(
+            f"carobladder_{name}",
+            f"{name.replace('_', ' ').capitalize()} by {label}",
+            [label],
+            buckets=buckets,
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, label: str) -> Counter:
+        return Counter(
+            f"carobladder_{name}",
+            f"{name.replace('_', ' ').capitalize()} by {label}",
+            [label],
+            registry=self.registry,
+        )
+
+    def _label_team(self, team: str) -> str:
+        if team in self._teams:
+            return team
+        if len(self._teams) >= self._team_limit:
+            return _OTHER_TEAMS
+        self._teams.add(team)
+        return team
--- /dev/null
+++ b/tests/gateway/engines.py
@@ -0,0 +1,135 @@
+"""Tiny engine that streams numbered tokens, for tests of the gateway."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+
+from tests.gateway.wires import ScriptedServer
+
+DONE = b"data: [DONE]\n\n"
+
+
+def token_event(index: int) -> bytes:
+    """Return the event of a token; the text depends on its index only."""
+    return b'id: %d\ndata: {"choices":[{"delta":{"content":"t%d"}}]}\n\n' % (
+        index,
+        index,
+    )
+
+
+def whole_stream(count: int) -> bytes:
+    """Return the events that a caller must see."""
+    return b"".join(token_event(index) for index in range(count)) + DONE
+
+
+@dataclass
+class EngineRequest:
+    """Record a request that reached the engine."""
+
+    head: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def start(self) -> int:
+        """Return the index of the first token to send."""
+        return int(self.headers.get("last-event-id", "-1")) + 1
+
+
+@dataclass
+class Engine:
+    """Serve completions; ``cuts`` gives the bytes sent before each connection ends.
+
+    A cut of None serves whole answers; connections beyond the list are whole.
+    """
+
+    tokens: int = 5
+    cuts: list[int | None] = field(default_factory=list)
+    status: int = 200
+    hold: asyncio.Event | None = None
+    wrong_request_id: bool = False
+    requests: list[EngineRequest] = field(default_factory=list)
+    cancelled: int = 0
+    cancellation: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def server(self) -> ScriptedServer:
+        """Return a server that runs this engine."""
+        return ScriptedServer(self.serve)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int
+    ) -> None:
+        """Answer the requests of one connection."""
+        cut = self.cuts[number] if number < len(self.cuts) else None
+        while True:
+            request = await read_request(reader)
+            self.requests.append(request)
+            if cut is not None:
+                stream = self.stream_answer(request)
+                writer.write(stream[: stream.index(b"\r\n\r\n") + 4 + cut])
+                await writer.drain()
+                return
+            await self.answer(request, reader, writer)
+
+    async def answer(
+        self,
+        request: EngineRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Write one whole or streamed answer."""
+        if self.status != 200 or b'"stream":true' not in request.body:
+            writer.write(self.whole_answer(request))
+        elif self.hold is None:
+            writer.write(self.stream_answer(request))
+        else:
+            stream = self.stream_answer(request)
+            writer.write(stream[: stream.index(token_event(1)[:5])])
+            await self.wait_for_close(reader)
+
+    async def wait_for_close(self, reader: asyncio.StreamReader) -> None:
+        """Count the cancellation when the router closes the connection."""
+        try:
+            await reader.read()
+        finally:
+            self.cancelled += 1
+            self.cancellation.set()
+
+    def stream_answer(self, request: EngineRequest) -> bytes:
+        """Return a whole streamed answer as it goes over the wire."""
+        events = [token_event(i) for i in range(request.start, self.tokens)] + [DONE]
+        chunks = b"".join(b"%x\r\n%s\r\n" % (len(e), e) for e in events)
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"X-Request-Id: {self.echoed_id(request)}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        return head.encode() + chunks + b"0\r\n\r\n"
+
+    def whole_answer(self, request: EngineRequest) -> bytes:
+        """Return a whole answer as it goes over the wire."""
+        body = msgspec.json.encode(
+            {"usage": {"total_tokens": 40}, "for": request.headers["x-request-id"]}
+        )
+        head = (
+            f"HTTP/1.1 {self.status} Status\r\nContent-Type: application/json\r\n"
+            f"X-Request-Id: {self.echoed_id(request)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        return head.encode() + body
+
+    def echoed_id(self, request: EngineRequest) -> str:
+        """Return the request id that the answer states."""
+        return "other" if self.wrong_request_id else request.headers["x-request-id"]
+
+
+async def read_request(reader: asyncio.StreamReader) -> EngineRequest:
+    """Return the next request of a connection."""
+    head, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().splitlines()
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return EngineRequest(head, headers, body)
--- /dev/null
+++ b/tests/gateway/test_chats.py
@@ -0,0 +1,194 @@
+"""Tests of chat completions from the caller to the engine."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from carobladder.exceptions import NoCapacityError
+from tests.gateway.engines import DONE, Engine, token_event, whole_stream
+from tests.gateway.fakes import CHAT, LONG_SECONDS, Gateway, read_error
+
+UNUSED_ADDRESS = "127.0.0.1:1"
+CUT_IN_THIRD_EVENT = 150
+
+
+class ChatTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against lost, crossed or doubled answers and wrong claims."""
+
+    async def test_whole_answer_carries_request_id_and_new_token(self):
+        engine = Engine()
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            answer = await gateway.chat(X_Chat_Token="old", X_Chat_Id="c1")
+        headers = dict(answer.headers)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(headers["x-chat-token"], "t0:40")
+        body = msgspec.json.decode(answer.body)
+        self.assertEqual(body["for"], headers["x-request-id"])
+        self.assertEqual(gateway.placement.chats[0].chat_token, "old")
+        self.assertEqual(gateway.placement.chats[0].chat_id, "c1")
+
+    async def test_stream_is_relayed_byte_for_byte_and_its_connection_kept(self):
+        engine = Engine()
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            answers = [await gateway.chat(stream=True) for _ in range(2)]
+            self.assertEqual(server.connections, 1)
+        for answer in answers:
+            self.assertEqual(answer.body, whole_stream(5))
+            self.assertIn(("content-type", "text/event-stream"), answer.headers)
+        self.assertEqual([p.releases for p in gateway.admission.permits], [[False]] * 2)
+
+    async def test_unreachable_target_is_replaced_by_the_next(self):
+        engine = Engine()
+        async with engine.server() as server:
+            async with Gateway(UNUSED_ADDRESS, server.address) as gateway:
+                answer = await gateway.chat()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(gateway.count("retries_total", reason="not_written"), 1)
+        self.assertEqual(
+            [p.releases for p in gateway.admission.permits], [[True], [False]]
+        )
+
+    async def test_no_reachable_target_is_a_refusal_that_did_not_run(self):
+        async with Gateway(UNUSED_ADDRESS) as gateway:
+            answer = await gateway.chat()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(read_error(answer)["outcome"], "not_run")
+        self.assertIn("retry-after", dict(answer.headers))
+
+    async def test_failing_engine_is_replaced_and_reported_as_failed(self):
+        bad, good = Engine(status=500), Engine()
+        async with bad.server() as first, good.server() as second:
+            async with Gateway(first.address, second.address) as gateway:
+                answer = await gateway.chat()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(gateway.admission.permits[0].releases, [True])
+
+    async def test_refusal_after_a_written_attempt_never_claims_not_run(self):
+        bad = Engine(status=500)
+        async with bad.server() as first, bad.server() as second:
+            async with Gateway(first.address, second.address) as gateway:
+                gateway.admission.refusals = [None, NoCapacityError("full", 2.0)]
+                answer = await gateway.chat()
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(read_error(answer)["outcome"], "unknown")
+
+    async def test_answer_of_another_request_never_reaches_the_caller(self):
+        crossed = Engine(wrong_request_id=True)
+        async with crossed.server() as server, Gateway(server.address) as gateway:
+            for stream in (False, True):
+                answer = await gateway.chat(stream=stream)
+                self.assertEqual(answer.status, 502)
+
+    async def test_request_of_the_caller_error_is_passed_on(self):
+        engine = Engine(status=422)
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            answer = await gateway.chat(stream=True)
+        self.assertEqual(answer.status, 422)
+
+    async def test_lapsed_permit_is_released_and_acquired_again(self):
+        engine = Engine()
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            gateway.admission.validity = [False, True]
+            answer = await gateway.chat()
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(engine.requests), 1)
+        self.assertEqual([p.releases for p in gateway.admission.permits], [[False]] * 2)
+
+    async def test_refusal_has_a_spread_retry_time(self):
+        async with Gateway("127.0.0.1:1") as gateway:
+            gateway.admission.refusals = [
+                NoCapacityError("full", 4.0) for _ in range(8)
+            ]
+            answers = [await gateway.chat() for _ in range(8)]
+        times = {dict(answer.headers)["retry-after-ms"] for answer in answers}
+        self.assertEqual({answer.status for answer in answers}, {429})
+        self.assertGreater(len(times), 4)
+        self.assertTrue(all(4000 <= int(time) <= 8000 for time in times))
+
+    async def test_caller_gone_mid_stream_cancels_at_the_engine(self):
+        engine = Engine(hold=asyncio.Event())
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            body = msgspec.json.encode({**CHAT, "stream": True})
+            answer = await gateway.caller.open(
+                "POST",
+                gateway.address,
+                "/v1/chat/completions",
+                headers=(("Authorization", "Bearer team-key"),),
+                body=body,
+                timeout_seconds=LONG_SECONDS,
+            )
+            self.assertEqual(await answer.read(LONG_SECONDS), token_event(0))
+            answer.close()
+            async with asyncio.timeout(LONG_SECONDS):
+                await engine.cancellation.wait()
+        self.assertEqual(gateway.admission.permits[0].releases, [False])
+        self.assertEqual(gateway.count("cancelled_streams_total"), 1)
+        self.assertEqual(gateway.count("open_streams"), 0)
+
+
+class ForgetfulEngine(Engine):
+    """Ignore the index to resume after and start over."""
+
+    def stream_answer(self, request):
+        """Return the whole stream."""
+        request.headers.pop("last-event-id", None)
+        return super().stream_answer(request)
+
+
+class ResumeTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against lost, doubled or crossed tokens after a broken stream."""
+
+    async def relay(self, engines, versions=()):
+        async with EngineServers(engines) as addresses:
+            async with Gateway(*addresses) as gateway:
+                gateway.directory.versions = list(versions)
+                answer = await gateway.chat(stream=True)
+        return gateway, answer
+
+    async def test_broken_stream_resumes_on_another_engine(self):
+        first, second = Engine(cuts=[CUT_IN_THIRD_EVENT]), Engine()
+        gateway, answer = await self.relay([first, second])
+        self.assertEqual(answer.body, whole_stream(5))
+        self.assertEqual(second.requests[0].start, 2)
+        self.assertEqual(gateway.count("retries_total", reason="stream_broken"), 1)
+
+    async def test_broken_stream_resumes_on_the_only_engine(self):
+        engine = Engine(cuts=[CUT_IN_THIRD_EVENT])
+        _, answer = await self.relay([engine])
+        self.assertEqual(answer.body, whole_stream(5))
+
+    async def test_another_version_never_continues_an_answer(self):
+        first, second = Engine(cuts=[CUT_IN_THIRD_EVENT, 0, 0, 0]), Engine()
+        _, answer = await self.relay([first, second], ["v1", "v2"])
+        self.assertEqual(second.requests, [])
+        self.assert_visible_error(answer)
+
+    async def test_engine_that_starts_over_ends_in_a_visible_error(self):
+        engines = [ForgetfulEngine(cuts=[CUT_IN_THIRD_EVENT]), ForgetfulEngine()]
+        _, answer = await self.relay(engines)
+        self.assert_visible_error(answer)
+        self.assertTrue(answer.body.startswith(token_event(0) + token_event(1)))
+        self.assertEqual(answer.body.count(token_event(0)), 1)
+
+    async def test_stream_cut_before_its_first_event_is_repeated_whole(self):
+        _, answer = await self.relay([Engine(cuts=[3]), Engine()])
+        self.assertEqual(answer.body, whole_stream(5))
+
+    def assert_visible_error(self, answer):
+        self.assertIn(b"event: error\n", answer.body)
+        self.assertNotIn(DONE, answer.body)
+
+
+class EngineServers:
+    """Run a server for each engine."""
+
+    def __init__(self, engines):
+        self._servers = [engine.server() for engine in engines]
+
+    async def __aenter__(self):
+        return [(await server.__aenter__()).address for server in self._servers]
+
+    async def __aexit__(self, *exc_info):
+        for server in self._servers:
+            await server.__aexit__(*exc_info)
