--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -1,5 +1,6 @@
 """Fakes of the interfaces that the gateway consumes, and a gateway under test."""
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
@@ -106,6 +107,7 @@
     target: TargetState
     validity: list[bool] = field(default_factory=list)
     releases: list[bool] = field(default_factory=list)
+    released: asyncio.Event = field(default_factory=asyncio.Event)
 
     def is_valid(self) -> bool:
         """Return the next answer, true when none is left."""
@@ -114,6 +116,7 @@
     def release(self, *, failed=False, first_byte_seconds=None) -> None:
         """Record the release."""
         self.releases.append(failed)
+        self.released.set()
 
 
 class FakeAdmission:
@@ -124,6 +127,7 @@
         self.permits: list[FakePermit] = []
         self.refusals: list[CallerError | None] = []
         self.validity: list[bool] = []
+        self.granted = asyncio.Event()
 
     async def acquire(self, request: SlotRequest) -> FakePermit:
         """Return a permit for the first ranked target."""
@@ -134,6 +138,7 @@
         target = next(t for t in targets if t.target_id == request.ranked[0])
         validity = [self.validity.pop(0)] if self.validity else []
         self.permits.append(FakePermit(target, validity))
+        self.granted.set()
         return self.permits[-1]
 
 
--- a/tests/gateway/test_chats.py
+++ b/tests/gateway/test_chats.py
@@ -40,9 +40,11 @@
 
     async def test_unreachable_target_is_replaced_by_the_next(self):
         engine = Engine()
-        async with engine.server() as server:
-            async with Gateway(UNUSED_ADDRESS, server.address) as gateway:
-                answer = await gateway.chat()
+        async with (
+            engine.server() as server,
+            Gateway(UNUSED_ADDRESS, server.address) as gateway,
+        ):
+            answer = await gateway.chat()
         self.assertEqual(answer.status, 200)
         self.assertEqual(gateway.count("retries_total", reason="not_written"), 1)
         self.assertEqual(
@@ -58,18 +60,24 @@
 
     async def test_failing_engine_is_replaced_and_reported_as_failed(self):
         bad, good = Engine(status=500), Engine()
-        async with bad.server() as first, good.server() as second:
-            async with Gateway(first.address, second.address) as gateway:
-                answer = await gateway.chat()
+        async with (
+            bad.server() as first,
+            good.server() as second,
+            Gateway(first.address, second.address) as gateway,
+        ):
+            answer = await gateway.chat()
         self.assertEqual(answer.status, 200)
         self.assertEqual(gateway.admission.permits[0].releases, [True])
 
     async def test_refusal_after_a_written_attempt_never_claims_not_run(self):
         bad = Engine(status=500)
-        async with bad.server() as first, bad.server() as second:
-            async with Gateway(first.address, second.address) as gateway:
-                gateway.admission.refusals = [None, NoCapacityError("full", 2.0)]
-                answer = await gateway.chat()
+        async with (
+            bad.server() as first,
+            bad.server() as second,
+            Gateway(first.address, second.address) as gateway,
+        ):
+            gateway.admission.refusals = [None, NoCapacityError("full", 2.0)]
+            answer = await gateway.chat()
         self.assertEqual(answer.status, 502)
         self.assertEqual(read_error(answer)["outcome"], "unknown")
 
@@ -140,10 +148,9 @@
     """Guard against lost, doubled or crossed tokens after a broken stream."""
 
     async def relay(self, engines, versions=()):
-        async with EngineServers(engines) as addresses:
-            async with Gateway(*addresses) as gateway:
-                gateway.directory.versions = list(versions)
-                answer = await gateway.chat(stream=True)
+        async with EngineServers(engines) as addresses, Gateway(*addresses) as gateway:
+            gateway.directory.versions = list(versions)
+            answer = await gateway.chat(stream=True)
         return gateway, answer
 
     async def test_broken_stream_resumes_on_another_engine(self):
--- /dev/null
+++ b/tests/gateway/test_server.py
@@ -0,0 +1,118 @@
+"""Tests of the HTTP server: connections, admin handler and draining."""
+
+import asyncio
+import re
+import unittest
+
+from carobladder.gateway import GatewayServer
+from tests.gateway.engines import Engine, whole_stream
+from tests.gateway.fakes import LONG_SECONDS, Gateway, read_error
+from tests.gateway.test_bad_input import exchange
+
+GET = b"GET %s HTTP/1.1\r\nHost: x\r\n%s\r\n"
+CLOSE = b"Connection: close\r\n"
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against mixed answers on a connection and cut answers in a drain."""
+
+    async def asyncSetUp(self):
+        self.engine = Engine()
+        server = await self.enterAsyncContext(self.engine.server())
+        self.gateway = await self.enterAsyncContext(Gateway(server.address))
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        raw = await exchange(
+            self.gateway,
+            GET % (b"/healthz", b"")
+            + GET % (b"/unknown", b"")
+            + GET % (b"/readyz", CLOSE),
+        )
+        codes = re.findall(rb"HTTP/1.1 (\d+)", raw)
+        self.assertEqual(codes, [b"200", b"401", b"200"])
+        ids = [line for line in raw.split(b"\r\n") if line.startswith(b"X-Request-Id")]
+        self.assertEqual(len(set(ids)), 3)
+
+    async def test_head_has_headers_and_no_body(self):
+        raw = await exchange(
+            self.gateway, b"HEAD /healthz HTTP/1.1\r\nHost: x\r\n" + CLOSE + b"\r\n"
+        )
+        head, _, body = raw.partition(b"\r\n\r\n")
+        self.assertIn(b"Content-Length: 3", head)
+        self.assertEqual(body, b"")
+
+    async def test_expecting_caller_is_told_to_continue(self):
+        host, _, port = self.gateway.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /admin/v1/x HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+            b"Connection: close\r\nContent-Length: 2\r\n\r\n"
+        )
+        async with asyncio.timeout(LONG_SECONDS):
+            self.assertIn(b" 100 ", await reader.readuntil(b"\r\n\r\n"))
+            writer.write(b"ok")
+            answer = await reader.read()
+        writer.close()
+        self.assertIn(b" 201 ", answer)
+        self.assertTrue(answer.endswith(b"ok"))
+
+    async def test_admin_handler_receives_the_body_and_may_stream(self):
+        answer = await self.gateway.call("PUT", "/admin/v1/teams/a", b"body")
+        self.assertEqual((answer.status, answer.body), (201, b"body"))
+        answer = await self.gateway.call("GET", "/admin/v1/watch")
+        self.assertEqual(answer.body, b"firstsecond")
+
+    async def test_fault_of_a_handler_shows_no_detail_and_no_claim(self):
+        with self.assertLogs("carobladder", "ERROR"):
+            answer = await self.gateway.call("GET", "/admin/v1/fault")
+        self.assertEqual(answer.status, 500)
+        self.assertEqual(read_error(answer)["outcome"], "unknown")
+        self.assertNotIn(b"secret detail", answer.body)
+
+    async def test_readiness_fails_while_health_does_not(self):
+        self.gateway.ready = False
+        self.assertEqual((await self.gateway.call("GET", "/readyz")).status, 503)
+        self.assertEqual((await self.gateway.call("GET", "/healthz")).status, 200)
+
+    async def test_metrics_are_served(self):
+        await self.gateway.chat(stream=True)
+        answer = await self.gateway.call("GET", "/metrics")
+        self.assertIn(
+            b'carobladder_first_token_seconds_count{class="quick"} 1.0', answer.body
+        )
+        self.assertIn(b'carobladder_answers_total{status="200"} 1.0', answer.body)
+
+    async def test_idle_connection_is_closed_without_an_answer(self):
+        async with Gateway(idle_seconds=0.05) as gateway:
+            self.assertEqual(await exchange(gateway, b""), b"")
+
+    async def test_caller_that_stops_reading_is_cut(self):
+        self.engine.tokens = 100_000
+        async with Gateway(
+            *self.gateway.directory.addresses, stalled_write_seconds=0.05
+        ) as gateway:
+            host, _, port = gateway.address.partition(":")
+            _, writer = await asyncio.open_connection(host, int(port), limit=1024)
+            body = b'{"model":"quoter","stream":true,"messages":[{"role":"u"}]}'
+            writer.write(
+                b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer team-key\r\nContent-Length: %d\r\n\r\n%s"
+                % (len(body), body)
+            )
+            async with asyncio.timeout(LONG_SECONDS):
+                await gateway.admission.granted.wait()
+                await gateway.admission.permits[0].released.wait()
+            writer.close()
+        self.assertEqual(gateway.count("cancelled_streams_total"), 1)
+        self.assertEqual(gateway.admission.permits[0].releases, [False])
+
+    async def test_drain_finishes_streams_and_closes_idle_connections(self):
+        await self.gateway.call("GET", "/healthz")
+        stream = asyncio.create_task(self.gateway.chat(stream=True))
+        server: GatewayServer = self.gateway.server
+        await self.gateway.admission.granted.wait()
+        self.assertTrue(await server.finish_drain(LONG_SECONDS))
+        answer = await stream
+        self.assertEqual(answer.body, whole_stream(5))
+        self.assertIn(("connection", "close"), answer.headers)
+        self.assertEqual(self.gateway.count("open_connections"), 0)
