Add clients of the instance list and of engines, and the probe task

Cause: the owner of a target needs its load reports, and every instance needs the list. Change: clients over HttpFetcher whose failures are values; the boot id header of an answer goes before the lagging report.

--- a/carobladder/limits/__init__.py
+++ b/carobladder/limits/__init__.py
@@ -4,6 +4,7 @@
     admission,
     allowances,
     budgets,
+    declarations,
     queues,
     refusals,
     warmup,
@@ -11,6 +12,7 @@
 from carobladder.limits.admission import *  # noqa: F403
 from carobladder.limits.allowances import *  # noqa: F403
 from carobladder.limits.budgets import *  # noqa: F403
+from carobladder.limits.declarations import *  # noqa: F403
 from carobladder.limits.queues import *  # noqa: F403
 from carobladder.limits.refusals import *  # noqa: F403
 from carobladder.limits.warmup import *  # noqa: F403
@@ -19,6 +21,7 @@
     *admission.__all__,
     *allowances.__all__,
     *budgets.__all__,
+    *declarations.__all__,
     *queues.__all__,
     *refusals.__all__,
     *warmup.__all__,
--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -9,6 +9,7 @@
 from carobladder.limits.admission import Demand
 from carobladder.limits.allowances import Allowance, AllowanceBook
 from carobladder.limits.budgets import HolderReport
+from carobladder.limits.declarations import TargetDeclaration, TargetProbe
 from carobladder.membership.delegations import Delegator
 from carobladder.membership.ownership import OwnerMap, hash_view
 from carobladder.membership.views import ListedInstance, MemberView
@@ -20,7 +21,7 @@
     PeerMessage,
     Report,
 )
-from carobladder.peers.ownerside import OwnedTargets, TargetDeclaration, TargetProbe
+from carobladder.peers.ownerside import OwnedTargets
 from carobladder.targets import TargetState
 
 __all__ = ["Coordinator", "Outgoing", "Timing"]
--- a/carobladder/peers/exchange.py
+++ b/carobladder/peers/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Sequence
 
 from carobladder.clock import Clock
+from carobladder.limits.declarations import TargetDeclaration, TargetProbe
 from carobladder.membership.views import ListedInstance
 from carobladder.peers.coordination import Coordinator, Outgoing
 from carobladder.peers.messages import (
@@ -13,7 +14,6 @@
     SnapshotAnswer,
     SnapshotRequest,
 )
-from carobladder.peers.ownerside import TargetDeclaration, TargetProbe
 from carobladder.peers.transport import PeerTransport
 from carobladder.targets import TargetState
 
--- a/carobladder/peers/ownerside.py
+++ b/carobladder/peers/ownerside.py
@@ -7,33 +7,12 @@
 
 from carobladder.limits.allowances import Allowance, AllowanceBook
 from carobladder.limits.budgets import HolderReport, Ledger, Terms
-from carobladder.limits.warmup import DEFAULT_COLD_SLOTS, Warmup
+from carobladder.limits.declarations import TargetDeclaration, TargetProbe
+from carobladder.limits.warmup import Warmup
 from carobladder.peers.messages import AllowanceItem, Report
 from carobladder.targets import TargetState
 
-__all__ = ["OwnedTargets", "TargetDeclaration", "TargetProbe"]
-
-
-@dataclass(frozen=True, slots=True)
-class TargetDeclaration:
-    """Describe a declared target; ``cold_slots`` is its configured cold limit."""
-
-    state: TargetState
-    cold_slots: int = DEFAULT_COLD_SLOTS
-    # Plain services are not balanced against the mean of their pool.
-    balanced: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class TargetProbe:
-    """Carry a target's load report; ``bearable`` is in slots, None if not stated."""
-
-    boot_id: str
-    ready: bool
-    cold: bool
-    bearable: int | None = None
-    running: int = 0
-    waiting: int = 0
+__all__ = ["OwnedTargets"]
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/carobladder/platform/instances.py
@@ -0,0 +1,123 @@
+"""Client of the platform's lagging list of instances and targets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Literal
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from carobladder.clock import Clock
+from carobladder.exceptions import ConnectionBrokenError
+from carobladder.membership.views import ListedInstance
+from carobladder.platform.ports import HttpFetcher
+from carobladder.telemetry import log_event
+
+__all__ = ["InstanceList", "InstanceListClient", "ListWatcher", "ListedTarget"]
+
+TIMEOUT_SECONDS = 2.0
+POLL_SECONDS = 1.0
+_PATH = "/v1/instances"
+
+
+@dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """Describe a target as the platform's list shows it."""
+
+    target_id: str
+    address: str
+    data_centre: str
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceList:
+    """Carry one answer of the list."""
+
+    instances: tuple[ListedInstance, ...]
+    targets: tuple[ListedTarget, ...]
+
+
+class _Item(msgspec.Struct):
+    id: str
+    kind: Literal["entry", "target"]
+    address: str
+    data_centre: str
+    state: Literal["live", "leaving"]
+    peer_address: str = ""
+
+
+class _Answer(msgspec.Struct):
+    instances: list[_Item]
+
+
+class InstanceListClient:
+    """Read the list at IP:PORT."""
+
+    def __init__(self, fetcher: HttpFetcher, address: str) -> None:
+        self._fetcher = fetcher
+        self._address = address
+
+    async def read(self) -> Result[InstanceList, str]:
+        """Return the list, or why there is none."""
+        try:
+            answer = await self._fetcher.fetch(
+                "GET", self._address, _PATH, timeout_seconds=TIMEOUT_SECONDS
+            )
+        except ConnectionBrokenError as error:
+            return Failure(f"instance list did not answer: {error}")
+        if answer.status != HTTPStatus.OK:
+            return Failure(f"instance list answered status {answer.status}")
+        try:
+            decoded = msgspec.json.decode(answer.body, type=_Answer)
+        except msgspec.DecodeError as error:
+            return Failure(f"instance list is not decodable: {error}")
+        return Success(_convert(decoded))
+
+
+class ListWatcher:
+    """Poll the list and hand each answer on; without an answer the last one stays."""
+
+    def __init__(
+        self,
+        client: InstanceListClient,
+        clock: Clock,
+        take_list: Callable[[InstanceList], None],
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._take_list = take_list
+        self._failing = False
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await self._clock.sleep(POLL_SECONDS)
+
+    async def poll(self) -> None:
+        """Read the list once and log a change between answers and failures."""
+        result = await self._client.read()
+        if isinstance(result, Success):
+            self._failing = False
+            self._take_list(result.unwrap())
+        elif not self._failing:
+            self._failing = True
+            log_event("instance_list_unavailable", reason=result.failure())
+
+
+def _convert(answer: _Answer) -> InstanceList:
+    instances = []
+    targets = []
+    for item in answer.instances:
+        leaving = item.state == "leaving"
+        if item.kind == "entry":
+            instances.append(
+                ListedInstance(item.id, item.peer_address, item.data_centre, leaving)
+            )
+        else:
+            targets.append(
+                ListedTarget(item.id, item.address, item.data_centre, leaving)
+            )
+    return InstanceList(tuple(instances), tuple(targets))
--- a/tests/peers/test_exchange.py
+++ b/tests/peers/test_exchange.py
@@ -10,12 +10,12 @@
 from carobladder.exceptions import NoCapacityError
 from carobladder.gateway.ports import SlotRequest, Team
 from carobladder.limits.admission import AdmissionController
+from carobladder.limits.declarations import TargetDeclaration, TargetProbe
 from carobladder.limits.queues import FairQueue
 from carobladder.limits.refusals import RefusalPolicy
 from carobladder.membership.views import ListedInstance
 from carobladder.peers.coordination import Coordinator, Timing
 from carobladder.peers.exchange import Exchange, ExchangeCallbacks
-from carobladder.peers.ownerside import TargetDeclaration, TargetProbe
 from carobladder.peers.transport import PeerKeys, PeerTransport
 from carobladder.targets import RequestClass, TargetState
 
--- /dev/null
+++ b/tests/platform/test_engines.py
@@ -0,0 +1,95 @@
+"""Tests of the client of engines and of the probe task."""
+
+import unittest
+
+from returns.result import Failure
+
+from carobladder.clock import VirtualClock
+from carobladder.exceptions import ConnectionBrokenError
+from carobladder.limits.declarations import TargetDeclaration
+from carobladder.platform.engines import EngineClient, OrderOutcome, TargetProber
+from carobladder.platform.ports import HttpAnswer
+from carobladder.targets import TargetState
+
+LOAD = b"""{"boot_id": "b1", "ready": true, "cold": true, "running": 2,
+    "waiting": 1, "bearable": 5, "version": "1"}"""
+
+
+class _Fetcher:
+    def __init__(self, answer: HttpAnswer | ConnectionBrokenError) -> None:
+        self.answer = answer
+        self.calls = []
+
+    async def fetch(self, method, address, path, **options):
+        self.calls.append((method, address, path, options["body"]))
+        if isinstance(self.answer, ConnectionBrokenError):
+            raise self.answer
+        return self.answer
+
+
+class EngineClientTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against reports and orders that are taken for something else."""
+
+    async def test_load_report_is_decoded(self):
+        client = EngineClient(_Fetcher(HttpAnswer(200, (), LOAD)))
+        report = (await client.read_load("a", 1.0)).unwrap()
+        self.assertEqual((report.boot_id, report.bearable), ("b1", 5))
+
+    async def test_header_of_a_restarted_engine_goes_before_its_lagging_report(self):
+        answer = HttpAnswer(200, (("x-boot-id", "b2"),), LOAD)
+        report = (await EngineClient(_Fetcher(answer)).read_load("a", 1.0)).unwrap()
+        self.assertEqual((report.boot_id, report.cold), ("b2", True))
+        self.assertIsNone(report.bearable)
+
+    async def test_unusable_load_report_is_a_failure(self):
+        for answer in (HttpAnswer(200, (), b"[]"), HttpAnswer(500, (), LOAD)):
+            result = await EngineClient(_Fetcher(answer)).read_load("a", 1.0)
+            self.assertIsInstance(result, Failure)
+
+    async def test_order_outcomes(self):
+        cases = [
+            (HttpAnswer(202, (), b"{}"), OrderOutcome.ACCEPTED),
+            (HttpAnswer(409, (), b"{}"), OrderOutcome.STALE),
+            (HttpAnswer(400, (), b"{}"), OrderOutcome.REFUSED),
+            (HttpAnswer(503, (), b"{}"), OrderOutcome.UNKNOWN),
+            (ConnectionBrokenError("x", request_written=True), OrderOutcome.UNKNOWN),
+            (ConnectionBrokenError("x", request_written=False), OrderOutcome.NOT_SENT),
+        ]
+        for answer, expected in cases:
+            fetcher = _Fetcher(answer)
+            outcome = await EngineClient(fetcher).send_order("a", 7, "load", "2")
+            self.assertEqual(outcome, expected)
+            self.assertEqual(
+                fetcher.calls[0][3], b'{"fencing":7,"action":"load","version":"2"}'
+            )
+
+    async def test_cache_events_and_transfer(self):
+        events = b"""{"boot_id": "b1", "next": 9,
+            "events": [{"sequence": 8, "type": "stored", "blocks": ["x"]}]}"""
+        fetcher = _Fetcher(HttpAnswer(200, (), events))
+        read = (await EngineClient(fetcher).read_cache_events("a", 5, 1.0)).unwrap()
+        self.assertEqual((read.next, read.events[0].blocks), (9, ("x",)))
+        self.assertEqual(fetcher.calls[0][2], "/cache-events?from=5")
+        moved = await EngineClient(fetcher).export_cache("a", b"{}")
+        self.assertEqual(moved.unwrap(), events)
+        broken = ConnectionBrokenError("x", request_written=True)
+        failed = await EngineClient(_Fetcher(broken)).import_cache("a", b"{}")
+        self.assertIsInstance(failed, Failure)
+
+    async def test_prober_reports_a_silent_target_as_such(self):
+        declared = TargetDeclaration(TargetState("t1", "m", "1", "dc-1", "a"))
+        noted = []
+        for answer in (
+            HttpAnswer(200, (), LOAD),
+            ConnectionBrokenError("x", request_written=True),
+        ):
+            prober = TargetProber(
+                EngineClient(_Fetcher(answer)),
+                VirtualClock(),
+                0.5,
+                lambda: [declared],
+                lambda target, probe: noted.append((target, probe)),
+            )
+            await prober.probe_all()
+        self.assertEqual(noted[0][1].bearable, 5)
+        self.assertEqual(noted[1], ("t1", None))
