--- a/carobladder/resources/records.py
+++ b/carobladder/resources/records.py
@@ -67,12 +67,16 @@
 
 
 class SnapshotPart(msgspec.Struct, tag="snapshot", tag_field="type", frozen=True):
-    """Carry one part of the configuration as of an offset."""
+    """Carry one part of the configuration as of an offset.
+
+    ``at`` is when the snapshot was taken, in UTC seconds since 1970.
+    """
 
     snapshot_id: str
     through_offset: int
     part: int
     parts: int
+    at: float
     data: str
     v: int = RECORD_VERSION
 
--- a/carobladder/resources/snapshots.py
+++ b/carobladder/resources/snapshots.py
@@ -40,7 +40,9 @@
     audit: list[AuditEntry]
 
 
-def split_snapshot(state: CatalogState, snapshot_id: str) -> list[SnapshotPart]:
+def split_snapshot(
+    state: CatalogState, snapshot_id: str, at: float
+) -> list[SnapshotPart]:
     """Return the parts of a snapshot; each record is under MAX_PART_BYTES."""
     stored = _StoredState(
         applied_offset=state.applied_offset,
@@ -63,6 +65,7 @@
             through_offset=state.applied_offset,
             part=number,
             parts=len(starts),
+            at=at,
             data=text[start : start + _DATA_CHARACTERS],
         )
         for number, start in enumerate(starts)
--- /dev/null
+++ b/tests/resources/fake_log.py
@@ -0,0 +1,66 @@
+"""Log service in memory behind the HTTP client interface."""
+
+import json
+from collections.abc import Coroutine
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from carobladder.exceptions import ConnectionBrokenError
+from carobladder.platform.log import LogClient
+from carobladder.platform.ports import HttpAnswer
+
+
+def drive(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as done:
+        return done.value
+    raise AssertionError("the coroutine waited")
+
+
+class FakeLog:
+    """Keep one stream; ``history`` also holds what retention dropped."""
+
+    def __init__(self, batch_records: int = 3) -> None:
+        self.history: list[str] = []
+        self.oldest = 0
+        self.outage = False
+        self.lose_answers = 0
+        self.client = LogClient(self, "127.0.0.1:1", read_limit=batch_records)
+
+    async def fetch(
+        self, method, address, path, *, headers=(), body=b"", timeout_seconds
+    ):
+        """Answer an append or a read by the published protocol."""
+        if self.outage:
+            return HttpAnswer(503, (), b"{}")
+        if method == "POST":
+            return self._append(json.loads(body)["records"])
+        query = parse_qs(urlsplit(path).query)
+        return self._read(int(query["from"][0]), int(query["limit"][0]))
+
+    def _append(self, records: list[str]) -> HttpAnswer:
+        first = len(self.history)
+        self.history.extend(records)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise ConnectionBrokenError("answer lost", request_written=True)
+        return self._answer(200, {"first_offset": first})
+
+    def _read(self, start: int, limit: int) -> HttpAnswer:
+        if start < self.oldest:
+            return self._answer(410, {"oldest_offset": self.oldest})
+        found = self.history[start : start + limit]
+        records = [
+            {"offset": start + index, "data": data} for index, data in enumerate(found)
+        ]
+        body = {
+            "records": records,
+            "next_offset": start + len(found),
+            "oldest_offset": self.oldest,
+        }
+        return self._answer(200, body)
+
+    def _answer(self, status: int, body: object) -> HttpAnswer:
+        return HttpAnswer(status, (), json.dumps(body).encode())
