--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -9,6 +9,7 @@
     "BodyTooLargeError",
     "CallerError",
     "CarobladderError",
+    "ChangeUnknownError",
     "ConnectionBrokenError",
     "DeadlineExceededError",
     "ForbiddenError",
@@ -255,6 +256,13 @@
     remedy = "list the resources and watch from the revision of the list"
 
 
+class ChangeUnknownError(OutcomeUnknownError):
+    """Report a configuration change that may have been accepted."""
+
+    code = "change_unknown"
+    remedy = "ask GET /admin/v1/changes/CHANGE-ID or repeat it with the same change id"
+
+
 class RecordVersionError(CarobladderError):
     """Report a configuration record that this version cannot read."""
 
--- a/carobladder/resources/catalog.py
+++ b/carobladder/resources/catalog.py
@@ -39,6 +39,7 @@
     """Tell who changed what, when, and how the change was decided.
 
     ``conflict`` is true if the expected revision was not the current one.
+    ``changed`` is false for a put of what was already declared, and a refusal.
     """
 
     offset: int
@@ -51,6 +52,7 @@
     accepted: bool
     reason: str = ""
     conflict: bool = False
+    changed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,7 +154,7 @@
         if record.change_id in self._state.audit:
             return None
         entry = self._decide(offset, record)
-        self._generation += entry.accepted
+        self._generation += entry.changed
         self._remember(entry)
         return entry
 
@@ -204,14 +206,15 @@
         )
         try:
             if isinstance(record, Change):
-                self._apply_change(offset, record)
-            else:
-                self._apply_step(offset, record)
+                changed = self._apply_change(offset, record)
+                return replace(entry, changed=changed)
+            self._apply_step(offset, record)
         except (_Refusal, InvalidResourceError) as refusal:
             reason = getattr(refusal, "message", str(refusal))
             return replace(
                 entry,
                 accepted=False,
+                changed=False,
                 reason=reason,
                 conflict=isinstance(refusal, _Conflict),
             )
@@ -223,17 +226,22 @@
         if len(audit) > AUDIT_WINDOW:
             del audit[next(iter(audit))]
 
-    def _apply_change(self, offset: int, change: Change) -> None:
+    def _apply_change(self, offset: int, change: Change) -> bool:
+        """Apply a change; return false if it declares what is already there."""
         spec = self._validate(change)
         key = (change.kind, change.name)
         if spec is None:
             del self._state.resources[key]
             self._state.progress.pop(key, None)
-            return
+            return True
+        current = self._state.resources.get(key)
+        if current is not None and current.spec == spec:
+            return False
         self._put(Resource(change.kind, change.name, spec, offset))
         if isinstance(spec, VersionMoveSpec | DataCentreMoveSpec):
             known = self._state.progress.get(key, MoveProgress())
             self._state.progress[key] = replace(known, revision=offset)
+        return True
 
     def _validate(self, change: Change) -> Spec | None:
         current = self.get(change.kind, change.name)
--- a/carobladder/resources/reader.py
+++ b/carobladder/resources/reader.py
@@ -187,8 +187,9 @@
                 self._note_snapshot(whole[0])
         elif self._snapshot_at is None and isinstance(record, Change | MoveStep):
             self._snapshot_at = record.at
-        changed = entry is not None and entry.accepted
-        event = describe_change(self._catalog, entry) if entry and changed else None
+        event = None
+        if entry is not None and entry.changed:
+            event = describe_change(self._catalog, entry)
         self._history.advance(offset, event)
 
     def _note_snapshot(self, part: SnapshotPart) -> None:
--- a/tests/resources/fake_log.py
+++ b/tests/resources/fake_log.py
@@ -27,6 +27,7 @@
         self.oldest = 0
         self.outage = False
         self.lose_answers = 0
+        self.fail_after_loss = False
         self.client = LogClient(self, "127.0.0.1:1", read_limit=batch_records)
 
     async def fetch(
@@ -45,6 +46,7 @@
         self.history.extend(records)
         if self.lose_answers:
             self.lose_answers -= 1
+            self.outage = self.fail_after_loss
             raise ConnectionBrokenError("answer lost", request_written=True)
         return self._answer(200, {"first_offset": first})
 
