--- a/standins/service.py
+++ b/standins/service.py
@@ -127,15 +127,14 @@
 
     async def _ask_siblings(self, key: str) -> list[dict[str, Any]]:
         path = f"{self._options.bookings_path}/{key}?local=1"
-        answers = await asyncio.gather(
-            *(fetch_json("GET", address, path) for address in self._options.siblings),
-            return_exceptions=True,
-        )
-        return [
-            answer.body
-            for answer in answers
-            if not isinstance(answer, BaseException) and answer.status == 200
-        ]
+        try:
+            answers = await asyncio.gather(
+                *(fetch_json("GET", other, path) for other in self._options.siblings)
+            )
+        except OSError:
+            # The sibling may hold the booking, so its silence is not a denial.
+            raise RequestError(503, "a server that shares bookings is down") from None
+        return [answer.body for answer in answers if answer.status == 200]
 
     def _describe(self, effect: Effect) -> dict[str, Any]:
         return {
