Join the parts into a running instance

Cause: the modules existed but no process served a request. Change: the composition root builds configuration, fleet and data path; an instance drains on SIGTERM and exits 0 when all accepted work is finished.

--- /dev/null
+++ b/carobladder/instance/assembly.py
@@ -0,0 +1,220 @@
+"""Construction of an instance's parts from its settings."""
+
+import random
+from dataclasses import dataclass
+from datetime import timedelta
+
+from carobladder.admin.api import AdminApi
+from carobladder.bookings import BookingRunner, ClaimReader, ClaimWriter
+from carobladder.clock import Clock
+from carobladder.gateway import (
+    ChatHandler,
+    ChatOptions,
+    RelayTimes,
+    RequestLimits,
+    ServiceHandler,
+    ServiceOptions,
+    TargetCaller,
+)
+from carobladder.instance.callbacks import PeerCallbacks
+from carobladder.instance.directory import LiveDirectory
+from carobladder.instance.lookup import ServiceLookup
+from carobladder.instance.placement import FleetPlacement
+from carobladder.instance.snapshots import SnapshotExchange
+from carobladder.limits import AdmissionController, Demand, FairQueue, RefusalPolicy
+from carobladder.peers import (
+    Coordinator,
+    Exchange,
+    PeerKeys,
+    PeerTransport,
+    Timing,
+)
+from carobladder.placement import PlacementPolicy, TokenSigner
+from carobladder.platform.engines import EngineClient, TargetProber
+from carobladder.platform.http import HttpClient
+from carobladder.platform.instances import InstanceListClient
+from carobladder.platform.log import LogClient
+from carobladder.resources import (
+    Catalog,
+    ConfigReader,
+    ConfiguredDirectory,
+    WatchHistory,
+)
+from carobladder.retries import RetryBudget
+from carobladder.settings import InstanceSettings
+from carobladder.telemetry import GatewayMetrics
+
+__all__ = ["Configuration", "DataPath", "Fleet", "build_configuration"]
+__all__ += ["build_data_path", "build_fleet"]
+
+_MAX_WAITING_REQUESTS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Hold the parts that keep and change the configuration."""
+
+    log: LogClient
+    catalog: Catalog
+    directory: ConfiguredDirectory
+    history: WatchHistory
+    reader: ConfigReader
+    admin: AdminApi
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Hold the parts that agree with other instances and watch targets."""
+
+    transport: PeerTransport
+    coordinator: Coordinator
+    exchange: Exchange
+    admission: AdmissionController
+    prober: TargetProber
+    instance_list: InstanceListClient
+
+
+@dataclass(frozen=True, slots=True)
+class DataPath:
+    """Hold the parts that serve callers."""
+
+    caller: TargetCaller
+    chats: ChatHandler
+    services: ServiceHandler
+    claims_reader: ClaimReader
+    claims_writer: ClaimWriter
+    limits: RequestLimits
+
+
+def build_configuration(
+    settings: InstanceSettings, clock: Clock, client: HttpClient
+) -> Configuration:
+    """Return the parts that keep the configuration."""
+    log = LogClient(client, _address_of(settings.log_url))
+    catalog = Catalog()
+    directory = ConfiguredDirectory(catalog, clock)
+    history = WatchHistory()
+    reader = ConfigReader(log, catalog, history, clock)
+    admin_key = settings.admin_key.get_secret_value()
+    admin = AdminApi(catalog, directory, history, log, clock, admin_key)
+    return Configuration(log, catalog, directory, history, reader, admin)
+
+
+def build_fleet(
+    settings: InstanceSettings,
+    clock: Clock,
+    client: HttpClient,
+    callbacks: PeerCallbacks,
+) -> Fleet:
+    """Return the parts that agree with other instances."""
+    keys = PeerKeys(
+        settings.peer_public_key.get_secret_value(),
+        settings.peer_secret_key.get_secret_value(),
+    )
+    transport = PeerTransport(settings.peer_listen, keys)
+    coordinator = _build_coordinator(settings, clock)
+    exchange = Exchange(coordinator, transport, clock, callbacks)
+    admission = AdmissionController(
+        clock=clock,
+        book=coordinator.book,
+        queue=FairQueue(_MAX_WAITING_REQUESTS),
+        refusals=RefusalPolicy(random.Random()),
+        find_target=exchange.find_target,
+        ask=exchange.ask,
+    )
+    coordinator.demand = admission.describe_demand
+    prober = TargetProber(
+        EngineClient(client),
+        clock,
+        settings.probe_seconds,
+        exchange.list_owned,
+        exchange.note_probe,
+    )
+    instance_list = InstanceListClient(client, _address_of(settings.list_url))
+    return Fleet(transport, coordinator, exchange, admission, prober, instance_list)
+
+
+def build_data_path(
+    settings: InstanceSettings,
+    clock: Clock,
+    client: HttpClient,
+    metrics: GatewayMetrics,
+    configuration: Configuration,
+    fleet: Fleet,
+) -> DataPath:
+    """Return the parts that serve callers."""
+    directory = LiveDirectory(configuration.directory, fleet.exchange.find_target)
+    budget = RetryBudget(settings.retry_budget_ratio, clock.monotonic())
+    caller = TargetCaller(client, fleet.admission, budget, clock, metrics)
+    window = timedelta(seconds=settings.claim_window_seconds)
+    reader = ClaimReader(configuration.log, clock, window)
+    writer = ClaimWriter(configuration.log, clock, settings.claim_linger_seconds)
+    lookup = ServiceLookup(directory, client)
+    bookings = BookingRunner(
+        settings.instance_id, clock, reader, writer, lookup, window
+    )
+    return DataPath(
+        caller=caller,
+        chats=_build_chats(settings, clock, directory, caller),
+        services=ServiceHandler(
+            directory, bookings, caller, _service_options(settings), random.Random()
+        ),
+        claims_reader=reader,
+        claims_writer=writer,
+        limits=RequestLimits(
+            max_header_bytes=settings.max_header_bytes,
+            max_body_bytes=settings.max_body_bytes,
+            read_seconds=settings.request_read_seconds,
+            idle_seconds=settings.idle_connection_seconds,
+        ),
+    )
+
+
+def build_snapshots(
+    settings: InstanceSettings, clock: Clock, reader: ConfigReader
+) -> SnapshotExchange:
+    """Return the part that exchanges snapshots with peers."""
+    return SnapshotExchange(
+        settings.instance_id, clock, random.Random(), reader.encode_snapshot
+    )
+
+
+def _build_coordinator(settings: InstanceSettings, clock: Clock) -> Coordinator:
+    timing = Timing(
+        heartbeat_seconds=settings.heartbeat_seconds,
+        lease_seconds=settings.lease_seconds,
+        list_window_seconds=settings.list_window_seconds,
+        load_multiple=settings.load_multiple,
+    )
+    # A later start must have a greater incarnation; instances keep nothing.
+    incarnation = int(clock.now().timestamp() * 1000)
+    return Coordinator(
+        settings.instance_id,
+        incarnation,
+        timing,
+        clock.monotonic(),
+        lambda _: Demand(),
+    )
+
+
+def _build_chats(
+    settings: InstanceSettings,
+    clock: Clock,
+    directory: LiveDirectory,
+    caller: TargetCaller,
+) -> ChatHandler:
+    signer = TokenSigner(settings.token_secret.get_secret_value().encode())
+    placement = FleetPlacement(PlacementPolicy(), signer, clock)
+    times = RelayTimes(settings.first_byte_seconds, settings.stream_gap_seconds)
+    options = ChatOptions(settings.default_deadline_seconds, times)
+    return ChatHandler(directory, placement, caller, options)
+
+
+def _service_options(settings: InstanceSettings) -> ServiceOptions:
+    return ServiceOptions(
+        settings.default_deadline_seconds, settings.first_byte_seconds
+    )
+
+
+def _address_of(url: str) -> str:
+    return url.removeprefix("http://")
--- /dev/null
+++ b/carobladder/instance/directory.py
@@ -0,0 +1,58 @@
+"""Directory that joins the configuration with the live state of targets."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from carobladder.gateway.ports import ServiceRoute, Team
+from carobladder.resources import ConfiguredDirectory
+from carobladder.targets import TargetState
+
+__all__ = ["LiveDirectory"]
+
+
+class LiveDirectory:
+    """Implement the gateway's Directory for a running instance.
+
+    ``find_target`` returns what the owner of a target reports, or None.
+    """
+
+    def __init__(
+        self,
+        configured: ConfiguredDirectory,
+        find_target: Callable[[str], TargetState | None],
+    ) -> None:
+        self._configured = configured
+        self._find_target = find_target
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether a configuration is in force."""
+        return self._configured.ready
+
+    def find_team(self, credential: str) -> Team | None:
+        """Return the team of a credential, or None."""
+        return self._configured.find_team(credential)
+
+    def find_route(self, team: Team, method: str, path: str) -> ServiceRoute | None:
+        """Return the service route of the team for a path, or None."""
+        return self._configured.find_route(team, method, path)
+
+    def list_targets(self, pool: str) -> Sequence[TargetState]:
+        """Return the targets of a model or service with their live state."""
+        return [self._join(state) for state in self._configured.list_targets(pool)]
+
+    def version_shares(self, model: str) -> dict[str, float]:
+        """Return the share of each version of a model; the shares sum to 1."""
+        return self._configured.version_shares(model)
+
+    def _join(self, declared: TargetState) -> TargetState:
+        live = self._find_target(declared.target_id)
+        if live is None:
+            return declared
+        return replace(
+            declared,
+            boot_id=live.boot_id,
+            ready=live.ready,
+            cold=live.cold,
+            leaving=declared.leaving or live.leaving,
+        )
--- /dev/null
+++ b/carobladder/instance/lookup.py
@@ -0,0 +1,41 @@
+"""Lookup of bookings at the services that know them."""
+
+from urllib.parse import quote
+
+from carobladder.exceptions import ConnectionBrokenError
+from carobladder.gateway.ports import Directory, ServiceAnswer, ServiceRoute
+from carobladder.platform.ports import HttpFetcher
+
+__all__ = ["ServiceLookup"]
+
+_TIMEOUT_SECONDS = 2.0
+_FOUND_STATUS = 200
+
+
+class ServiceLookup:
+    """Ask the targets of a service in turn whether they know a key."""
+
+    def __init__(self, directory: Directory, fetcher: HttpFetcher) -> None:
+        self._directory = directory
+        self._fetcher = fetcher
+
+    async def look_up(self, route: ServiceRoute, key: str) -> ServiceAnswer | None:
+        """Return the service's answer, or None if no target knows the booking.
+
+        Raises ConnectionBrokenError if no target knows it and one did not answer.
+        """
+        path = route.lookup_path.replace("{key}", quote(key, safe=""))
+        failure: ConnectionBrokenError | None = None
+        for target in self._directory.list_targets(route.service):
+            try:
+                answer = await self._fetcher.fetch(
+                    "GET", target.address, path, timeout_seconds=_TIMEOUT_SECONDS
+                )
+            except ConnectionBrokenError as error:
+                failure = error
+                continue
+            if answer.status == _FOUND_STATUS:
+                return ServiceAnswer(answer.status, (), answer.body)
+        if failure is not None:
+            raise failure
+        return None
--- /dev/null
+++ b/carobladder/instance/runtime.py
@@ -0,0 +1,198 @@
+"""One running instance: its tasks, its readiness and its end."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Coroutine
+from typing import Any
+
+from carobladder.clock import Clock, SystemClock, run_with_timeout
+from carobladder.gateway import GatewayServer, Router
+from carobladder.instance.administration import AdminHandler
+from carobladder.instance.assembly import (
+    build_configuration,
+    build_data_path,
+    build_fleet,
+    build_snapshots,
+)
+from carobladder.instance.callbacks import PeerCallbacks
+from carobladder.instance.declarations import declare_targets
+from carobladder.peers import PeerMessage, SnapshotRequest
+from carobladder.platform.http import HttpClient
+from carobladder.platform.instances import InstanceList, ListWatcher
+from carobladder.resources import ABSENT
+from carobladder.settings import InstanceSettings
+from carobladder.telemetry import GatewayMetrics, configure_logging, log_event
+
+__all__ = ["Instance", "run_instance"]
+
+_OK_STATUS = 0
+_FAILED_STATUS = 1
+_FLUSH_SECONDS = 5.0
+
+
+class Instance:
+    """Own the parts of one instance and the tasks that run them."""
+
+    def __init__(self, settings: InstanceSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._started = clock.monotonic()
+        self._draining = False
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._sends: set[asyncio.Task[None]] = set()
+        self._client = HttpClient(clock)
+        self._metrics = GatewayMetrics()
+        self._configuration = build_configuration(settings, clock, self._client)
+        self._callbacks = PeerCallbacks()
+        self._fleet = build_fleet(settings, clock, self._client, self._callbacks)
+        self._path = build_data_path(
+            settings,
+            clock,
+            self._client,
+            self._metrics,
+            self._configuration,
+            self._fleet,
+        )
+        self._snapshots = build_snapshots(settings, clock, self._configuration.reader)
+        self._connect_parts()
+        self.server = self._build_server()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers may be sent to this instance.
+
+        Leases of an earlier incarnation must have lapsed before it gets slots.
+        """
+        if self._draining or not self._configuration.catalog.loaded:
+            return False
+        settle_seconds = 2 * self._settings.lease_seconds
+        return self._clock.monotonic() - self._started >= settle_seconds
+
+    async def serve(self, stop: asyncio.Event) -> int:
+        """Serve until ``stop`` is set, then drain; return the exit status."""
+        self._fleet.transport.start()
+        await self.server.start(self._settings.listen)
+        log_event("instance started", listen=self._settings.listen)
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(work) for work in self._list_tasks()]
+            await stop.wait()
+            finished = await self._drain()
+            for task in tasks:
+                task.cancel()
+        self._fleet.transport.close()
+        log_event("instance stopped", finished=finished)
+        return _OK_STATUS if finished else _FAILED_STATUS
+
+    def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
+        watcher = ListWatcher(self._fleet.instance_list, self._clock, self._take_list)
+        return [
+            self._configuration.reader.run(),
+            watcher.run(),
+            self._fleet.exchange.run(),
+            self._fleet.admission.run(),
+            self._fleet.prober.run(),
+            self._path.claims_reader.run(),
+            self._path.claims_writer.run(),
+            self._run_updates(),
+        ]
+
+    def _build_server(self) -> GatewayServer:
+        router = Router(
+            chats=self._path.chats,
+            services=self._path.services,
+            admin=AdminHandler(self._configuration.admin),
+            metrics=self._metrics,
+            is_ready=lambda: self.ready,
+        )
+        return GatewayServer(
+            router, self._path.limits, self._clock, self._metrics, random.Random()
+        )
+
+    def _connect_parts(self) -> None:
+        self._callbacks.on_slots_changed = self._fleet.admission.serve
+        self._callbacks.on_snapshot_request = self._answer_snapshot
+        self._callbacks.on_snapshot_answer = self._snapshots.take_answer
+        self._configuration.reader.set_peer_snapshot(self._fetch_snapshot)
+
+    async def _drain(self) -> bool:
+        """Finish accepted work; tell whether all of it was finished.
+
+        Listening goes on until the balancer has noticed the failing readiness.
+        """
+        self._draining = True
+        self._fleet.exchange.set_leaving()
+        self.server.begin_drain()
+        log_event("draining", notice_seconds=self._settings.drain_notice_seconds)
+        await self._clock.sleep(self._settings.drain_notice_seconds)
+        limit = self._settings.drain_limit_seconds
+        finished = await self.server.finish_drain(limit)
+        try:
+            await run_with_timeout(self._clock, self._path.services.finish(), limit)
+            await run_with_timeout(
+                self._clock, self._path.claims_writer.flush(), _FLUSH_SECONDS
+            )
+        except TimeoutError:
+            log_event("bookings were not recorded before the end")
+            finished = False
+        return finished
+
+    def _take_list(self, answer: InstanceList) -> None:
+        leaving = {item.target_id for item in answer.targets if item.leaving}
+        self._listed_leaving = frozenset(leaving)
+        self._fleet.exchange.apply_list(answer.instances)
+
+    async def _run_updates(self) -> None:
+        """Hand the configuration to limits and peers, and offsets to watches.
+
+        Maintenance windows open by time, so targets are declared again even
+        without a change.
+        """
+        while True:
+            self._update()
+            await self._clock.sleep(self._settings.heartbeat_seconds)
+
+    def _update(self) -> None:
+        configuration = self._configuration
+        if configuration.catalog.loaded:
+            self._fleet.exchange.set_targets(
+                declare_targets(
+                    configuration.catalog,
+                    configuration.directory,
+                    self._listed_leaving,
+                )
+            )
+        applied = configuration.catalog.applied_offset
+        self._fleet.exchange.set_config_offset(applied)
+        offsets = {
+            peer.instance_id: self._callbacks.applied_offsets.get(
+                peer.instance_id, ABSENT
+            )
+            for peer in self._fleet.coordinator.view.list_peers()
+        }
+        offsets[self._settings.instance_id] = applied
+        configuration.history.update_instances(offsets)
+
+    def _answer_snapshot(self, request: SnapshotRequest) -> None:
+        offset = self._configuration.catalog.applied_offset
+        self._send(request.sender, self._snapshots.answer(request, offset))
+
+    async def _fetch_snapshot(self) -> list[bytes]:
+        peers = [peer.instance_id for peer in self._fleet.coordinator.view.list_peers()]
+        return await self._snapshots.fetch(peers, self._send)
+
+    def _send(self, peer: str, message: PeerMessage) -> None:
+        task = asyncio.ensure_future(self._fleet.exchange.send(peer, message))
+        self._sends.add(task)
+        task.add_done_callback(self._sends.discard)
+
+
+async def run_instance(settings: InstanceSettings) -> int:
+    """Run an instance until SIGTERM or SIGINT; return the exit status."""
+    configure_logging(settings.log_level, settings.instance_id)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    instance = Instance(settings, SystemClock())
+    return await instance.serve(stop)
--- a/carobladder/resources/reader.py
+++ b/carobladder/resources/reader.py
@@ -88,6 +88,10 @@
         """Return the catalog that this reader keeps up to date."""
         return self._catalog
 
+    def set_peer_snapshot(self, peer_snapshot: PeerSnapshot) -> None:
+        """Set how peers are asked for their configuration."""
+        self._peer_snapshot = peer_snapshot
+
     async def run(self) -> None:
         """Read until cancelled; survive outages and dropped offsets."""
         while True:
