Accept peers that hold the fleet's key

Cause: the authenticator was configured for the domain '*', which pyzmq does not apply to a socket with a named domain, and the key was compared in raw form while the callback receives Z85. Instances never heard each other, so owners held one share of three and a cold target of 4 slots granted 1. Change: the callback is registered for the socket's domain and compares Z85. Conclusion: fixed; three transport tests guard it.

--- a/carobladder/peers/transport.py
+++ b/carobladder/peers/transport.py
@@ -23,7 +23,7 @@
 # Messages waiting for a peer that does not read; older state is of no use.
 SEND_QUEUE_MESSAGES = 64
 RECEIVE_QUEUE_MESSAGES = 4096
-_ZAP_DOMAIN = b"fleet"
+_ZAP_DOMAIN = "fleet"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,14 +64,14 @@
         authenticator = AsyncioAuthenticator(self._context)
         authenticator.start()
         authenticator.configure_curve_callback(
-            domain="*", credentials_provider=_FleetKey(self._keys.public)
+            domain=_ZAP_DOMAIN, credentials_provider=_FleetKey(self._keys.public)
         )
         self._authenticator = authenticator
         router = self._context.socket(zmq.ROUTER)
         router.curve_server = True
         router.curve_publickey = self._keys.public.encode()
         router.curve_secretkey = self._keys.secret.encode()
-        router.zap_domain = _ZAP_DOMAIN
+        router.zap_domain = _ZAP_DOMAIN.encode()
         router.maxmsgsize = MAX_MESSAGE_BYTES
         router.rcvhwm = RECEIVE_QUEUE_MESSAGES
         router.linger = 0
@@ -144,7 +144,7 @@
     """Accept exactly the fleet's public key."""
 
     def __init__(self, public: str) -> None:
-        self._public = zmq.utils.z85.decode(public)
+        self._public = public.encode()
 
     def callback(self, domain: str, key: bytes) -> bool:
         return key == self._public
--- /dev/null
+++ b/tests/peers/test_transport.py
@@ -0,0 +1,54 @@
+"""Tests of the encrypted sockets between instances, on loopback."""
+
+import asyncio
+import unittest
+
+import zmq
+
+from carobladder.peers import PeerKeys, PeerTransport, SnapshotRequest
+
+WAIT_SECONDS = 10.0
+SILENCE_SECONDS = 0.5
+
+
+def make_keys() -> PeerKeys:
+    """Return a new key pair."""
+    public, secret = zmq.curve_keypair()
+    return PeerKeys(public.decode(), secret.decode())
+
+
+class PeerTransportTest(unittest.IsolatedAsyncioTestCase):
+    """Guard who may speak to an instance and what it accepts."""
+
+    def start(self, keys: PeerKeys) -> PeerTransport:
+        transport = PeerTransport("127.0.0.1:0", keys)
+        transport.start()
+        self.addCleanup(transport.close)
+        return transport
+
+    async def test_holder_of_the_fleet_key_is_heard(self):
+        keys = make_keys()
+        sender, receiver = self.start(keys), self.start(keys)
+        sender.set_peers({"b": receiver.address})
+        await sender.send("b", SnapshotRequest("a", 3))
+        message = await asyncio.wait_for(receiver.receive(), WAIT_SECONDS)
+        self.assertEqual(message, SnapshotRequest("a", 3))
+
+    async def test_other_key_is_not_heard(self):
+        keys = make_keys()
+        receiver = self.start(keys)
+        stranger = self.start(PeerKeys(keys.public, make_keys().secret))
+        stranger.set_peers({"b": receiver.address})
+        await stranger.send("b", SnapshotRequest("a", 3))
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(receiver.receive(), SILENCE_SECONDS)
+
+    async def test_unknown_version_is_dropped_and_counted(self):
+        keys = make_keys()
+        sender, receiver = self.start(keys), self.start(keys)
+        sender.set_peers({"b": receiver.address})
+        await sender._dealers["b"][1].send(b"\x09rest")
+        await sender.send("b", SnapshotRequest("a", 4))
+        message = await asyncio.wait_for(receiver.receive(), WAIT_SECONDS)
+        self.assertEqual(message, SnapshotRequest("a", 4))
+        self.assertEqual(receiver.dropped["unusable"], 1)
