--- a/standins/client.py
+++ b/standins/client.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JsonAnswer:
-    """Carry a whole answer; header names are lower case."""
+    """Carry a whole answer; header names are lower case; other bodies are text."""
 
     status: int
     headers: dict[str, str]
@@ -79,7 +79,7 @@
         body = bytearray()
         while (part := await self.read_part()) is not None:
             body += part
-        return JsonAnswer(self.status, self.headers, json.loads(body or b"null"))
+        return JsonAnswer(self.status, self.headers, _decode(bytes(body)))
 
     async def _next_event(self) -> Any:
         try:
@@ -90,6 +90,14 @@
         return event
 
 
+def _decode(body: bytes) -> Any:
+    # Health paths and proxies may answer plain text, which is kept as it is.
+    try:
+        return json.loads(body or b"null")
+    except ValueError:
+        return body.decode(errors="replace")
+
+
 @contextlib.asynccontextmanager
 async def _open_call(
     method: str, address: str, path: str, body: Any, headers: dict[str, str] | None
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -93,7 +93,9 @@
         await exchange.answer(200, self.state.show_load())
 
     async def _show_counters(self, exchange: Exchange) -> None:
-        await exchange.answer(200, dataclasses.asdict(self.state.counters))
+        counters = dataclasses.asdict(self.state.counters)
+        slots = self.state.batch.weight
+        await exchange.answer(200, {**counters, "slots_in_flight": slots})
 
     async def _show_events(self, exchange: Exchange) -> None:
         start = exchange.request.query.get("from", "0")
--- a/standins/engine/state.py
+++ b/standins/engine/state.py
@@ -113,7 +113,7 @@
             self._spawn(self._fetch_adapter(order.version))
         elif order.action == "unload":
             if order.version == self.version:
-                raise RequestError(409, "the version is in use; load another first")
+                raise RequestError(422, "the version is in use; load another first")
             self.fetched.discard(order.version)
         else:
             self._check_known(order.version)
--- a/standins/log.py
+++ b/standins/log.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import re
-from collections import deque
 from dataclasses import dataclass, field
 from typing import Annotated, Any
 
@@ -48,7 +47,7 @@
 
 @dataclass(slots=True)
 class _Stream:
-    records: deque[_Record] = field(default_factory=deque)
+    records: list[_Record] = field(default_factory=list)
     next_offset: int = 0
     appended: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -117,10 +116,10 @@
     def _drop_old(self, stream: _Stream) -> None:
         limit = self.clock.monotonic() - self._options.retain_seconds
         records = stream.records
-        while records and (
-            len(records) > self._options.retain_records or records[0].written < limit
-        ):
-            records.popleft()
+        dropped = max(0, len(records) - self._options.retain_records)
+        while dropped < len(records) and records[dropped].written < limit:
+            dropped += 1
+        del records[:dropped]
 
     async def _read(self, stream: _Stream, request: Request) -> dict[str, Any]:
         start = _read_number(request, "from", 0)
@@ -134,7 +133,7 @@
             message = "offset is no longer retained; read from oldest_offset"
             raise RequestError(410, message, oldest_offset=oldest)
         skipped = start - oldest
-        chosen = list(stream.records)[skipped : skipped + limit]
+        chosen = stream.records[skipped : skipped + limit]
         return {
             "records": [{"offset": r.offset, "data": r.data} for r in chosen],
             "next_offset": start + len(chosen),
--- a/tests/standins/test_engine_states.py
+++ b/tests/standins/test_engine_states.py
@@ -126,7 +126,7 @@
     async def test_impossible_orders_are_refused(self):
         _, address = await self.start()
         self.assertEqual(await self.order(address, 1, "load", "77"), 404)
-        self.assertEqual(await self.order(address, 1, "unload", "1"), 409)
+        self.assertEqual(await self.order(address, 1, "unload", "1"), 422)
         self.assertEqual(await self.order(address, 1, "explode", "1"), 400)
 
     async def test_adapter_is_loaded_after_its_fetch(self):
