--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -16,20 +16,24 @@
 async def run_demo(options: DemoOptions) -> list[str]:
     """Run both deployments one after the other and return what failed."""
     failures = []
+    limit = asyncio.timeout(_LIMIT_SECONDS)
     try:
-        async with asyncio.timeout(_LIMIT_SECONDS):
+        async with limit:
             for deployment in (DEPLOYMENT_V, DEPLOYMENT_S):
                 found = await run_deployment(deployment, options)
                 failures += [f"{deployment.name}: {text}" for text in found]
-    except TimeoutError:
-        failures.append(f"not finished after {_LIMIT_SECONDS:.0f} s")
-    except FleetError as error:
-        failures.append(str(error))
+    except (FleetError, OSError) as error:
+        reason = f"not finished after {_LIMIT_SECONDS:.0f} s"
+        failures.append(reason if limit.expired() else _describe(error))
     except ExceptionGroup as group:
-        failures += [f"{type(error).__name__}: {error}" for error in group.exceptions]
+        failures += [_describe(error) for error in group.exceptions]
     return failures
 
 
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
 async def _run_until_signal() -> list[str]:
     loop = asyncio.get_running_loop()
     task = asyncio.current_task()
--- a/demo/run.py
+++ b/demo/run.py
@@ -7,7 +7,7 @@
 
 from demo.callers import Balancer, Caller
 from demo.deployments import VERSION, Deployment
-from demo.fleet import EntryInstance, Fleet, FleetOptions
+from demo.fleet import Fleet, FleetOptions
 from demo.report import format_report
 from demo.tally import RunTally
 from demo.workload import Workload, WorkloadSize
@@ -23,10 +23,11 @@
     """Choose the size of the run and when an instance is killed.
 
     The balancer and the list notice the killed instance ``notice_seconds`` later.
+    Without ``kill_after_seconds`` no instance is killed.
     """
 
     size: WorkloadSize | None = None
-    kill_after_seconds: float = 5.0
+    kill_after_seconds: float | None = 5.0
     notice_seconds: float = 1.0
     seed: int = 1
     fleet: FleetOptions = field(default_factory=FleetOptions)
@@ -56,19 +57,19 @@
     caller = Caller(balancer, tally, frozenset({VERSION}))
     size = options.size or WorkloadSize.for_engines(fleet.deployment.model.servers)
     workload = Workload(fleet.deployment, size, caller, options.seed)
-    victim = fleet.instances[-1]
     async with asyncio.TaskGroup() as group:
         sampling = group.create_task(_sample_load(fleet, tally))
-        killing = group.create_task(_kill(fleet, victim, balancer, options))
+        killing = group.create_task(_kill(fleet, balancer, options))
         await workload.run()
         await killing
         sampling.cancel()
     fleet.check_processes()
 
 
-async def _kill(
-    fleet: Fleet, victim: EntryInstance, balancer: Balancer, options: DemoOptions
-) -> None:
+async def _kill(fleet: Fleet, balancer: Balancer, options: DemoOptions) -> None:
+    if options.kill_after_seconds is None:
+        return
+    victim = fleet.instances[-1]
     await asyncio.sleep(options.kill_after_seconds)
     balancer.note_killed(victim.address)
     fleet.kill_instance(victim)
--- a/demo/workload.py
+++ b/demo/workload.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any, Self
 
 from demo.callers import Caller, ChatCall
@@ -49,16 +50,19 @@
     async def run(self) -> None:
         """Start all sessions and wait until each has ended."""
         size = self._size
-        sessions: list[Coroutine[Any, Any, None]] = []
-        sessions += [self._chat_long(n) for n in range(size.long_chats)]
-        sessions += [self._chat_quickly(n) for n in range(size.quick_chats)]
-        sessions += [self._match(n) for n in range(size.matches)]
-        sessions += [self._look_up(n) for n in range(size.look_ups)]
-        sessions += [self._book(n) for n in range(size.bookings)]
+        sessions: list[Callable[[], Awaitable[None]]] = []
+        for session, count in (
+            (self._chat_long, size.long_chats),
+            (self._chat_quickly, size.quick_chats),
+            (self._match, size.matches),
+            (self._look_up, size.look_ups),
+            (self._book, size.bookings),
+        ):
+            sessions += [partial(session, number) for number in range(count)]
         starts = [self._random.uniform(0, size.seconds) for _ in sessions]
         async with asyncio.TaskGroup() as group:
-            for start, session in zip(starts, sessions, strict=True):
-                group.create_task(_run_later(start, session))
+            for start, work in zip(starts, sessions, strict=True):
+                group.create_task(_run_later(start, work))
 
     def _pick_team(self) -> str:
         deployment = self._deployment
@@ -151,9 +155,9 @@
         return " ".join(self._random.choice(_WORDS) for _ in range(count))
 
 
-async def _run_later(seconds: float, session: Coroutine[Any, Any, None]) -> None:
+async def _run_later(seconds: float, session: Callable[[], Awaitable[None]]) -> None:
     await asyncio.sleep(seconds)
-    await session
+    await session()
 
 
 def _write_catalogue(team: str) -> str:
