Property-test retries and stream resumption

The first event must have index 0: a stream that began with index 1 was relayed without its first token. Found by the property test over faulty engines.

--- a/carobladder/retries/streams.py
+++ b/carobladder/retries/streams.py
@@ -8,8 +8,6 @@
 _DONE = b"data: [DONE]"
 _DONE_WITHOUT_SPACE = b"data:[DONE]"
 _MAX_EVENT_BYTES = 1_048_576
-# Engines number the first token 0 or 1.
-_FIRST_INDEXES = (0, 1)
 
 
 class StreamFault(StrEnum):
@@ -104,8 +102,8 @@
         except ValueError:
             self.fault = StreamFault.BAD_INDEX
             return False
-        last = self.last_index
-        if index != last + 1 if last is not None else index not in _FIRST_INDEXES:
+        expected = 0 if self.last_index is None else self.last_index + 1
+        if index != expected:
             self.fault = StreamFault.WRONG_INDEX
             return False
         self.last_index = index
--- a/tests/gateway/test_chats.py
+++ b/tests/gateway/test_chats.py
@@ -1,6 +1,7 @@
 """Tests of chat completions from the caller to the engine."""
 
 import asyncio
+import random
 import unittest
 
 import msgspec
@@ -182,6 +183,22 @@
         _, answer = await self.relay([Engine(cuts=[3]), Engine()])
         self.assertEqual(answer.body, whole_stream(5))
 
+    async def test_seeded_cuts_end_whole_or_in_a_visible_error(self):
+        for seed in range(30):
+            generator = random.Random(seed)
+            engines = [
+                Engine(cuts=[generator.randint(0, 400) for _ in range(2)], tokens=6)
+                for _ in range(generator.randint(1, 3))
+            ]
+            with self.subTest(seed=seed):
+                _, answer = await self.relay(engines)
+                if answer.status != 200:
+                    self.assertEqual(read_error(answer)["outcome"], "unknown")
+                elif answer.body != whole_stream(6):
+                    self.assert_visible_error(answer)
+                    tokens, _, _ = answer.body.partition(b"event: error")
+                    self.assertTrue(whole_stream(6).startswith(tokens))
+
     def assert_visible_error(self, answer):
         self.assertIn(b"event: error\n", answer.body)
         self.assertNotIn(DONE, answer.body)
--- /dev/null
+++ b/tests/retries/test_budgets.py
@@ -0,0 +1,49 @@
+"""Tests of the retry budget."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobladder.retries import RetryBudget
+
+RATIO = 0.1
+BURST = 5.0
+MINIMUM_PER_SECOND = 0.5
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guard against retries that multiply the load of a failing fleet."""
+
+    @settings(derandomize=True)
+    @given(st.lists(st.sampled_from(["request", "retry", "wait"]), max_size=300))
+    def test_retries_stay_within_the_stated_bound(self, steps):
+        now = 0.0
+        budget = RetryBudget(
+            RATIO, now, burst=BURST, minimum_per_second=MINIMUM_PER_SECOND
+        )
+        requests = granted = 0
+        for step in steps:
+            if step == "request":
+                budget.record_request()
+                requests += 1
+            elif step == "wait":
+                now += 1.0
+            else:
+                granted += budget.withdraw(now)
+            bound = BURST + RATIO * requests + MINIMUM_PER_SECOND * now
+            self.assertLessEqual(granted, bound + 1e-9)
+
+    def test_steady_traffic_earns_its_ratio(self):
+        budget = RetryBudget(RATIO, 0.0, burst=10.0, minimum_per_second=0.0)
+        granted = 0
+        for _ in range(1000):
+            budget.record_request()
+            granted += budget.withdraw(0.0)
+        self.assertAlmostEqual(granted, 10 + 100, delta=1)
+
+    def test_clock_that_steps_back_earns_nothing(self):
+        budget = RetryBudget(0.0, 10.0, burst=1.0, minimum_per_second=1.0)
+        self.assertTrue(budget.withdraw(10.0))
+        self.assertFalse(budget.withdraw(5.0))
+        self.assertFalse(budget.withdraw(10.0))
--- /dev/null
+++ b/tests/retries/test_streams.py
@@ -0,0 +1,122 @@
+"""Tests of following and resuming event streams over schedules of cuts."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobladder.retries import StreamFault, StreamTracker
+
+DONE = b"data: [DONE]\n\n"
+# The offset of a cut; the attempt ends there.
+CUTS = st.lists(st.integers(0, 500), max_size=8)
+SEEDS = st.integers(0, 2**32 - 1)
+
+
+def encode_events(start: int, count: int, line_end: bytes = b"\n") -> bytes:
+    """Return the events of an engine that resumes at an index."""
+    events = [b"id: %d\ndata: {}\n\n" % index for index in range(start, count)]
+    return b"".join([*events, DONE]).replace(b"\n", line_end)
+
+
+def split(data: bytes, generator: random.Random) -> list[bytes]:
+    """Cut bytes into pieces as a connection may deliver them."""
+    pieces = []
+    while data:
+        size = generator.randint(1, 40)
+        pieces.append(data[:size])
+        data = data[size:]
+    return pieces
+
+
+class StreamTrackerTest(unittest.TestCase):
+    """Guard against lost, doubled or crossed tokens."""
+
+    def feed(self, tracker, data, generator):
+        tracker.start_attempt()
+        return b"".join(tracker.feed(piece) for piece in split(data, generator))
+
+    @settings(derandomize=True)
+    @given(st.integers(0, 20), CUTS, SEEDS, st.sampled_from([b"\n", b"\r\n"]))
+    def test_any_schedule_of_cuts_gives_the_whole_stream(
+        self, count, cuts, seed, line_end
+    ):
+        generator = random.Random(seed)
+        tracker = StreamTracker()
+        relayed = b""
+        for cut in [*cuts, None]:
+            if tracker.finished:
+                break
+            last = tracker.last_index
+            start = 0 if last is None else last + 1
+            data = encode_events(start, count, line_end)[:cut]
+            relayed += self.feed(tracker, data, generator)
+            self.assertTrue(tracker.finished or tracker.resumable)
+        self.assertTrue(tracker.finished)
+        self.assertEqual(relayed, encode_events(0, count))
+
+    @settings(derandomize=True)
+    @given(st.integers(1, 12), CUTS, SEEDS)
+    def test_faulty_engines_never_add_or_skip_a_token(self, count, cuts, seed):
+        generator = random.Random(seed)
+        tracker = StreamTracker()
+        relayed = b""
+        for cut in cuts:
+            start = generator.randint(0, count)
+            events = encode_events(start, count).split(b"\n\n")
+            if generator.random() < 0.5:
+                events.pop(generator.randrange(len(events)))
+            data = b"\n\n".join(events)[:cut]
+            relayed += self.feed(tracker, data, generator)
+        whole = encode_events(0, count)
+        tokens = relayed.removesuffix(DONE)
+        self.assertTrue(whole.startswith(tokens))
+
+    def test_each_wrong_index_ends_the_attempt(self):
+        for index in (b"0", b"1", b"3", b"-1"):
+            with self.subTest(index=index):
+                tracker = StreamTracker()
+                tracker.feed(encode_events(0, 2).removesuffix(DONE))
+                data = b"id: %s\ndata: {}\n\nid: 2\ndata: {}\n\n" % index
+                self.assertEqual(tracker.feed(data), b"")
+                self.assertIs(tracker.fault, StreamFault.WRONG_INDEX)
+                self.assertTrue(tracker.resumable)
+
+    def test_index_that_is_no_number_ends_the_attempt(self):
+        tracker = StreamTracker()
+        self.assertEqual(tracker.feed(b"id: a\ndata: {}\n\n"), b"")
+        self.assertIs(tracker.fault, StreamFault.BAD_INDEX)
+
+    def test_stream_with_an_unnumbered_token_is_not_resumed(self):
+        tracker = StreamTracker()
+        tracker.feed(b"id: 0\ndata: {}\n\ndata: {}\n\n")
+        self.assertFalse(tracker.resumable)
+
+    def test_comments_do_not_prevent_resumption(self):
+        tracker = StreamTracker()
+        data = b"id: 0\ndata: {}\n\n: waiting\n\n"
+        self.assertEqual(tracker.feed(data), data)
+        self.assertTrue(tracker.resumable)
+
+    def test_id_after_the_data_line_counts(self):
+        tracker = StreamTracker()
+        tracker.feed(b"data: {}\nid: 0\n\n")
+        self.assertEqual(tracker.last_index, 0)
+
+    def test_text_of_a_token_is_not_taken_for_an_index_or_the_end(self):
+        data = b'id: 0\ndata: {"t":"\\nid: 9 data: [DONE]"}\n\n'
+        tracker = StreamTracker()
+        self.assertEqual(tracker.feed(data), data)
+        self.assertEqual(tracker.last_index, 0)
+        self.assertFalse(tracker.finished)
+
+    def test_nothing_follows_the_final_event(self):
+        tracker = StreamTracker()
+        self.assertEqual(tracker.feed(DONE + b"id: 0\ndata: {}\n\n"), DONE)
+        self.assertEqual(tracker.feed(b"id: 0\ndata: {}\n\n"), b"")
+
+    def test_endless_event_is_a_fault_and_not_a_growing_buffer(self):
+        tracker = StreamTracker()
+        tracker.feed(b"data: " + b"x" * 2_000_000)
+        self.assertIs(tracker.fault, StreamFault.EVENT_TOO_LARGE)
