Relay chunks within the callback that receives them

Waking a task for each relayed chunk cost about a third of the gateway's own part. The engine's connection now hands data to the relay directly; the relay waits only while the caller is slow.

Sampled over 100 streams on a busy machine (load 14 to 16 on 10 cores): h11 and the kernel took 66% of the gateway's samples before (335 samples) and 74% after (710 samples).

--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -250,6 +250,12 @@
     async def send_chunk(self, data: bytes) -> None:
         """Send a part of a streamed answer; waits while the caller is slow."""
 
+    def write_chunk(self, data: bytes) -> bool:
+        """Send a part of a streamed answer; return False if the caller is slow."""
+
+    async def drain(self) -> None:
+        """Wait while the caller is slow."""
+
     async def end_stream(self) -> None:
         """Mark a streamed answer as whole.
 
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -116,33 +116,57 @@
 
     async def _relay_events(self, opened: OpenCall) -> TargetError | None:
         """Relay whole events; return what broke the stream, or None at its end."""
-        tracker = self._tracker
-        answer = opened.answer
-        responder = self._responder
-        limit_seconds = self._times.first_byte_seconds
-        first = True
-        tracker.start_attempt()
-        while not tracker.finished:
-            try:
-                data = await answer.read(limit_seconds)
-            except TargetError as error:
-                return error
-            if not data:
-                return _broken("the stream ended without its final event")
-            events = tracker.feed(data)
-            if events:
-                if first:
-                    first = False
-                    limit_seconds = self._times.stream_gap_seconds
-                    await self._note_first_events(opened)
-                await responder.send_chunk(events)
-                self._note_chunk()
-            if tracker.fault is not StreamFault.NONE:
-                return _broken(f"the stream cannot be followed: {tracker.fault}")
-        await responder.end_stream()
+        self._tracker.start_attempt()
+        try:
+            await self._relay_first_events(opened)
+            while not self._tracker.finished:
+                if await opened.answer.push(
+                    self._relay_data, self._times.stream_gap_seconds
+                ):
+                    break
+                self._check_fault()
+                await self._responder.drain()
+        except TargetError as error:
+            return error
+        if not self._tracker.finished:
+            return _broken("the stream ended without its final event")
+        await self._responder.end_stream()
         await self._read_end(opened)
         return None
 
+    async def _relay_first_events(self, opened: OpenCall) -> None:
+        """Start the caller's answer once a whole event has arrived."""
+        events = b""
+        while not events:
+            data = await opened.answer.read(self._times.first_byte_seconds)
+            if not data:
+                raise _broken("the stream ended without an event")
+            events = self._tracker.feed(data)
+            if not events:
+                self._check_fault()
+        await self._note_first_events(opened)
+        await self._responder.send_chunk(events)
+        self._note_chunk()
+        self._check_fault()
+
+    def _relay_data(self, data: bytes) -> bool:
+        """Relay whole events; return False if the stream must not go on at once.
+
+        Runs for each chunk, so it neither logs nor waits nor parses JSON.
+        """
+        tracker = self._tracker
+        writable = True
+        events = tracker.feed(data)
+        if events:
+            writable = self._responder.write_chunk(events)
+            self._note_chunk()
+        return writable and not tracker.finished and not tracker.fault
+
+    def _check_fault(self) -> None:
+        fault = self._tracker.fault
+        if fault is not StreamFault.NONE:
+            raise _broken(f"the stream cannot be followed: {fault}")
+
     async def _note_first_events(self, opened: OpenCall) -> None:
         opened.note_first_byte()
         self._session.note_relayed(opened.target)
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -136,7 +136,7 @@
         self._writer: asyncio.Future[None] | None = None
         self._unread_bytes = 0
         self._reading_paused = False
-        self._writing_paused = False
+        self.writing_paused = False
         self._idle = True
         self._discarding = False
 
@@ -172,11 +172,11 @@
 
     def pause_writing(self) -> None:
         """Note that the caller reads slowly."""
-        self._writing_paused = True
+        self.writing_paused = True
 
     def resume_writing(self) -> None:
         """Let the handler write again."""
-        self._writing_paused = False
+        self.writing_paused = False
         _wake(self._writer)
 
     def close_if_idle(self) -> None:
@@ -202,7 +202,7 @@
 
     async def drain(self) -> None:
         """Wait while the caller reads slowly; cut it when it stalls too long."""
-        if not self._writing_paused:
+        if not self.writing_paused:
             return
         self._writer = self._loop.create_future()
         try:
@@ -391,9 +391,18 @@
 
     async def send_chunk(self, data: bytes) -> None:
         """Send a part of a streamed answer; waits while the caller is slow."""
+        if not self.write_chunk(data):
+            await self.drain()
+
+    def write_chunk(self, data: bytes) -> bool:
+        """Send a part of a streamed answer; return False if the caller is slow."""
         connection = self._connection
         connection.write(h11.Data(data=data))
-        await connection.drain()
+        return not connection.writing_paused
+
+    async def drain(self) -> None:
+        """Wait while the caller is slow."""
+        await self._connection.drain()
 
     async def end_stream(self) -> None:
         """Mark a streamed answer as whole."""
--- a/carobladder/platform/http.py
+++ b/carobladder/platform/http.py
@@ -14,6 +14,7 @@
 __all__ = ["AnswerStream", "HttpClient"]
 
 Headers = tuple[tuple[str, str], ...]
+Sink = Callable[[bytes], bool]
 
 _CONNECT_SECONDS = 2.0
 # Below the usual keep-alive limit of servers, so that few pooled connections are stale.
@@ -48,6 +49,9 @@
         self.timed_out = False
         self._paused = False
         self._unread_bytes = 0
+        self._sink: Sink | None = None
+        self._pushed: asyncio.Future[bool] | None = None
+        self._gap_seconds = 0.0
         self._limit_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
@@ -71,6 +75,9 @@
             return
         self.answer_started = True
         self._http.receive_data(data)
+        if self._sink is not None:
+            self._push_received(self._sink)
+            return
         self._unread_bytes += len(data)
         if self._unread_bytes > _HIGH_WATER_BYTES and not self._paused:
             self._paused = True
@@ -83,6 +90,8 @@
         self._eof = True
         if not self._idle:
             self._http.receive_data(b"")
+        if self._sink is not None:
+            self._push_received(self._sink)
         self._wake()
         return False
 
@@ -91,6 +100,10 @@
         self._lost = True
         self._cancel_timer()
         self._wake()
+        if self._pushed is not None and not self._pushed.done():
+            self._pushed.set_exception(
+                self._broken("connection closed inside the answer")
+            )
 
     def abort(self) -> None:
         """Close the connection at once, which cancels the request at the server."""
@@ -142,6 +155,28 @@
             else:
                 raise self._broken("connection closed inside the answer")
 
+    async def push_data(self, sink: Sink, gap_seconds: float) -> bool:
+        """Hand the body to ``sink`` as it arrives; return True at its end.
+
+        Return False once ``sink`` returned false. The bytes go from the socket to
+        the sink within one callback, because waking a task for each chunk costs
+        about as much as the rest of its path.
+        """
+        self._gap_seconds = gap_seconds
+        self._arm_timer(self._loop.time() + gap_seconds)
+        at_end = self._push(sink)
+        if at_end is not None:
+            return at_end
+        if self._lost:
+            raise self._broken("connection closed inside the answer")
+        self._sink = sink
+        self._pushed = self._loop.create_future()
+        try:
+            return await self._pushed
+        finally:
+            self._sink = None
+            self._pushed = None
+
     def finish_cycle(self) -> bool:
         """Prepare for the next request; tell whether the connection allows one."""
         self._cancel_timer()
@@ -165,6 +200,36 @@
         """Tell whether the whole answer was received and parsed."""
         return self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
+    def _push_received(self, sink: Sink) -> None:
+        pushed = self._pushed
+        if pushed is None or pushed.done():
+            return
+        try:
+            at_end = self._push(sink)
+        except Exception as error:
+            self._sink = None
+            pushed.set_exception(error)
+            return
+        if at_end is None:
+            self._limit_at = self._loop.time() + self._gap_seconds
+        else:
+            self._sink = None
+            pushed.set_result(at_end)
+
+    def _push(self, sink: Sink) -> bool | None:
+        """Return True at the end, False if the sink stops, None to wait for bytes."""
+        while True:
+            event = self._next_event()
+            if type(event) is h11.Data:
+                if not sink(bytes(event.data)):
+                    return False
+            elif event is h11.NEED_DATA:
+                return None
+            elif isinstance(event, h11.EndOfMessage):
+                return True
+            else:
+                raise self._broken("connection closed inside the answer")
+
     def _next_event(self) -> object:
         try:
             event = self._http.next_event()
@@ -210,7 +275,7 @@
         self._timer = None
         if self._loop.time() < self._limit_at:
             self._timer = self._loop.call_at(self._limit_at, self._check_limit)
-        elif self._waiter is not None:
+        elif self._waiter is not None or self._pushed is not None:
             self.timed_out = True
             self.abort()
             self._wake()
@@ -270,11 +335,27 @@
         except BaseException:
             self.close()
             raise
-        if connection.answer_complete:
-            self._connection = None
-            self._client._release(connection)
+        self._release_if_complete(connection)
         return data
 
+    async def push(self, sink: Sink, gap_seconds: float) -> bool:
+        """Hand the rest of the body to ``sink`` as it arrives.
+
+        Return True at the end of the body and False once ``sink`` returned false;
+        it may be called again then. Raises what ``sink`` raises, and
+        ConnectionBrokenError when the answer breaks off or pauses too long.
+        """
+        connection = self._connection
+        if connection is None:
+            return True
+        try:
+            at_end = await connection.push_data(sink, gap_seconds)
+        except BaseException:
+            self.close()
+            raise
+        self._release_if_complete(connection)
+        return at_end
+
     async def read_all(self, timeout_seconds: float) -> bytes:
         """Return the rest of the body; the time limit holds for all of it."""
         loop = asyncio.get_running_loop()
@@ -292,6 +373,11 @@
                 )
         return b"".join(parts)
 
+    def _release_if_complete(self, connection: _Connection) -> None:
+        if connection.answer_complete:
+            self._connection = None
+            self._client._release(connection)
+
     def close(self) -> None:
         """Close the connection if the answer was not read to its end."""
         if self._connection is not None:
