Apply the deadline to the first token and refuse deep nesting

An engine that sent headers and no token held its caller beyond the deadline; it is now cancelled and the caller gets 504 with an unknown outcome. A body nested beyond the recursion limit gave 500 and now gives 400. Only ids that the fleet made are compared with the id that an answer states, because targets may make their own.

--- a/carobladder/gateway/attempts.py
+++ b/carobladder/gateway/attempts.py
@@ -17,6 +17,7 @@
     TargetRefusedError,
 )
 from carobladder.gateway.ports import Admission, Permit, Ranking, SlotRequest, Team
+from carobladder.gateway.requests import is_other_request
 from carobladder.platform.http import AnswerStream, HttpClient
 from carobladder.retries import (
     FailedAttempt,
@@ -128,6 +129,13 @@
         self._version: str | None = None
         self._deadline: float | None = call.deadline
 
+    @property
+    def remaining_seconds(self) -> float:
+        """Return the time until the deadline, which ends when a stream starts."""
+        if self._deadline is None:
+            return self._call.first_byte_seconds
+        return max(0.0, self._deadline - self._caller.clock.monotonic())
+
     async def open(self, extra_headers: Headers = ()) -> OpenCall:
         """Return the first answer whose headers arrived.
 
@@ -160,7 +168,7 @@
             opened = await self.open()
             try:
                 opened.note_first_byte()
-                body = await opened.answer.read_all(max(0.0, self._remaining()))
+                body = await opened.answer.read_all(self.remaining_seconds)
                 answer = opened.answer
                 opened.close(failed=answer.status >= 500)
                 return WholeAnswer(opened.target, answer.status, answer.headers, body)
@@ -252,7 +260,7 @@
                 call.path,
                 headers=(*call.headers, *extra_headers),
                 body=call.body,
-                timeout_seconds=min(call.first_byte_seconds, self._remaining()),
+                timeout_seconds=min(call.first_byte_seconds, self.remaining_seconds),
                 may_repeat=call.repeatable,
                 fresh=not call.repeatable,
                 confirm=permit.is_valid,
@@ -266,7 +274,9 @@
     def _check_answer(self, answer: AnswerStream) -> None:
         """Raise TargetError for an answer that must not reach the caller."""
         for name, value in answer.headers:
-            if name == "x-request-id" and value != self._call.request_id:
+            if name == "x-request-id" and is_other_request(
+                value, self._call.request_id
+            ):
                 answer.close()
                 raise ConnectionBrokenError(
                     "the target sent the answer of another request",
@@ -287,11 +297,6 @@
         # A stream may resume on the engine whose connection broke.
         return targets
 
-    def _remaining(self) -> float:
-        if self._deadline is None:
-            return self._call.first_byte_seconds
-        return max(0.0, self._deadline - self._caller.clock.monotonic())
-
     def _final_error(self, decision: RetryDecision, reason: str) -> CallerError:
         if decision is RetryDecision.DEADLINE:
             if self.written:
--- a/carobladder/gateway/chats.py
+++ b/carobladder/gateway/chats.py
@@ -124,7 +124,7 @@
     def _decode_body(self, raw: bytes) -> _ChatBody:
         try:
             body = self._body_decoder.decode(raw)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise MalformedRequestError(
                 f"body is not a completion request: {error}"
             ) from None
@@ -225,7 +225,7 @@
         """Return the tokens that the engine counted, or 0."""
         try:
             usage = self._answer_decoder.decode(body).usage
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
             return 0
         return usage.total_tokens if usage else 0
 
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -137,8 +137,10 @@
     async def _relay_first_events(self, opened: OpenCall) -> None:
         """Start the caller's answer once a whole event has arrived."""
         events = b""
+        limit_seconds = self._times.first_byte_seconds
         while not events:
-            data = await opened.answer.read(self._times.first_byte_seconds)
+            remaining_seconds = self._session.remaining_seconds
+            data = await opened.answer.read(min(limit_seconds, remaining_seconds))
             if not data:
                 raise _broken("the stream ended without an event")
             events = self._tracker.feed(data)
--- a/carobladder/gateway/requests.py
+++ b/carobladder/gateway/requests.py
@@ -24,6 +24,7 @@
     "build_request",
     "check_head",
     "explain_protocol_error",
+    "is_other_request",
     "new_request_id",
     "read_class",
     "read_deadline",
@@ -32,6 +33,8 @@
 _HEADER_OVERHEAD_BYTES = 4
 _TOO_LARGE_STATUS = 431
 _BEARER = "bearer"
+# Tells the fleet's request ids from ids that a target makes itself.
+_ID_PREFIX = "cb-"
 _MAX_DEADLINE_MS = 3_600_000
 _DOT_SEGMENTS = frozenset({".", ".."})
 
@@ -49,7 +52,12 @@
 
 def new_request_id() -> str:
     """Return an id that no other request has."""
-    return uuid.uuid4().hex
+    return _ID_PREFIX + uuid.uuid4().hex
+
+
+def is_other_request(answer_id: str, request_id: str) -> bool:
+    """Tell whether an answer states the id of another request of the fleet."""
+    return answer_id.startswith(_ID_PREFIX) and answer_id != request_id
 
 
 def check_head(head: h11.Request, limits: RequestLimits) -> None:
--- a/carobladder/retries/decisions.py
+++ b/carobladder/retries/decisions.py
@@ -45,12 +45,12 @@
     """Return the decision; the budget is charged only if it is a retry."""
     if not _is_safe(failed):
         return RetryDecision.UNSAFE
+    if failed.deadline is not None and now >= failed.deadline:
+        return RetryDecision.DEADLINE
     if failed.attempts >= _MAX_ATTEMPTS:
         return RetryDecision.ATTEMPTS_USED
     if failed.targets_left == 0:
         return RetryDecision.NO_TARGET
-    if failed.deadline is not None and now >= failed.deadline:
-        return RetryDecision.DEADLINE
     if not budget.withdraw(now):
         return RetryDecision.BUDGET
     return RetryDecision.RETRY
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -134,6 +134,18 @@
         answer = await self.gateway.call("POST", CHAT_PATH, b'{"model": 3')
         self.check_answer(answer, 400, "malformed_request")
 
+    async def test_deeply_nested_body(self):
+        nested = b"[" * 100 + b"]" * 100
+        body = b'{"model": "quoter", "messages": [], "x": ' + nested + b"}"
+        answer = await self.gateway.call("POST", CHAT_PATH, body)
+        self.check_answer(answer, 400, "malformed_request")
+
+    async def test_body_nested_beyond_the_recursion_limit(self):
+        async with Gateway() as gateway:
+            body = b'{"model": "quoter", "x": ' + b"[" * 100_000
+            answer = await gateway.call("POST", CHAT_PATH, body)
+        self.assertEqual(answer.status, 400)
+
     async def test_unknown_model(self):
         body = msgspec.json.encode({**CHAT, "model": "unknown"})
         answer = await self.gateway.call("POST", CHAT_PATH, body)
--- a/tests/gateway/test_chats.py
+++ b/tests/gateway/test_chats.py
@@ -115,6 +115,22 @@
         self.assertGreater(len(times), 4)
         self.assertTrue(all(4000 <= int(time) <= 8000 for time in times))
 
+    async def test_silent_engine_ends_at_the_deadline_and_is_cancelled(self):
+        engine = Engine(silent=True)
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            for stream in (False, True):
+                answer = await gateway.chat(stream=stream, X_Deadline_Ms="100")
+                self.assertEqual(answer.status, 504)
+                self.assertEqual(read_error(answer)["outcome"], "unknown")
+            async with asyncio.timeout(LONG_SECONDS):
+                await engine.cancellation.wait()
+
+    async def test_id_that_a_target_makes_itself_is_no_fault(self):
+        engine = Engine(own_request_id=True)
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            answer = await gateway.chat()
+        self.assertEqual(answer.status, 200)
+
     async def test_caller_gone_mid_stream_cancels_at_the_engine(self):
         engine = Engine(hold=asyncio.Event())
         async with engine.server() as server, Gateway(server.address) as gateway:
