--- a/carobladder/gateway/__init__.py
+++ b/carobladder/gateway/__init__.py
@@ -3,6 +3,7 @@
 from carobladder.gateway import (
     attempts,
     chats,
+    connections,
     ports,
     problems,
     relay,
@@ -13,6 +14,7 @@
 )
 from carobladder.gateway.attempts import *  # noqa: F403
 from carobladder.gateway.chats import *  # noqa: F403
+from carobladder.gateway.connections import *  # noqa: F403
 from carobladder.gateway.ports import *  # noqa: F403
 from carobladder.gateway.problems import *  # noqa: F403
 from carobladder.gateway.relay import *  # noqa: F403
@@ -24,6 +26,7 @@
 __all__ = [
     *attempts.__all__,
     *chats.__all__,
+    *connections.__all__,
     *ports.__all__,
     *problems.__all__,
     *relay.__all__,
