--- a/tests/gateway/test_chats.py
+++ b/tests/gateway/test_chats.py
@@ -1,6 +1,7 @@
 """Tests of chat completions from the caller to the engine."""
 
 import asyncio
+import random
 import unittest
 
 import msgspec
@@ -114,6 +115,22 @@
         self.assertGreater(len(times), 4)
         self.assertTrue(all(4000 <= int(time) <= 8000 for time in times))
 
+    async def test_silent_engine_ends_at_the_deadline_and_is_cancelled(self):
+        engine = Engine(silent=True)
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            for stream in (False, True):
+                answer = await gateway.chat(stream=stream, X_Deadline_Ms="100")
+                self.assertEqual(answer.status, 504)
+                self.assertEqual(read_error(answer)["outcome"], "unknown")
+            async with asyncio.timeout(LONG_SECONDS):
+                await engine.cancellation.wait()
+
+    async def test_id_that_a_target_makes_itself_is_no_fault(self):
+        engine = Engine(own_request_id=True)
+        async with engine.server() as server, Gateway(server.address) as gateway:
+            answer = await gateway.chat()
+        self.assertEqual(answer.status, 200)
+
     async def test_caller_gone_mid_stream_cancels_at_the_engine(self):
         engine = Engine(hold=asyncio.Event())
         async with engine.server() as server, Gateway(server.address) as gateway:
@@ -182,6 +199,22 @@
         _, answer = await self.relay([Engine(cuts=[3]), Engine()])
         self.assertEqual(answer.body, whole_stream(5))
 
+    async def test_seeded_cuts_end_whole_or_in_a_visible_error(self):
+        for seed in range(30):
+            generator = random.Random(seed)
+            engines = [
+                Engine(cuts=[generator.randint(0, 400) for _ in range(2)], tokens=6)
+                for _ in range(generator.randint(1, 3))
+            ]
+            with self.subTest(seed=seed):
+                _, answer = await self.relay(engines)
+                if answer.status != 200:
+                    self.assertEqual(read_error(answer)["outcome"], "unknown")
+                elif answer.body != whole_stream(6):
+                    self.assert_visible_error(answer)
+                    tokens, _, _ = answer.body.partition(b"event: error")
+                    self.assertTrue(whole_stream(6).startswith(tokens))
+
     def assert_visible_error(self, answer):
         self.assertIn(b"event: error\n", answer.body)
         self.assertNotIn(DONE, answer.body)
