--- /dev/null
+++ b/carobladder/moves/datacentres.py
@@ -0,0 +1,329 @@
+"""Data centre moves: a data centre leaves service and returns to it."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
+from datetime import datetime, timedelta
+from enum import StrEnum
+
+from returns.result import Result
+
+from carobladder.moves.evidence import Verdict
+from carobladder.moves.records import (
+    MoveError,
+    MoveRecord,
+    RecordFault,
+    apply_move_record,
+)
+from carobladder.placement import key_fraction
+
+__all__ = [
+    "DataCentreMoveSpec",
+    "DataCentreMoveState",
+    "DataCentrePhase",
+    "DataCentreSituation",
+    "DataCentreStep",
+    "MaintenanceWindow",
+    "PlanVerdict",
+    "PoolCapacity",
+    "accepts_chat",
+    "apply_data_centre_record",
+    "decide_data_centre_step",
+    "next_data_centre_record",
+    "plan_leave",
+]
+
+
+class DataCentrePhase(StrEnum):
+    """Name the phases of a data centre move."""
+
+    DECLARED = "declared"
+    LEAVING = "leaving"
+    EMPTY = "empty"
+    RETURNING = "returning"
+    REFILLED = "refilled"
+    HELD = "held"
+
+
+_FORWARD = {
+    DataCentrePhase.DECLARED: {DataCentrePhase.LEAVING},
+    DataCentrePhase.LEAVING: {DataCentrePhase.EMPTY, DataCentrePhase.RETURNING},
+    DataCentrePhase.EMPTY: {DataCentrePhase.RETURNING},
+    DataCentrePhase.RETURNING: {
+        DataCentrePhase.RETURNING,
+        DataCentrePhase.REFILLED,
+        DataCentrePhase.LEAVING,
+    },
+}
+_HOLDABLE = frozenset(
+    {DataCentrePhase.DECLARED, DataCentrePhase.EMPTY, DataCentrePhase.RETURNING}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class MaintenanceWindow:
+    """Give the times at which the landlord works in a data centre."""
+
+    start: datetime
+    end: datetime
+
+    def __post_init__(self) -> None:
+        if self.end <= self.start:
+            raise MoveError("window must end after its start; correct the dates")
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentreMoveSpec:
+    """Declare that a data centre leaves for a window and returns after it.
+
+    ``drain_time`` is how long the longest answers take; the move starts that long,
+    plus ``margin``, before the window. ``refill_steps`` are the shares of its usual
+    work that the data centre takes while it returns.
+    """
+
+    move_id: str
+    data_centre: str
+    window: MaintenanceWindow
+    drain_time: timedelta = timedelta(minutes=5)
+    margin: timedelta = timedelta(minutes=10)
+    refill_steps: tuple[float, ...] = (0.05, 0.15, 0.35, 0.65, 1.0)
+    step_time: timedelta = timedelta(minutes=3)
+
+    def __post_init__(self) -> None:
+        steps = list(self.refill_steps)
+        if not steps or steps != sorted(set(steps)) or steps[-1] != 1 or steps[0] <= 0:
+            raise MoveError("refill_steps must grow to 1; use 0.05, 0.35, 1.0")
+
+    @property
+    def start(self) -> datetime:
+        """Return when the data centre must begin to leave."""
+        return self.window.start - self.drain_time - self.margin
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentreMoveState:
+    """Hold the state that all instances derive from the records."""
+
+    spec: DataCentreMoveSpec
+    phase: DataCentrePhase = DataCentrePhase.DECLARED
+    step: int = 0
+    since: datetime | None = None
+    revision: int = 0
+    change_id: str = ""
+    reason: str = ""
+    held_phase: DataCentrePhase | None = None
+
+    @property
+    def move_id(self) -> str:
+        """Return the id of the move."""
+        return self.spec.move_id
+
+    @property
+    def serving_phase(self) -> DataCentrePhase:
+        """Return the phase that decides about requests, also during a hold."""
+        return self.held_phase or self.phase
+
+    @property
+    def refill_share(self) -> float:
+        """Return the part of its usual work that the data centre takes."""
+        phase = self.serving_phase
+        if phase in (DataCentrePhase.LEAVING, DataCentrePhase.EMPTY):
+            return 0.0
+        if phase is DataCentrePhase.RETURNING:
+            return self.spec.refill_steps[self.step]
+        return 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentreSituation:
+    """State what the driver sees of the data centre.
+
+    ``ready_share`` is the part of its targets that are ready, ``bearable_share``
+    the part of its usual work that these can bear with their cold limits, and
+    ``others_overloaded`` tells whether the other data centres refuse work.
+    """
+
+    in_flight: int = 0
+    ready_share: float = 0.0
+    bearable_share: float = 0.0
+    verdict: Verdict = Verdict.CLEAR
+    remaining_bear_load: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class DataCentreStep:
+    """Name the change that the driver should append."""
+
+    phase: DataCentrePhase
+    step: int
+    reason: str
+
+
+def apply_data_centre_record(
+    state: DataCentreMoveState, record: MoveRecord, offset: int
+) -> Result[DataCentreMoveState, RecordFault]:
+    """Return the state after a record, or why the record has no effect."""
+    return apply_move_record(state, record, offset, _advance)
+
+
+def _advance(
+    state: DataCentreMoveState, record: MoveRecord, offset: int
+) -> DataCentreMoveState | None:
+    try:
+        phase = DataCentrePhase(record.phase)
+    except ValueError:
+        return None
+    if not _is_allowed(state, phase, record.step):
+        return None
+    holds = phase is DataCentrePhase.HELD
+    resumes = state.phase is DataCentrePhase.HELD
+    return replace(
+        state,
+        phase=phase,
+        step=record.step,
+        since=state.since if holds or resumes else record.at,
+        revision=offset,
+        change_id=record.change_id,
+        reason=record.reason,
+        held_phase=state.phase if holds else None,
+    )
+
+
+def _is_allowed(state: DataCentreMoveState, phase: DataCentrePhase, step: int) -> bool:
+    if phase is DataCentrePhase.HELD:
+        return state.phase in _HOLDABLE and step == state.step
+    if state.phase is DataCentrePhase.HELD:
+        return phase is state.held_phase and step == state.step
+    if phase not in _FORWARD.get(state.phase, set()):
+        return False
+    if phase is state.phase:
+        within = 0 <= step < len(state.spec.refill_steps)
+        return within and abs(step - state.step) == 1
+    return step == (state.step if phase is DataCentrePhase.REFILLED else 0)
+
+
+def next_data_centre_record(
+    state: DataCentreMoveState, step: DataCentreStep, change_id: str, at: datetime
+) -> MoveRecord:
+    """Return the record that makes a decided change."""
+    return MoveRecord(
+        state.move_id, change_id, state.revision, step.phase, at, step.step, step.reason
+    )
+
+
+def decide_data_centre_step(
+    state: DataCentreMoveState, situation: DataCentreSituation, now: datetime
+) -> DataCentreStep | None:
+    """Return the next change, or None to stay."""
+    spec = state.spec
+    match state.phase:
+        case DataCentrePhase.DECLARED if now >= spec.start:
+            if not situation.remaining_bear_load:
+                reason = "the remaining data centres cannot bear the load"
+                return DataCentreStep(DataCentrePhase.HELD, state.step, reason)
+            return DataCentreStep(DataCentrePhase.LEAVING, 0, "start time reached")
+        case DataCentrePhase.LEAVING if situation.in_flight == 0:
+            return DataCentreStep(DataCentrePhase.EMPTY, 0, "no request in flight")
+        case DataCentrePhase.EMPTY if _may_return(spec, situation, now):
+            reason = "window is over and targets are ready"
+            return DataCentreStep(DataCentrePhase.RETURNING, 0, reason)
+        case DataCentrePhase.RETURNING:
+            return _decide_refill(state, situation, now)
+    return None
+
+
+def _may_return(
+    spec: DataCentreMoveSpec, situation: DataCentreSituation, now: datetime
+) -> bool:
+    bears_first_step = situation.bearable_share >= spec.refill_steps[0]
+    return now >= spec.window.end and situation.ready_share > 0 and bears_first_step
+
+
+def _decide_refill(
+    state: DataCentreMoveState, situation: DataCentreSituation, now: datetime
+) -> DataCentreStep | None:
+    steps = state.spec.refill_steps
+    if situation.verdict is Verdict.FAULT:
+        if state.step == 0:
+            reason = "targets fail after the return"
+            return DataCentreStep(DataCentrePhase.LEAVING, 0, reason)
+        return DataCentreStep(DataCentrePhase.RETURNING, state.step - 1, "fault shown")
+    elapsed = now - (state.since or now)
+    if situation.verdict is Verdict.DOUBT or elapsed < state.spec.step_time:
+        return None
+    if state.step + 1 == len(steps):
+        return DataCentreStep(DataCentrePhase.REFILLED, state.step, "all steps taken")
+    if situation.bearable_share < steps[state.step + 1]:
+        return None
+    return DataCentreStep(DataCentrePhase.RETURNING, state.step + 1, "no fault shown")
+
+
+def accepts_chat(
+    state: DataCentreMoveState, chat_key: int, returning: bool, context_here: bool
+) -> bool:
+    """Return whether the data centre may receive a chat's next request.
+
+    While the data centre returns, first requests come by the share of the present
+    step. Chats that moved away keep their context where they are: one without a
+    token, which the hash would send back, follows one step later, when more of
+    the contexts left elsewhere have expired.
+    """
+    phase = state.serving_phase
+    if phase in (DataCentrePhase.LEAVING, DataCentrePhase.EMPTY):
+        return False
+    if phase is not DataCentrePhase.RETURNING or context_here:
+        return True
+    step = state.step - 1 if returning else state.step
+    share = state.spec.refill_steps[step] if step >= 0 else 0.0
+    return key_fraction(chat_key) < share
+
+
+@dataclass(frozen=True, slots=True)
+class PoolCapacity:
+    """Give the slots of one pool in one data centre and the load it has at peak.
+
+    Both are in weighted requests in flight.
+    """
+
+    pool: str
+    data_centre: str
+    slots: int
+    peak_load: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlanVerdict:
+    """State whether the remaining data centres can bear the load.
+
+    ``shortfalls`` gives the missing slots of each pool that has too few.
+    """
+
+    shortfalls: Mapping[str, int]
+
+    @property
+    def feasible(self) -> bool:
+        """Return whether no pool lacks slots."""
+        return not self.shortfalls
+
+
+def plan_leave(
+    capacities: Sequence[PoolCapacity],
+    leaving: frozenset[str],
+    headroom: float = 0.2,
+) -> PlanVerdict:
+    """Tell beforehand whether the load fits without the leaving data centres.
+
+    ``headroom`` is the part of the remaining slots kept free, for an engine that
+    fails meanwhile and for load that is spread unevenly.
+    """
+    if not 0 <= headroom < 1:
+        raise MoveError("headroom must be at least 0 and below 1; use 0.2")
+    shortfalls = {}
+    for pool in sorted({capacity.pool for capacity in capacities}):
+        own = [capacity for capacity in capacities if capacity.pool == pool]
+        load = sum(capacity.peak_load for capacity in own)
+        slots = sum(c.slots for c in own if c.data_centre not in leaving)
+        needed = math.ceil(load / (1 - headroom))
+        if needed > slots:
+            shortfalls[pool] = needed - slots
+    return PlanVerdict(shortfalls)
--- /dev/null
+++ b/carobladder/moves/records.py
@@ -0,0 +1,125 @@
+"""Records by which a move changes its state, and the rule for applying them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import datetime
+from enum import StrEnum
+from typing import Protocol, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from carobladder.exceptions import CarobladderError
+
+__all__ = [
+    "MoveError",
+    "MoveRecord",
+    "RecordFault",
+    "Revisioned",
+    "apply_move_record",
+    "decode_move_record",
+    "encode_move_record",
+]
+
+
+class MoveError(CarobladderError):
+    """Report a move record or declaration that cannot be used."""
+
+
+class RecordFault(StrEnum):
+    """Name why a record was not applied."""
+
+    OTHER_MOVE = "other_move"
+    REVISION_CONFLICT = "revision_conflict"
+    FORBIDDEN_TRANSITION = "forbidden_transition"
+    ALREADY_APPLIED = "already_applied"
+
+
+class MoveRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Change the phase or step of a move.
+
+    ``expected_revision`` is the log offset of the change before. ``change_id``
+    names the change, so that a writer that lost the answer of its append finds it.
+    """
+
+    move_id: str
+    change_id: str
+    expected_revision: int
+    phase: str
+    at: datetime
+    step: int = 0
+    reason: str = ""
+
+
+class Revisioned(Protocol):
+    """Describe what applying a record needs to know of a state."""
+
+    @property
+    def move_id(self) -> str:
+        """Return the id of the move."""
+
+    @property
+    def revision(self) -> int:
+        """Return the log offset of the last change applied."""
+
+    @property
+    def change_id(self) -> str:
+        """Return the id of the last change applied."""
+
+
+State = TypeVar("State", bound=Revisioned)
+
+
+@dataclass(frozen=True, slots=True)
+class _Check:
+    """Pair a condition with the fault that it reports."""
+
+    failed: bool
+    fault: RecordFault
+
+
+def apply_move_record(
+    state: State,
+    record: MoveRecord,
+    offset: int,
+    advance: Callable[[State, MoveRecord, int], State | None],
+) -> Result[State, RecordFault]:
+    """Return the state after a record, or why the record has no effect.
+
+    Every instance applies the records in offset order, so all of them accept the
+    same one of several that expect the same revision. ``advance`` returns None for
+    a transition that the aggregate forbids.
+    """
+    checks = (
+        _Check(record.move_id != state.move_id, RecordFault.OTHER_MOVE),
+        _Check(record.change_id == state.change_id, RecordFault.ALREADY_APPLIED),
+        _Check(
+            record.expected_revision != state.revision, RecordFault.REVISION_CONFLICT
+        ),
+    )
+    for check in checks:
+        if check.failed:
+            return Failure(check.fault)
+    changed = advance(state, record, offset)
+    if changed is None:
+        return Failure(RecordFault.FORBIDDEN_TRANSITION)
+    return Success(changed)
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(MoveRecord)
+
+
+def encode_move_record(record: MoveRecord) -> bytes:
+    """Return the JSON form of a record."""
+    return _encoder.encode(record)
+
+
+def decode_move_record(data: bytes) -> MoveRecord:
+    """Return the record of its JSON form; raises MoveError if it has none."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise MoveError(
+            f"undecodable move record: {error}; upgrade the instance or skip the record"
+        ) from error
