Carry the progress and leases of moves in the catalog

Change: lease records of their own that are not part of the audit, progress with phase, hold and times, and move declarations with the bounds that the moves package enforces. Conclusion: a driver can be rebuilt from the catalog.

--- a/carobladder/resources/catalog.py
+++ b/carobladder/resources/catalog.py
@@ -10,6 +10,7 @@
 )
 from carobladder.resources.models import (
     DataCentreMoveSpec,
+    MoveSpec,
     Resource,
     ServiceSpec,
     Spec,
@@ -21,6 +22,7 @@
     ABSENT,
     Change,
     ConfigRecord,
+    MoveLease,
     MoveStep,
     SnapshotPart,
 )
@@ -31,6 +33,9 @@
 # changes, not time, so that every instance forgets an id at the same offset.
 AUDIT_WINDOW = 4096
 
+# Phase of a move that waits, for example during an outage of the log.
+_HELD = "held"
+
 Key = tuple[str, str]
 
 
@@ -57,18 +62,22 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveProgress:
-    """Tell how far a move is; ``revision`` is the offset of its last record.
+    """Tell how far a move is; ``revision`` is the offset of its last change.
 
-    ``lease_offset`` is the fencing number of the driver, ABSENT before the first
-    lease. ``lease_from`` and ``lease_seconds`` come from the lease record.
+    ``state`` is the phase, ``since`` when the phase or step began, and
+    ``held_state`` the phase to go on from after a hold. ``lease_offset`` is the
+    fencing number of the driver, ABSENT before the first lease.
     """
 
     state: str = "declared"
     step: int = 0
-    driver: str = ""
+    since: float = 0.0
+    held_state: str = ""
     detail: str = ""
-    at: float = 0.0
+    change_id: str = ""
     revision: int = ABSENT
+    driver: str = ""
+    lease_id: str = ""
     lease_offset: int = ABSENT
     lease_from: float = 0.0
     lease_seconds: float = 0.0
@@ -151,6 +160,9 @@
         self._state.applied_offset = offset
         if record is None or isinstance(record, SnapshotPart):
             return None
+        if isinstance(record, MoveLease):
+            self._apply_lease(offset, record)
+            return None
         if record.change_id in self._state.audit:
             return None
         entry = self._decide(offset, record)
@@ -238,9 +250,11 @@
         if current is not None and current.spec == spec:
             return False
         self._put(Resource(change.kind, change.name, spec, offset))
-        if isinstance(spec, VersionMoveSpec | DataCentreMoveSpec):
-            known = self._state.progress.get(key, MoveProgress())
-            self._state.progress[key] = replace(known, revision=offset)
+        if isinstance(spec, MoveSpec):
+            known = self._state.progress.get(key, MoveProgress(since=change.at))
+            self._state.progress[key] = replace(
+                known, change_id=change.change_id, revision=offset
+            )
         return True
 
     def _validate(self, change: Change) -> Spec | None:
@@ -286,6 +300,24 @@
             self._put(replace(effect, revision=offset))
         self._state.progress[key] = _advance(progress, offset, step)
 
+    def _apply_lease(self, offset: int, lease: MoveLease) -> None:
+        """Give the lease to the first record that expects the lease before.
+
+        Leases are renewed every few seconds, so they are not kept for the audit.
+        """
+        key = (lease.kind, lease.name)
+        progress = self._state.progress.get(key)
+        if progress is None or progress.lease_offset != lease.expected_offset:
+            return
+        self._state.progress[key] = replace(
+            progress,
+            driver=lease.who,
+            lease_id=lease.change_id,
+            lease_offset=offset,
+            lease_from=lease.at,
+            lease_seconds=lease.lease_seconds,
+        )
+
     def _plan_effect(self, move: Spec, step: MoveStep) -> Resource | None:
         """Return the resource that the step changes, or None."""
         if isinstance(move, VersionMoveSpec) and step.shares is not None:
@@ -333,20 +365,16 @@
 
 
 def _advance(progress: MoveProgress, offset: int, step: MoveStep) -> MoveProgress:
-    advanced = replace(
+    holds = step.state == _HELD
+    resumes = progress.state == _HELD
+    return replace(
         progress,
         state=step.state,
         step=step.step,
-        driver=step.who,
+        # A hold does not restart the time of the step.
+        since=progress.since if holds or resumes else step.at,
+        held_state=progress.state if holds else "",
         detail=step.detail,
-        at=step.at,
+        change_id=step.change_id,
         revision=offset,
     )
-    if step.lease_seconds <= 0:
-        return advanced
-    return replace(
-        advanced,
-        lease_offset=offset,
-        lease_from=step.at,
-        lease_seconds=step.lease_seconds,
-    )
--- a/carobladder/resources/models.py
+++ b/carobladder/resources/models.py
@@ -5,6 +5,8 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
+from datetime import timedelta
+from itertools import pairwise
 from typing import Annotated, Any, ClassVar, Literal, Self
 
 from pydantic import (
@@ -25,6 +27,7 @@
     "DataCentreMoveSpec",
     "DataCentreSpec",
     "ModelSpec",
+    "MoveSpec",
     "OperatorSpec",
     "Resource",
     "ServiceSpec",
@@ -39,6 +42,8 @@
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _SHARE_TOLERANCE = 1e-6
+# Bounds the traffic that a bad version receives before any evidence.
+_FIRST_SHARE_MAX = 0.01
 
 
 def _check_name(value: str) -> str:
@@ -200,11 +205,20 @@
     windows: tuple[Window, ...] = ()
 
 
-class VersionMoveSpec(Spec):
+class MoveSpec(Spec):
+    """Base of moves; ``intent`` is what operators ask of the driver."""
+
+    finish_by: AwareDatetime
+    intent: Literal["run", "pause", "back"] = "run"
+
+
+class VersionMoveSpec(MoveSpec):
     """Declare that a model moves to a version by a time.
 
-    ``steps`` are the shares of the new version in order. A version is faulty if
-    its error rate, or its rate of slow answers, passes the threshold.
+    ``steps`` are the growing shares of the new version; the last one stays below
+    1 while it bakes, so that the old version gives evidence of the same period.
+    A version is faulty if its error rate, or its rate of slow answers, passes the
+    threshold. Without ``start`` the move begins when it is accepted.
     """
 
     kind = "version-move"
@@ -212,33 +226,59 @@
     model: Name
     from_version: Name = Field(alias="from")
     to_version: Name = Field(alias="to")
-    finish_by: AwareDatetime
-    steps: tuple[Annotated[float, Field(gt=0, le=1)], ...] = (0.01, 0.05, 0.25, 1.0)
+    start: AwareDatetime | None = None
+    steps: tuple[Annotated[float, Field(gt=0, lt=1)], ...] = Field(
+        default=(0.005, 0.02, 0.1, 0.3, 0.6, 0.95), min_length=1
+    )
+    step_seconds: float = Field(default=60.0, gt=0)
+    step_requests: int = Field(default=20, ge=0)
     max_error_rate: float = Field(default=0.02, gt=0, lt=1)
     max_slow_rate: float = Field(default=0.05, gt=0, lt=1)
-    bake_seconds: float = Field(default=600.0, ge=0)
-    intent: Literal["run", "pause", "back"] = "run"
+    bake_seconds: float = Field(default=1800.0, ge=0)
 
     @model_validator(mode="after")
-    def _check_steps(self) -> Self:
+    def _check_plan(self) -> Self:
         if self.from_version == self.to_version:
             raise ValueError("to: must differ from 'from'")
-        if not self.steps or self.steps[-1] != 1.0:
-            raise ValueError("steps: the last share must be 1.0")
-        if any(after <= before for before, after in zip(self.steps, self.steps[1:])):  # noqa: B905
-            raise ValueError("steps: each share must be greater than the one before")
+        _check_growth(self.steps)
+        if self.steps[0] > _FIRST_SHARE_MAX:
+            raise ValueError(f"steps: the first share must be <= {_FIRST_SHARE_MAX}")
+        if self.start is not None:
+            seconds = len(self.steps) * self.step_seconds + self.bake_seconds
+            if self.start + timedelta(seconds=seconds) > self.finish_by:
+                raise ValueError(
+                    f"finish_by: must be {seconds:g} s or more after start"
+                )
         return self
 
 
-class DataCentreMoveSpec(Spec):
-    """Declare that a data centre leaves or returns by a time."""
+class DataCentreMoveSpec(MoveSpec):
+    """Declare that a data centre leaves or returns by a time.
+
+    ``refill_steps`` are the shares of its usual work while it returns.
+    """
 
     kind = "data-centre-move"
 
     data_centre: Name
     direction: Literal["leave", "return"]
-    finish_by: AwareDatetime
-    intent: Literal["run", "pause", "back"] = "run"
+    drain_seconds: float = Field(default=300.0, ge=0)
+    refill_steps: tuple[Annotated[float, Field(gt=0, le=1)], ...] = Field(
+        default=(0.05, 0.15, 0.35, 0.65, 1.0), min_length=1
+    )
+    step_seconds: float = Field(default=180.0, gt=0)
+
+    @model_validator(mode="after")
+    def _check_plan(self) -> Self:
+        _check_growth(self.refill_steps)
+        if self.refill_steps[-1] != 1:
+            raise ValueError("refill_steps: the last share must be 1")
+        return self
+
+
+def _check_growth(steps: tuple[float, ...]) -> None:
+    if any(after <= before for before, after in pairwise(steps)):
+        raise ValueError("steps: each share must be greater than the one before")
 
 
 KINDS: Mapping[str, type[Spec]] = {
--- a/carobladder/resources/records.py
+++ b/carobladder/resources/records.py
@@ -12,6 +12,7 @@
     "RECORD_VERSION",
     "Change",
     "ConfigRecord",
+    "MoveLease",
     "MoveStep",
     "SnapshotPart",
     "decode_record",
@@ -44,11 +45,11 @@
 
 
 class MoveStep(msgspec.Struct, tag="move-step", tag_field="type", frozen=True):
-    """Record a step, or a renewed driver lease, of a move.
+    """Record a step of a move; ``state`` is its phase.
 
     ``expected_revision`` is the progress revision of the move that the driver
     has seen. ``shares`` and ``data_centre_state`` are put into force by the same
-    record. The offset of a record with ``lease_seconds`` is the fencing number.
+    record.
     """
 
     change_id: str
@@ -60,12 +61,28 @@
     state: str
     step: int = 0
     detail: str = ""
-    lease_seconds: float = 0.0
     shares: dict[str, float] | None = None
     data_centre_state: Literal["open", "closed"] | None = None
     v: int = RECORD_VERSION
 
 
+class MoveLease(msgspec.Struct, tag="move-lease", tag_field="type", frozen=True):
+    """Claim or renew the right to drive a move.
+
+    ``expected_offset`` is the offset of the lease before, ABSENT if there is none.
+    The offset of an accepted record is the fencing number of its holder.
+    """
+
+    change_id: str
+    who: str
+    at: float
+    kind: str
+    name: str
+    expected_offset: int
+    lease_seconds: float
+    v: int = RECORD_VERSION
+
+
 class SnapshotPart(msgspec.Struct, tag="snapshot", tag_field="type", frozen=True):
     """Carry one part of the configuration as of an offset.
 
@@ -81,7 +98,7 @@
     v: int = RECORD_VERSION
 
 
-ConfigRecord = Change | MoveStep | SnapshotPart
+ConfigRecord = Change | MoveStep | MoveLease | SnapshotPart
 
 
 class _Envelope(msgspec.Struct):
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -278,7 +278,7 @@
             await self.harness.put_team("a", administrators=[digest])
             answer = await self.harness.request("GET", "watch", key=TEAM_KEY)
             await self.harness.put_team("a", administrators=[])
-            lines = [json.loads(line) async for line in answer.stream]
+            lines = await self.take(answer, 5)
             self.assertEqual(lines[-1]["error"]["code"], "bad_credentials")
 
         self.harness.run(scenario)
