--- a/carobladder/admin/api.py
+++ b/carobladder/admin/api.py
@@ -14,6 +14,7 @@
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     CallerError,
+    InvalidResourceError,
     MalformedRequestError,
     NotReadyError,
     Outcome,
@@ -189,7 +190,12 @@
             entry = await self._submitter.submit(change)
         except CallerError as error:
             return _describe_error(error, change.change_id)
-        return _answer(self._describe_entry(entry))
+        if entry.accepted:
+            return _answer(self._describe_entry(entry))
+        refusal = RevisionConflictError if entry.conflict else InvalidResourceError
+        return _describe_error(
+            refusal(entry.reason), change.change_id, decided_at=entry.offset
+        )
 
     def _run_dry(self, change: Change) -> AdminAnswer:
         spec = self._catalog.check(change)
@@ -296,7 +302,10 @@
     return AdminAnswer(status, body=msgspec.json.encode(body))
 
 
-def _describe_error(error: CallerError, change_id: str | None = None) -> AdminAnswer:
+def _describe_error(
+    error: CallerError, change_id: str | None = None, decided_at: int | None = None
+) -> AdminAnswer:
+    """Return the problem; ``decided_at`` is the offset of a decided refusal."""
     problem = {
         "code": error.code,
         "message": error.message,
@@ -310,6 +319,8 @@
     }
     if change_id is not None:
         body["change_id"] = change_id
+    if decided_at is not None:
+        body["decided_at"] = decided_at
     answer = _answer(body, error.status)
     if error.retry_after_seconds is None:
         return answer
--- a/carobladder/admin/submission.py
+++ b/carobladder/admin/submission.py
@@ -8,7 +8,6 @@
     InvalidResourceError,
     LogUnavailableError,
     NotReadyError,
-    RevisionConflictError,
 )
 from carobladder.platform.log import LogClient
 from carobladder.resources import (
@@ -47,11 +46,11 @@
         self._retry_seconds = retry_seconds
 
     async def submit(self, change: Change) -> AuditEntry:
-        """Return the entry of the accepted change.
+        """Return how the change was decided.
 
-        Raises RevisionConflictError or InvalidResourceError if it was refused,
-        NotReadyError if it certainly was not appended, ChangeUnknownError if the
-        log stayed unreachable after an append that may have taken effect.
+        Raises NotReadyError if it certainly was not appended, ChangeUnknownError
+        if the log stayed unreachable after an append that may have taken effect,
+        InvalidResourceError if the change id belongs to another change.
         """
         deadline = self._clock.monotonic() + self._resolve_seconds
         waiter = self._history.subscribe()
@@ -59,7 +58,8 @@
             entry = await self._resolve(change, deadline, waiter)
         finally:
             self._history.unsubscribe(waiter)
-        return _check_entry(change, entry)
+        _check_same_change(change, entry)
+        return entry
 
     async def _resolve(
         self, change: Change, deadline: float, waiter: asyncio.Event
@@ -127,18 +127,10 @@
             task.cancel()
 
 
-def _check_entry(change: Change, entry: AuditEntry) -> AuditEntry:
-    if (entry.action, entry.kind, entry.name) != (
-        change.action,
-        change.kind,
-        change.name,
-    ):
+def _check_same_change(change: Change, entry: AuditEntry) -> None:
+    decided = (entry.action, entry.kind, entry.name)
+    if decided != (change.action, change.kind, change.name):
         raise InvalidResourceError(
             f"change id {change.change_id} belongs to {entry.action} "
             f"{entry.kind}/{entry.name}"
         )
-    if entry.accepted:
-        return entry
-    if entry.conflict:
-        raise RevisionConflictError(entry.reason)
-    raise InvalidResourceError(entry.reason)
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -10,6 +10,7 @@
     "CallerError",
     "CarobladderError",
     "ChangeUnknownError",
+    "ClientError",
     "ConnectionBrokenError",
     "DeadlineExceededError",
     "ForbiddenError",
@@ -18,6 +19,7 @@
     "InvalidResourceError",
     "LogUnavailableError",
     "MalformedRequestError",
+    "MissingResourceError",
     "NoCapacityError",
     "NotReadyError",
     "OffsetDroppedError",
@@ -263,6 +265,14 @@
     remedy = "ask GET /admin/v1/changes/CHANGE-ID or repeat it with the same change id"
 
 
+class ClientError(CarobladderError):
+    """Report an operator command that cannot be carried out."""
+
+
+class MissingResourceError(ClientError):
+    """Report to an operator command that a resource does not exist."""
+
+
 class RecordVersionError(CarobladderError):
     """Report a configuration record that this version cannot read."""
 
--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 from collections.abc import Awaitable, Callable
+from datetime import datetime
 from typing import Any
 
 from carobladder.admin.api import AdminAnswer, AdminApi, AdminRequest
@@ -26,9 +27,9 @@
 class Harness:
     """Run the reader and the clock beside requests."""
 
-    def __init__(self, log: FakeLog | None = None) -> None:
-        self.log = log or FakeLog()
-        self.clock = VirtualClock()
+    def __init__(self, start: datetime | None = None) -> None:
+        self.log = FakeLog()
+        self.clock = VirtualClock(start)
         self.catalog = Catalog()
         self.history = WatchHistory()
         self.directory = ConfiguredDirectory(self.catalog, self.clock)
