--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -12,6 +12,7 @@
     "CallerGoneError",
     "CarobladderError",
     "ChangeUnknownError",
+    "ClientError",
     "ConnectionBrokenError",
     "DeadlineExceededError",
     "ForbiddenError",
@@ -22,6 +23,7 @@
     "LogUnavailableError",
     "MalformedRequestError",
     "MethodNotAllowedError",
+    "MissingResourceError",
     "NoCapacityError",
     "NotReadyError",
     "OffsetDroppedError",
@@ -278,6 +280,14 @@
     remedy = "ask GET /admin/v1/changes/CHANGE-ID or repeat it with the same change id"
 
 
+class ClientError(CarobladderError):
+    """Report an operator command that cannot be carried out."""
+
+
+class MissingResourceError(ClientError):
+    """Report to an operator command that a resource does not exist."""
+
+
 class RecordVersionError(CarobladderError):
     """Report a configuration record that this version cannot read."""
 
