Ask the first target's owner before a chat leaves its cached context

Cause: an instance without idle slots of a chat's first target took the next target at once, because short prompts earn no waiting time. Change: a request waits up to 20 ms for the answer to its ask of the first target.

--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -15,6 +15,10 @@
 
 # Pause between looks at deadlines while requests wait.
 POLL_SECONDS = 0.01
+# An ask of the first target is answered within this time between data centres of
+# a region. Without it a chat would leave its cached context whenever its instance
+# holds no idle slots of the target.
+ASK_GRACE_SECONDS = 0.02
 # After each step without slots a waiting request asks for twice as many targets.
 WIDEN_SECONDS = 0.02
 
@@ -85,7 +89,8 @@
         Raises NoCapacityError with a retry time if the deadline cannot be met.
         """
         now = self._clock.monotonic()
-        waiting = Waiting(request, now, now + request.sticky_seconds)
+        first_until = now + max(request.sticky_seconds, ASK_GRACE_SECONDS)
+        waiting = Waiting(request, now, first_until)
         if not len(self._queue):
             permit = self._try_targets(waiting, now)
             if permit is not None:
@@ -229,7 +234,7 @@
         if target is None or target.leaving:
             return False
         allowance = self._book.find(target_id, now)
-        return allowance is not None and allowance.ready
+        return allowance is None or allowance.ready
 
     def _list_asked(self, waiting: Waiting, now: float) -> tuple[str, ...]:
         """Return the targets to ask for: the first, then twice as many each step."""
