Kill an instance in the middle of bookings

Cause: in a trial run the killed instance had no booking in flight in either deployment, so the demonstration said little about bookings that run at most once.

Change: 20 bookings go through the instance right before it is killed.

--- a/demo/report.py
+++ b/demo/report.py
@@ -17,11 +17,15 @@
     doubled = count_doubled(tally.effects)
     lines.append(
         f"load skew (greatest/mean of engines, slots): mean {tally.load.mean:.2f}, "
-        f"peak {tally.load.peak:.2f}, {len(tally.load.ratios)} samples"
+        f"peak {tally.load.peak:.2f}; {tally.load.over_bound} of "
+        f"{len(tally.load.ratios)} samples over 1.25 x mean + one request"
     )
     lines.append(
         f"bookings: {len(tally.wanted)} ordered, {len(tally.effects)} run, "
-        f"{doubled} doubled; requests over a cold engine's limit: {tally.cold_excess}"
+        f"{doubled} doubled, {tally.reordered} ordered again after an unknown outcome"
+    )
+    lines.append(
+        f"requests that arrived over a cold engine's limit: {tally.cold_excess}"
     )
     return "\n".join(lines)
 
--- a/demo/run.py
+++ b/demo/run.py
@@ -23,11 +23,14 @@
     """Choose the size of the run and when an instance is killed.
 
     The balancer and the list notice the killed instance ``notice_seconds`` later.
-    Without ``kill_after_seconds`` no instance is killed.
+    Without ``kill_after_seconds`` no instance is killed. ``last_bookings`` are sent
+    through that instance right before.
     """
 
     size: WorkloadSize | None = None
     kill_after_seconds: float | None = 5.0
+    last_bookings: int = 20
+    last_booking_gap_seconds: float = 0.004
     notice_seconds: float = 1.0
     seed: int = 1
     fleet: FleetOptions = field(default_factory=FleetOptions)
@@ -59,23 +62,31 @@
     workload = Workload(fleet.deployment, size, caller, options.seed)
     async with asyncio.TaskGroup() as group:
         sampling = group.create_task(_sample_load(fleet, tally))
-        killing = group.create_task(_kill(fleet, balancer, options))
+        killing = group.create_task(_kill(fleet, balancer, workload, options))
         await workload.run()
         await killing
         sampling.cancel()
     fleet.check_processes()
 
 
-async def _kill(fleet: Fleet, balancer: Balancer, options: DemoOptions) -> None:
+async def _kill(
+    fleet: Fleet, balancer: Balancer, workload: Workload, options: DemoOptions
+) -> None:
     if options.kill_after_seconds is None:
         return
     victim = fleet.instances[-1]
     await asyncio.sleep(options.kill_after_seconds)
-    balancer.note_killed(victim.address)
-    fleet.kill_instance(victim)
-    await asyncio.sleep(options.notice_seconds)
-    balancer.remove(victim.address)
-    await fleet.unlist_instance(victim)
+    # Bookings at every step, from before the claim to after the effect, are cut.
+    count, gap = options.last_bookings, options.last_booking_gap_seconds
+    bookings = workload.book_through(victim.address, count, gap)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(bookings)
+        await asyncio.sleep(count * gap)
+        balancer.note_killed(victim.address)
+        fleet.kill_instance(victim)
+        await asyncio.sleep(options.notice_seconds)
+        balancer.remove(victim.address)
+        await fleet.unlist_instance(victim)
 
 
 async def _sample_load(fleet: Fleet, tally: RunTally) -> None:
--- a/demo/tally.py
+++ b/demo/tally.py
@@ -8,6 +8,10 @@
 
 # Below this mean the ratio says more about single requests than about balance.
 _LEAST_MEAN_SLOTS = 4.0
+# The design page bounds an engine's load by the multiple times the mean plus one
+# request; the largest request takes 4 slots.
+_LOAD_MULTIPLE = 1.25
+_LARGEST_REQUEST_SLOTS = 4
 
 
 @dataclass(slots=True)
@@ -40,15 +44,22 @@
 
 @dataclass(slots=True)
 class LoadSamples:
-    """Collect the ratio of the most loaded engine to the mean, in slots."""
+    """Collect the ratio of the most loaded engine to the mean, in slots.
+
+    ``over_bound`` counts the samples whose greatest load is over the bound of the
+    design page. Engines are read one after the other, so a sample is not exact.
+    """
 
     ratios: list[float] = field(default_factory=list)
+    over_bound: int = 0
 
     def add(self, slots: list[int]) -> None:
         """Add the slots in flight of all engines at one moment."""
         mean = sum(slots) / len(slots) if slots else 0.0
         if mean >= _LEAST_MEAN_SLOTS:
             self.ratios.append(max(slots) / mean)
+            bound = _LOAD_MULTIPLE * mean + _LARGEST_REQUEST_SLOTS
+            self.over_bound += max(slots) > bound
 
     @property
     def mean(self) -> float:
@@ -63,7 +74,10 @@
 
 @dataclass(slots=True)
 class RunTally:
-    """Collect what a run did; ``booked`` maps each item to its booking id."""
+    """Collect what a run did; ``booked`` maps each item to its booking id.
+
+    ``reordered`` counts items ordered under a further key after an unknown outcome.
+    """
 
     kinds: dict[str, KindTally] = field(default_factory=dict)
     load: LoadSamples = field(default_factory=LoadSamples)
@@ -71,6 +85,7 @@
     wanted: set[str] = field(default_factory=set)
     effects: list[dict[str, Any]] = field(default_factory=list)
     cold_excess: int = 0
+    reordered: int = 0
     failures: list[str] = field(default_factory=list)
 
     def kind(self, name: str) -> KindTally:
--- a/demo/workload.py
+++ b/demo/workload.py
@@ -64,6 +64,13 @@
             for start, work in zip(starts, sessions, strict=True):
                 group.create_task(_run_later(start, work))
 
+    async def book_through(self, address: str, count: int, gap_seconds: float) -> None:
+        """Send bookings through one instance, one after each gap."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(count):
+                group.create_task(self._book(number, "last", address))
+                await asyncio.sleep(gap_seconds)
+
     def _pick_team(self) -> str:
         deployment = self._deployment
         large = self._random.random() < _LARGE_SHARE
@@ -112,12 +119,12 @@
         path = f"{self._deployment.stock_path}/item-{number}"
         await self._caller.look_up("stock look-ups", self._pick_team(), path)
 
-    async def _book(self, number: int) -> None:
+    async def _book(self, number: int, series: str = "item", address: str = "") -> None:
         deployment = self._deployment
-        item = f"{deployment.bookings.name}-{number}"
+        item = f"{deployment.bookings.name}-{series}-{number}"
         path = deployment.bookings_path
         kind = deployment.bookings.name.replace("-", " ")
-        await self._caller.book(kind, self._pick_team(), path, item)
+        await self._caller.book(kind, self._pick_team(), path, item, address)
 
     def _build(
         self,
--- a/tests/demo/test_callers.py
+++ b/tests/demo/test_callers.py
@@ -15,6 +15,23 @@
 SERVICE = ServiceOptions(work_seconds=0)
 
 
+class UnknownOutcomes(ServiceApp):
+    """Answer the first bookings as the fleet does for an unknown outcome."""
+
+    def __init__(self, times: int) -> None:
+        super().__init__(SERVICE)
+        self._left = times
+        self.keys: list[str] = []
+
+    async def handle(self, exchange) -> None:
+        self.keys.append(exchange.request.headers["idempotency-key"])
+        self._left -= 1
+        if self._left >= 0:
+            await exchange.answer(502, {"error": {"outcome": "unknown"}})
+        else:
+            await super().handle(exchange)
+
+
 class CallerTest(StandInTest):
     """Guard against callers that accept a cut, wrong or repeated answer."""
 
@@ -28,7 +45,8 @@
 
     def caller(self, *addresses: str, killed: str = "", version: str = "1") -> Caller:
         balancer = Balancer(addresses, seed=1)
-        balancer.note_killed(killed)
+        if killed:
+            balancer.note_killed(killed)
         return Caller(balancer, self.tally, frozenset({version}))
 
     def chat(self, stream: bool = True) -> ChatCall:
@@ -94,6 +112,29 @@
         self.assertEqual(len(app.effects), 2)
         self.assertIn("item-1", self.tally.booked)
 
+    async def book_unknown(self, times: int, killed: str) -> ServiceApp:
+        app = UnknownOutcomes(times)
+        address = await self.enterAsyncContext(start_app(app))
+        caller = self.caller(address, killed=killed)
+        await caller.book("bookings", "team", "/bookings", "item-1")
+        return app
+
+    async def test_unknown_outcome_is_asked_again_with_the_same_key(self):
+        app = await self.book_unknown(1, killed="other")
+        self.assertEqual(len(set(app.keys)), 1)
+        self.assertEqual((self.tally.reordered, len(app.effects)), (0, 1))
+        self.assertEqual(self.tally.failures, [])
+
+    async def test_item_is_ordered_again_if_its_outcome_stays_unknown(self):
+        app = await self.book_unknown(2, killed="other")
+        self.assertEqual(len(set(app.keys)), 2)
+        self.assertEqual((self.tally.reordered, len(app.effects)), (1, 1))
+        self.assertEqual(self.tally.kinds["bookings"].requests, 1)
+
+    async def test_unknown_outcome_without_a_killed_instance_fails(self):
+        await self.book_unknown(1, killed="")
+        self.assertIn("live instance", self.tally.failures[0])
+
     async def test_look_up_is_checked(self):
         address = await self.enterAsyncContext(start_app(ServiceApp(SERVICE)))
         await self.caller(address).look_up("stock", "team", "/stock/wool")
--- a/tests/demo/test_fleet.py
+++ b/tests/demo/test_fleet.py
@@ -67,6 +67,7 @@
         options = DemoOptions(
             size=size,
             kill_after_seconds=kill_after,
+            last_bookings=0,
             notice_seconds=0.1,
             fleet=OPTIONS,
         )
--- a/tests/demo/test_verdict.py
+++ b/tests/demo/test_verdict.py
@@ -56,6 +56,13 @@
         load.add([12, 4])
         self.assertEqual(load.ratios, [1.5])
 
+    def test_load_over_the_bound_of_the_design_page_is_counted(self):
+        load = LoadSamples()
+        load.add([14, 2])  # mean 8, bound 14
+        self.assertEqual(load.over_bound, 0)
+        load.add([15, 1])
+        self.assertEqual(load.over_bound, 1)
+
     def test_table_shows_kinds_totals_and_bookings(self):
         tally = RunTally(wanted={"a"}, effects=[effect("a", "1"), effect("a", "2")])
         for name in ("chats", "drafts"):
