--- a/carobladder/gateway/attempts.py
+++ b/carobladder/gateway/attempts.py
@@ -43,15 +43,16 @@
 class TargetCall:
     """Describe a call independently of the target that runs it.
 
-    ``list_targets`` and ``rank`` are asked again for each attempt. ``deadline`` is
-    in monotonic seconds. ``repeatable`` is false for calls that may run only once.
+    ``list_targets`` and ``rank`` are asked again for each attempt; ``rank`` also
+    receives the version that a resumed stream must go on with. ``deadline`` is in
+    monotonic seconds. ``repeatable`` is false for calls that may run only once.
     """
 
     team: Team
     request_class: RequestClass
     pool: str
     list_targets: Callable[[], Sequence[TargetState]]
-    rank: Callable[[Sequence[TargetState]], Ranking]
+    rank: Callable[[Sequence[TargetState], str | None], Ranking]
     method: str
     path: str
     headers: Headers
@@ -219,7 +220,7 @@
             deadline = now + _RESUME_SECONDS
         if now >= deadline:
             raise self._final_error(RetryDecision.DEADLINE, "the deadline has passed")
-        ranking = call.rank(self._candidates())
+        ranking = call.rank(self._candidates(), self._version)
         if not ranking.ranked:
             raise self._final_error(
                 RetryDecision.NO_TARGET, f"no target of {call.pool} is ready"
--- a/carobladder/gateway/chats.py
+++ b/carobladder/gateway/chats.py
@@ -140,8 +140,14 @@
         if self._clock.monotonic() >= deadline:
             raise DeadlineExceededError("the deadline passed before the start")
 
-        def rank(targets: Sequence[TargetState]) -> Ranking:
-            shares = self._directory.version_shares(chat.model)
+        def rank(targets: Sequence[TargetState], version: str | None) -> Ranking:
+            # An answer that has begun is finished on its version, even if that
+            # version has lost its share since.
+            shares = (
+                {version: 1.0}
+                if version is not None
+                else self._directory.version_shares(chat.model)
+            )
             return self._placement.rank(chat, targets, shares)
 
         # The headers of a whole answer arrive only after its last token.
--- a/carobladder/gateway/services.py
+++ b/carobladder/gateway/services.py
@@ -155,7 +155,7 @@
             repeatable=route.repeatable,
         )
 
-    def _rank(self, targets: Sequence[TargetState]) -> Ranking:
+    def _rank(self, targets: Sequence[TargetState], version: str | None) -> Ranking:
         """Return the usable targets in random order; a service caches nothing."""
         usable = [t.target_id for t in targets if t.ready and not t.leaving]
         self._generator.shuffle(usable)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -89,10 +89,12 @@
 
     def __init__(self) -> None:
         self.chats: list[ChatRequest] = []
+        self.shares: list[Mapping[str, float]] = []
 
     def rank(self, chat, targets, shares) -> Ranking:
         """Return the targets as they are."""
         self.chats.append(chat)
+        self.shares.append(shares)
         return Ranking([target.target_id for target in targets])
 
     def issue_token(self, chat, target, context_tokens) -> str:
--- a/tests/gateway/test_chats.py
+++ b/tests/gateway/test_chats.py
@@ -188,6 +188,12 @@
         self.assertEqual(second.requests, [])
         self.assert_visible_error(answer)
 
+    async def test_answer_is_finished_on_a_version_that_lost_its_share(self):
+        first, second = Engine(cuts=[CUT_IN_THIRD_EVENT]), Engine()
+        gateway, answer = await self.relay([first, second], ["v0", "v0"])
+        self.assertEqual(gateway.placement.shares, [{"v1": 1.0}, {"v0": 1.0}])
+        self.assertEqual(answer.body, whole_stream(5))
+
     async def test_engine_that_starts_over_ends_in_a_visible_error(self):
         engines = [ForgetfulEngine(cuts=[CUT_IN_THIRD_EVENT]), ForgetfulEngine()]
         _, answer = await self.relay(engines)
