--- a/carobladder/retries/budgets.py
+++ b/carobladder/retries/budgets.py
@@ -2,8 +2,9 @@
 
 __all__ = ["RetryBudget"]
 
-# Covers the streams that one instance has on a failing engine.
-_BURST_RETRIES = 50.0
+# At full size an instance has about 660 open streams, 51 of them in each of 13 data
+# centres; the burst covers the failure of two, or of one and its second attempts.
+_BURST_RETRIES = 100.0
 # Lets an instance with little traffic retry at all.
 _MINIMUM_PER_SECOND = 0.1
 
