--- a/carobladder/platform/http.py
+++ b/carobladder/platform/http.py
@@ -170,12 +170,15 @@
         if self._lost:
             raise self._broken("connection closed inside the answer")
         self._sink = sink
-        self._pushed = self._loop.create_future()
+        pushed = self._pushed = self._loop.create_future()
         try:
-            return await self._pushed
+            return await pushed
         finally:
             self._sink = None
             self._pushed = None
+            if pushed.done() and not pushed.cancelled():
+                # Marks the error as seen if the task was cancelled meanwhile.
+                pushed.exception()
 
     def finish_cycle(self) -> bool:
         """Prepare for the next request; tell whether the connection allows one."""
--- a/tests/gateway/test_chats.py
+++ b/tests/gateway/test_chats.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from carobladder.exceptions import NoCapacityError
+from carobladder.gateway import RelayTimes
 from tests.gateway.engines import DONE, Engine, token_event, whole_stream
 from tests.gateway.fakes import CHAT, LONG_SECONDS, Gateway, read_error
 
@@ -188,6 +189,17 @@
         self.assertEqual(second.requests, [])
         self.assert_visible_error(answer)
 
+    async def test_stalled_engine_is_left_for_another(self):
+        stalled, second = Engine(hold=asyncio.Event()), Engine()
+        async with EngineServers([stalled, second]) as addresses:
+            gateway = Gateway(*addresses)
+            gateway.times = RelayTimes(stream_gap_seconds=0.05)
+            async with gateway:
+                answer = await gateway.chat(stream=True)
+            self.assertEqual(stalled.cancelled, 1)
+        self.assertEqual(answer.body, whole_stream(5))
+        self.assertEqual(second.requests[0].start, 1)
+
     async def test_answer_is_finished_on_a_version_that_lost_its_share(self):
         first, second = Engine(cuts=[CUT_IN_THIRD_EVENT]), Engine()
         gateway, answer = await self.relay([first, second], ["v0", "v0"])
