--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -4,10 +4,19 @@
 """
 
 import argparse
+import itertools
 import statistics
+from dataclasses import replace
 
+from benchmarks.move_datacentres import DataCentreResult, measure_data_centre_move
+from benchmarks.move_operators import OperatorResult, OperatorRun
 from benchmarks.move_versions import KINDS, VersionResult, VersionRun
-from carobladder.moves import VersionPhase
+from benchmarks.placement_workload import DEPLOYMENTS
+from carobladder.moves import DataCentrePhase, VersionPhase
+
+PARTS = ["operators", "data-centres", "versions"]
+# Whether callers return tokens, and whether the return is controlled or at once.
+CASES = ((True, True), (False, True), (True, False), (False, False))
 
 
 def _quantiles(values: list[float]) -> str:
@@ -47,16 +56,79 @@
         )
 
 
+def _print_data_centre(seeds: range, loads: list[float]) -> None:
+    phases = [p for p in DataCentrePhase if p is not DataCentrePhase.HELD]
+    print("\nData centre move: served in time / reused tokens, in each phase")
+    print(
+        f"{'case':24}"
+        + "".join(f"{p.value:>16}" for p in phases)
+        + f"{'cut':>5}{'late':>5}{'last s':>7}{'empty':>7}{'refilled':>9}"
+        f"{'back':>6}{'unserved':>9}{'plan':>6}"
+    )
+    for deployment, load, (tokens, controlled) in itertools.product(
+        DEPLOYMENTS, loads, CASES
+    ):
+        scaled = replace(
+            deployment, chats_per_second=load * deployment.chats_per_second
+        )
+        results = [
+            measure_data_centre_move(scaled, seed, tokens, controlled) for seed in seeds
+        ]
+        name = f"{deployment.name} x{load:g} " + ("tokens" if tokens else "no tokens")
+        name += "" if controlled else " at once"
+        _print_data_centre_row(name, phases, results)
+
+
+def _print_data_centre_row(
+    name: str, phases: list[DataCentrePhase], results: list[DataCentreResult]
+) -> None:
+    cells = ""
+    for phase in phases:
+        parts = [r.parts[phase] for r in results if phase in r.parts]
+        served = statistics.fmean(p.service_share for p in parts) if parts else 0
+        reused = statistics.fmean(p.reused_share for p in parts) if parts else 0
+        cells += f"{served:9.2%}{reused:7.1%}"
+    count = len(results)
+    refilled = sum(r.refilled_at is not None for r in results)
+    print(
+        f"{name:24}{cells}{sum(r.cut for r in results):5}"
+        f"{sum(r.late_new_work for r in results):5}"
+        f"{max(r.last_new_work_seconds for r in results):7.2f}"
+        f"{sum(r.emptied_in_time for r in results):>4}/{count}"
+        f"{refilled:>6}/{count}"
+        f"{statistics.fmean(r.moved_back for r in results):6.0f}"
+        f"{sum(r.unserved for r in results):9}"
+        f"{sum(r.feasible for r in results):>3}/{count}",
+        flush=True,
+    )
+
+
+def _print_operators(results: list[OperatorResult]) -> None:
+    print(f"\nRacing operators and drivers, {len(results)} runs")
+    for name in OperatorResult.__slots__[1:]:
+        print(f"{name:18}{sum(getattr(r, name) for r in results):8}")
+    for phase in VersionPhase:
+        count = sum(r.phase is phase for r in results)
+        if count:
+            print(f"ended {phase.value:12}{count:8}")
+
+
 def main() -> None:
     """Measure and print the tables."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--parts", nargs="+", choices=PARTS, default=PARTS)
+    parser.add_argument("--loads", type=float, nargs="+", default=[0.6, 1.0])
     parser.add_argument("--rates", type=float, nargs="+", default=[6.0, 30.0])
     parser.add_argument("--kinds", nargs="+", choices=list(KINDS), default=list(KINDS))
     arguments = parser.parse_args()
     seeds = range(arguments.first_seed, arguments.first_seed + arguments.seeds)
-    for rate in arguments.rates:
+    if "operators" in arguments.parts:
+        _print_operators([OperatorRun(seed).run() for seed in seeds])
+    if "data-centres" in arguments.parts:
+        _print_data_centre(seeds, arguments.loads)
+    for rate in arguments.rates if "versions" in arguments.parts else []:
         table = {
             kind: [VersionRun(kind, seed, rate).run() for seed in seeds]
             for kind in arguments.kinds
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -23,6 +23,8 @@
 
 ORACLE_WAIT_FACTOR = 1.0
 ORACLE_WAIT_SECONDS_MAX = 5.0
+# The age from which verification refuses a token.
+TOKEN_SECONDS_MAX = 3600.0
 
 
 class RoundRobin:
@@ -113,13 +115,16 @@
     ) -> Placement:
         """Return the placement of the policy."""
         prompt = arrival.prompt
+        token = arrival.token
+        if token is not None and fleet.now - token.issued > TOKEN_SECONDS_MAX:
+            token = None
         request = PlacementRequest(
             arrival.chat.request_class,
             chat_key=arrival.chat.number,
             prefix_key=prompt.prefix_key,
             prompt_tokens=prompt.prefix_tokens + prompt.own_tokens,
             prefix_tokens=prompt.prefix_tokens,
-            token=arrival.token,
+            token=token,
             returning=arrival.turn > 0,
         )
         return self._policy.place(request, view)
--- a/benchmarks/placement_fleet.py
+++ b/benchmarks/placement_fleet.py
@@ -2,7 +2,7 @@
 
 import heapq
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
@@ -25,6 +25,8 @@
 SAMPLE_SECONDS = 10.0
 # Below this mean load, in slots, one long request alone decides the skew.
 SKEW_MEAN_MIN = 8.0
+# Bounds the cost of one release when hundreds of requests wait.
+RETRIES_MAX = 32
 RESTARTS_PER_ENGINE = 0.5
 FLAPS_PER_ENGINE = 1.5
 REPLACEMENTS_PER_ENGINE = 0.3
@@ -92,6 +94,18 @@
         self._views: list[dict[str, TargetState]] = [
             {} for _ in range(deployment.instances)
         ]
+        self._handlers: dict[str, Callable[..., None]] = {
+            "arrive": self._arrive,
+            "finish": self._finish,
+            "retry": self._serve_pending,
+            "view": self._update_view,
+            "sample": self._sample,
+            "join": self._join,
+            "leave": self._leave,
+            "restart": self._restart,
+            "flap": self._flap,
+            "recover": self._recover,
+        }
         for number in range(deployment.engines):
             self._add_engine(f"engine-{number}", -1000.0)
         for engine in self.engines.values():
@@ -104,24 +118,12 @@
         """Serve the chats and return the measures."""
         for chat in chats:
             self._schedule(chat.start, "arrive", chat, 0, self._random.getrandbits(30))
-        handlers = {
-            "arrive": self._arrive,
-            "finish": self._finish,
-            "retry": self._serve_pending,
-            "view": self._update_view,
-            "sample": self._sample,
-            "join": self._join,
-            "leave": self._leave,
-            "restart": self._restart,
-            "flap": self._flap,
-            "recover": self._recover,
-        }
         while self._events:
             time, _, kind, arguments = heapq.heappop(self._events)
             if time > self._end:
                 break
             self.now = time
-            handlers[kind](*arguments)
+            self._handlers[kind](*arguments)
         return self.outcome
 
     def ready_engines(self) -> list[Engine]:
@@ -157,24 +159,27 @@
         self._dispatch(arrival)
 
     def _dispatch(self, arrival: Arrival) -> None:
-        view = list(self._views[arrival.instance].values())
-        arrival.placement = self._strategy.place(arrival, view, self)
+        arrival.placement = self._place(arrival)
         if self._try_start(arrival):
             return
         priority = CLASS_PRIORITY[arrival.chat.request_class]
         entry = (priority, arrival.arrived, next(self._order), arrival)
         heapq.heappush(self._pending, entry)
         self.outcome.waited += 1
-        wait = arrival.placement.sticky_seconds
-        self._schedule(self.now + max(wait, 0.25), "retry")
+        placement = arrival.placement
+        for wait in (0.25, placement.sticky_seconds, placement.near_seconds):
+            self._schedule(self.now + wait, "retry")
+
+    def _visible(self, arrival: Arrival) -> list[TargetState]:
+        return list(self._views[arrival.instance].values())
+
+    def _place(self, arrival: Arrival) -> Placement:
+        return self._strategy.place(arrival, self._visible(arrival), self)
 
     def _try_start(self, arrival: Arrival) -> bool:
         placement = arrival.placement
         assert placement is not None
-        sticky = self.now < arrival.arrived + placement.sticky_seconds
-        first = placement.ranked[:1]
-        first_usable = first and self._is_usable(first[0])
-        ranked = first if sticky and first_usable else placement.ranked
+        ranked = self._choices(arrival, placement)
         mean = self._mean_load()
         for position, engine_id in enumerate(ranked):
             if self._admits(engine_id, arrival, mean):
@@ -183,6 +188,19 @@
                 return True
         return False
 
+    def _choices(self, arrival: Arrival, placement: Placement) -> list[str]:
+        waited = self.now - arrival.arrived
+        first = placement.ranked[:1]
+        near = placement.ranked[: placement.near_count]
+        if waited < placement.sticky_seconds and self._any_usable(first):
+            return first
+        if waited < placement.near_seconds and self._any_usable(near):
+            return near
+        return placement.ranked
+
+    def _any_usable(self, engine_ids: list[str]) -> bool:
+        return any(self._is_usable(engine_id) for engine_id in engine_ids)
+
     def _is_usable(self, engine_id: str) -> bool:
         engine = self.engines.get(engine_id)
         return engine is not None and engine.ready and not engine.leaving
@@ -244,9 +262,11 @@
         if not self._pending:
             return
         waiting, self._pending = sorted(self._pending), []
+        refused = 0
         for entry in waiting:
-            if not self._try_start(entry[3]):
+            if refused >= RETRIES_MAX or not self._try_start(entry[3]):
                 self._pending.append(entry)
+                refused += 1
         if self._pending:
             heapq.heapify(self._pending)
 
--- a/carobladder/moves/datacentres.py
+++ b/carobladder/moves/datacentres.py
@@ -18,6 +18,7 @@
 from carobladder.placement import key_fraction
 
 __all__ = [
+    "ChatRule",
     "DataCentreMoveSpec",
     "DataCentreMoveState",
     "DataCentrePhase",
@@ -26,11 +27,11 @@
     "MaintenanceWindow",
     "PlanVerdict",
     "PoolCapacity",
-    "accepts_chat",
     "apply_data_centre_record",
     "decide_data_centre_step",
     "next_data_centre_record",
     "plan_leave",
+    "rule_for_chat",
 ]
 
 
@@ -140,7 +141,7 @@
 
     ``ready_share`` is the part of its targets that are ready, ``bearable_share``
     the part of its usual work that these can bear with their cold limits, and
-    ``others_overloaded`` tells whether the other data centres refuse work.
+    ``remaining_bear_load`` the verdict of ``plan_leave`` on the present load.
     """
 
     in_flight: int = 0
@@ -258,24 +259,33 @@
     return DataCentreStep(DataCentrePhase.RETURNING, state.step + 1, "no fault shown")
 
 
-def accepts_chat(
-    state: DataCentreMoveState, chat_key: int, returning: bool, context_here: bool
-) -> bool:
-    """Return whether the data centre may receive a chat's next request.
+class ChatRule(StrEnum):
+    """Tell how the targets of a data centre rank for one request."""
+
+    USUAL = "usual"
+    OVERFLOW = "overflow"
+    REFUSED = "refused"
 
-    While the data centre returns, first requests come by the share of the present
-    step. Chats that moved away keep their context where they are: one without a
-    token, which the hash would send back, follows one step later, when more of
-    the contexts left elsewhere have expired.
+
+def rule_for_chat(
+    state: DataCentreMoveState, chat_key: int, returning: bool, context_here: bool
+) -> ChatRule:
+    """Return how the targets of the data centre rank for a chat's next request.
+
+    While the data centre returns, first requests rank it as usual by the share of
+    the present step. Chats that moved away keep their context where they are: one
+    without a token, which the hash would send back, follows one step later, when
+    more of the contexts left elsewhere have expired. All others use the data
+    centre only when the rest is full, so a slow refill costs no service.
     """
     phase = state.serving_phase
     if phase in (DataCentrePhase.LEAVING, DataCentrePhase.EMPTY):
-        return False
+        return ChatRule.REFUSED
     if phase is not DataCentrePhase.RETURNING or context_here:
-        return True
+        return ChatRule.USUAL
     step = state.step - 1 if returning else state.step
     share = state.spec.refill_steps[step] if step >= 0 else 0.0
-    return key_fraction(chat_key) < share
+    return ChatRule.USUAL if key_fraction(chat_key) < share else ChatRule.OVERFLOW
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/placement/policy.py
+++ b/carobladder/placement/policy.py
@@ -36,22 +36,30 @@
     ``prefix_share`` is the part of the targets that serve one shared prefix,
     ``prefill_tokens_per_second`` the rate at which an engine recomputes a prompt
     and ``wait_factor`` the seconds of waiting that one second of recomputing is
-    worth, since recomputing also delays the other requests of the engine.
+    worth. ``near_targets`` is the number of choices that a shared prefix is kept to
+    while waiting is worth it. Waiting longer reuses more tokens but delays the
+    first token.
     """
 
-    prefix_share: float = 0.3
-    prefix_targets_min: int = 2
+    prefix_share: float = 0.2
     prefill_tokens_per_second: float = 8000.0
     wait_factor: float = 1.0
     wait_seconds_max: float = 5.0
+    near_targets: int = 3
 
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Give the ranked targets and how long waiting for the first is worth it."""
+    """Give the ranked targets and how long waiting is worth more than going on.
+
+    Waiting ``sticky_seconds`` for the first target beats the next ones, and waiting
+    ``near_seconds`` for one of the first ``near_count`` beats all further ones.
+    """
 
     ranked: list[str]
     sticky_seconds: float
+    near_count: int = 1
+    near_seconds: float = 0.0
 
 
 class PlacementPolicy:
@@ -78,9 +86,18 @@
         by_hash = self._rank_by_hash(request, [t.target_id for t in usable])
         holder = _find_holder(request.token, usable)
         if holder is None or request.token is None:
-            return Placement(by_hash, self._wait_by_hash(request))
+            return self._finish(request, by_hash, self._wait_by_hash(request))
         rest = [target_id for target_id in by_hash if target_id != holder]
-        return Placement([holder, *rest], self._wait_by_token(request, request.token))
+        sticky = self._wait_by_token(request, request.token)
+        return self._finish(request, [holder, *rest], sticky)
+
+    def _finish(
+        self, request: PlacementRequest, ranked: list[str], sticky_seconds: float
+    ) -> Placement:
+        near_seconds = max(sticky_seconds, self._wait(request.prefix_tokens))
+        return Placement(
+            ranked, sticky_seconds, self._tuning.near_targets, near_seconds
+        )
 
     def _rank_by_hash(self, request: PlacementRequest, ids: list[str]) -> list[str]:
         if request.request_class is RequestClass.SHORT:
@@ -91,8 +108,7 @@
         return near + by_prefix[count:]
 
     def _prefix_target_count(self, total: int) -> int:
-        wanted = math.ceil(self._tuning.prefix_share * total)
-        return max(self._tuning.prefix_targets_min, wanted)
+        return max(1, math.ceil(self._tuning.prefix_share * total))
 
     def _wait_by_token(self, request: PlacementRequest, token: ChatToken) -> float:
         # The next choice shares the prefix, so only the chat's own part is lost.
--- a/carobladder/placement/tokens.py
+++ b/carobladder/placement/tokens.py
@@ -15,7 +15,8 @@
 _TOKEN_FORMAT = 1
 _MAC_BYTES = 16
 _MAX_TOKEN_CHARACTERS = 512
-_MAX_AGE = timedelta(hours=24)
+# Engines have mostly evicted a context by then, so the hash places the chat better.
+_MAX_AGE = timedelta(hours=1)
 _CLOCK_TOLERANCE = timedelta(seconds=60)
 
 
--- /dev/null
+++ b/tests/moves/test_versions.py
@@ -0,0 +1,186 @@
+"""Tests of version moves."""
+
+import itertools
+import unittest
+from dataclasses import replace
+from datetime import UTC, datetime, timedelta
+
+from hypothesis import given, seed
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from carobladder.moves import (
+    MoveError,
+    MoveRecord,
+    RecordFault,
+    Verdict,
+    VersionMoveSpec,
+    VersionMoveState,
+    VersionPhase,
+    VersionSituation,
+    apply_version_record,
+    decide_version_step,
+    decode_move_record,
+    effective_share,
+    encode_move_record,
+    keeps_old_version,
+    next_version_record,
+    version_shares,
+)
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+SPEC = VersionMoveSpec("move", "m", "v1", "v2", START, START + timedelta(hours=3))
+READY = VersionSituation(
+    loaded_share=1.0, warm_share=1.0, step_requests=100, new_in_flight=0
+)
+PHASES = st.sampled_from([phase.value for phase in VersionPhase])
+CHANGES = st.lists(st.tuples(PHASES, st.integers(0, 5), st.booleans()), max_size=30)
+
+
+def apply_unchecked(state: VersionMoveState, record: MoveRecord, offset: int):
+    """Apply a record whatever it expects: the broken variant."""
+    phase = VersionPhase(record.phase)
+    return replace(state, phase=phase, step=record.step, revision=offset)
+
+
+def apply_checked(state: VersionMoveState, record: MoveRecord, offset: int):
+    """Apply a record by the rules; one that fails has no effect."""
+    return apply_version_record(state, record, offset).value_or(state)
+
+
+def apply_changes(apply, changes) -> list[VersionMoveState]:
+    """Return the states after each record; some records expect a stale revision."""
+    states = [VersionMoveState(SPEC)]
+    for offset, (phase, step, stale) in enumerate(changes, start=1):
+        expected = states[-1].revision - int(stale)
+        record = MoveRecord("move", f"c{offset}", expected, phase, START, step)
+        states.append(apply(states[-1], record, offset))
+    return states
+
+
+def reverts(states: list[VersionMoveState]) -> bool:
+    """Return whether an ended move changes, or a share jumps by more than a step."""
+    ended = {VersionPhase.FINISHED, VersionPhase.TAKEN_BACK}
+    for before, after in itertools.pairwise(states):
+        if before.phase in ended and after != before:
+            return True
+        if after.phase is VersionPhase.STEPPING and after.step > before.step + 1:
+            return True
+    return False
+
+
+def run_to(phase: VersionPhase, situation: VersionSituation = READY):
+    """Return the state and time when a move first reaches a phase."""
+    state, now, offset = VersionMoveState(SPEC), START, 0
+    while state.phase is not phase and now < SPEC.finish_by + timedelta(hours=1):
+        now += timedelta(seconds=10)
+        step = decide_version_step(state, situation, now)
+        if step is not None:
+            offset += 1
+            record = next_version_record(state, step, f"c{offset}", now)
+            state = apply_version_record(state, record, offset).unwrap()
+    return state, now
+
+
+class VersionRecordTest(unittest.TestCase):
+    """Guard against races of writers that revert or repeat a change."""
+
+    @seed(1)
+    @given(CHANGES)
+    def test_no_sequence_of_records_reverts_a_move(self, changes):
+        self.assertFalse(reverts(apply_changes(apply_checked, changes)))
+
+    def test_check_of_reverts_catches_records_applied_unchecked(self):
+        changes = [("finished", 5, False), ("stepping", 0, True)]
+        self.assertTrue(reverts(apply_changes(apply_unchecked, changes)))
+
+    def test_second_of_two_racing_records_loses(self):
+        state = VersionMoveState(SPEC)
+        first = MoveRecord("move", "a", 0, "loading", START)
+        second = MoveRecord("move", "b", 0, "taking-back", START)
+        state = apply_version_record(state, first, 1).unwrap()
+        fault = apply_version_record(state, second, 2).failure()
+        self.assertIs(fault, RecordFault.REVISION_CONFLICT)
+
+    def test_repeated_append_after_a_lost_answer_is_recognised(self):
+        record = MoveRecord("move", "a", 0, "loading", START)
+        state = apply_version_record(VersionMoveState(SPEC), record, 1).unwrap()
+        fault = apply_version_record(state, record, 2).failure()
+        self.assertIs(fault, RecordFault.ALREADY_APPLIED)
+
+    def test_record_survives_encoding(self):
+        record = MoveRecord("move", "a", 7, "held", START, 2, "operator")
+        self.assertEqual(decode_move_record(encode_move_record(record)), record)
+
+    def test_undecodable_record_raises_a_typed_error(self):
+        with self.assertRaises(MoveError):
+            decode_move_record(b"{")
+
+    def test_unknown_phase_has_no_effect(self):
+        record = MoveRecord("move", "a", 0, "melting", START)
+        result = apply_version_record(VersionMoveState(SPEC), record, 1)
+        self.assertFalse(is_successful(result))
+
+
+class VersionDecisionTest(unittest.TestCase):
+    """Guard against moves that are late, unsafe or stuck."""
+
+    def test_good_version_finishes_in_time(self):
+        state, now = run_to(VersionPhase.FINISHED)
+        self.assertIs(state.phase, VersionPhase.FINISHED)
+        self.assertLessEqual(now, SPEC.finish_by)
+        self.assertEqual(version_shares(state), {"v2": 1.0, "v1": 0.0})
+
+    def test_fault_takes_the_move_back_from_every_active_phase(self):
+        bad = replace(READY, verdict=Verdict.FAULT)
+        for phase in ("loading", "warming", "stepping", "baking"):
+            state, now = run_to(VersionPhase(phase))
+            step = decide_version_step(state, bad, now)
+            self.assertIs(step and step.phase, VersionPhase.TAKING_BACK)
+
+    def test_fault_takes_a_held_move_back(self):
+        state, now = run_to(VersionPhase.STEPPING)
+        record = MoveRecord("move", "hold", state.revision, "held", now, state.step)
+        state = apply_version_record(state, record, 99).unwrap()
+        self.assertEqual(version_shares(state)["v2"], SPEC.steps[0])
+        step = decide_version_step(state, replace(READY, verdict=Verdict.FAULT), now)
+        self.assertIs(step and step.phase, VersionPhase.TAKING_BACK)
+
+    def test_version_that_gets_no_requests_is_taken_back_by_its_time(self):
+        state, now = run_to(VersionPhase.TAKEN_BACK, replace(READY, step_requests=0))
+        self.assertIs(state.phase, VersionPhase.TAKEN_BACK)
+        self.assertLessEqual(now, SPEC.finish_by)
+
+    def test_doubt_stops_the_share_from_growing(self):
+        state, now = run_to(VersionPhase.STEPPING)
+        doubtful = replace(READY, verdict=Verdict.DOUBT)
+        later = now + timedelta(hours=1)
+        self.assertIsNone(decide_version_step(state, doubtful, later))
+
+    def test_share_grows_no_faster_than_targets_are_warm(self):
+        state, now = run_to(VersionPhase.STEPPING)
+        cold = replace(READY, warm_share=0.01)
+        later = now + timedelta(hours=1)
+        self.assertIsNone(decide_version_step(state, cold, later))
+
+    def test_old_version_stays_warm_until_the_bake_time_is_over(self):
+        for phase in VersionPhase:
+            state = replace(VersionMoveState(SPEC), phase=phase)
+            self.assertEqual(
+                keeps_old_version(state), phase is not VersionPhase.FINISHED
+            )
+
+    def test_instance_that_sees_a_fault_stops_without_the_log(self):
+        state, _ = run_to(VersionPhase.BAKING)
+        self.assertEqual(effective_share(state, Verdict.CLEAR), SPEC.steps[-1])
+        self.assertEqual(effective_share(state, Verdict.FAULT), 0.0)
+
+    def test_contradictory_declarations_are_refused(self):
+        for change in (
+            {"steps": (0.5, 0.1)},
+            {"steps": (0.05, 0.5)},
+            {"steps": (0.005, 1.0)},
+            {"finish_by": START + timedelta(minutes=31)},
+        ):
+            with self.assertRaises(MoveError):
+                replace(SPEC, **change)
