--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -69,6 +69,11 @@
         settle_seconds = 2 * self._settings.lease_seconds
         return self._clock.monotonic() - self._started >= settle_seconds
 
+    @property
+    def peer_address(self) -> str:
+        """Return the address in use for other instances."""
+        return self._fleet.transport.address
+
     async def serve(self, stop: asyncio.Event) -> int:
         """Serve until ``stop`` is set, then drain; return the exit status."""
         self._fleet.transport.start()
--- a/carobladder/settings/definition.py
+++ b/carobladder/settings/definition.py
@@ -151,7 +151,8 @@
             )
         if self.list_window_seconds < self.lease_seconds:
             raise ValueError("list_window_seconds: must be at least lease_seconds")
-        if self.listen == self.peer_listen:
+        # Port 0 takes a free one, so two of them do not clash.
+        if self.listen == self.peer_listen and not self.listen.endswith(":0"):
             raise ValueError("peer_listen: must differ from listen")
         return self
 
--- /dev/null
+++ b/tests/instance/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of running instances."""
