Prove that shares and allowances never add up to more than the limit

Cause: seeded schedules of list disagreement, false removals, list outages and partitions showed sums of shares up to 3/2. Change: a peer that has raised its N is waited for until its older delegations have lapsed, an instance divides by the greatest N it hears of, and only confirmed shares count for cold targets.

--- a/carobladder/limits/allowances.py
+++ b/carobladder/limits/allowances.py
@@ -30,11 +30,12 @@
 class Usage:
     """Count what this instance uses of a target; the last three are totals."""
 
-    in_flight: int
-    acked: int
-    answers: int
-    errors: int
-    first_byte_ms: int
+    in_flight: int = 0
+    requests: int = 0
+    acked: int = 0
+    answers: int = 0
+    errors: int = 0
+    first_byte_ms: int = 0
 
 
 @dataclass(eq=False, slots=True)
@@ -52,6 +53,7 @@
     allowance: Allowance | None = None
     lease_id: int = 0
     in_flight: int = 0
+    requests: int = 0
     answers: int = 0
     errors: int = 0
     first_byte_ms: int = 0
@@ -113,6 +115,7 @@
             return None
         entry = self._entries[target_id]
         entry.in_flight += weight
+        entry.requests += 1
         return BookPermit(target_id, weight, entry.lease_id)
 
     def is_valid(self, permit: BookPermit, now: float) -> bool:
@@ -137,6 +140,7 @@
         permit.released = True
         entry = self._entries[permit.target_id]
         entry.in_flight -= permit.weight
+        entry.requests -= 1
         if failed:
             entry.errors += 1
         elif first_byte_seconds is not None:
@@ -147,13 +151,18 @@
         """Return the usage of a target as reported to the given owner."""
         entry = self._entries.get(target_id)
         if entry is None:
-            return Usage(0, 0, 0, 0, 0)
+            return Usage()
         allowance = entry.allowance
         acked = 0
         if allowance is not None and allowance.owner == owner:
             acked = allowance.sequence
         return Usage(
-            entry.in_flight, acked, entry.answers, entry.errors, entry.first_byte_ms
+            entry.in_flight,
+            entry.requests,
+            acked,
+            entry.answers,
+            entry.errors,
+            entry.first_byte_ms,
         )
 
     def forget(self, keep: set[str]) -> None:
--- a/carobladder/limits/budgets.py
+++ b/carobladder/limits/budgets.py
@@ -23,7 +23,7 @@
 
     ``limit`` is the fleet-wide limit in slots; ``load_cap`` the load up to which a
     further request is allowed (multiple x mean), or None without such a rule.
-    ``foreign`` are slots in use that no reporting holder accounts for.
+    ``foreign`` are the slots that requests of unknown instances may occupy.
     """
 
     limit: int
@@ -45,6 +45,7 @@
     unit: int
     acked: int
     sent_floor: float
+    requests: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +73,7 @@
 @dataclass(slots=True)
 class _Holder:
     in_flight: int = 0
+    requests: int = 0
     wanted: int = 0
     unit: int = 1
     reported: float = -math.inf
@@ -107,6 +109,7 @@
         """Take a holder's report; the caller drops older ones."""
         state = self._holders.setdefault(holder, _Holder())
         state.in_flight = report.in_flight
+        state.requests = report.requests
         state.unit = max(1, report.unit)
         state.reported = now
         if report.in_flight or report.wanted:
@@ -135,6 +138,10 @@
         """Return the weighted requests in flight as reported by all holders."""
         return sum(state.in_flight for state in self._holders.values())
 
+    def count_requests(self) -> int:
+        """Return the number of requests in flight as reported by all holders."""
+        return sum(state.requests for state in self._holders.values())
+
     def count_used(self) -> int:
         """Return the most slots that all holders together may have in flight."""
         return sum(state.count_used() for state in self._holders.values())
@@ -143,16 +150,22 @@
         """Return the slots that this owner may hand out in all."""
         if now < self._hold_until or not terms.usable:
             return 0
+        share = self._sum_shares(terms.cold, now)
+        capacity = math.floor(terms.limit * share)
+        # Requests that another owner admitted may outlast its delegations. They are
+        # unknown here only if some instance delegates elsewhere or nowhere.
+        if terms.cold and share < 1:
+            capacity = min(capacity, terms.limit - terms.foreign)
+        return max(0, capacity)
+
+    def _sum_shares(self, cold: bool, now: float) -> Fraction:
         # An unconfirmed share may be counted twice, which a cold target cannot bear.
-        share = sum(
-            (
-                item.share
-                for item in self._delegations.values()
-                if item.expires > now and (item.confirmed or not terms.cold)
-            ),
-            Fraction(0),
+        shares = (
+            item.share
+            for item in self._delegations.values()
+            if item.expires > now and (item.confirmed or not cold)
         )
-        return max(0, math.floor(terms.limit * min(share, Fraction(1))) - terms.foreign)
+        return min(sum(shares, Fraction(0)), Fraction(1))
 
     def is_idle(self, now: float) -> bool:
         """Tell whether nothing has reached this ledger for a long time."""
--- a/carobladder/membership/views.py
+++ b/carobladder/membership/views.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from carobladder.membership.delegations import MOVE_LEASES
+
 __all__ = ["ListedInstance", "MemberView"]
 
 # A list answer older than this does not prove that the others count this instance.
@@ -30,6 +32,8 @@
     listed: int
     leaving: bool
     live_from: float
+    # When its N last grew; delegations under the smaller N may live on.
+    raised: float
     hold_seconds: float = 0.0
 
 
@@ -44,22 +48,36 @@
         self._window_seconds = window_seconds
         # An instance that is dropped from the list learns it up to a window plus
         # a list age later, and its last delegation lives two leases longer.
-        self._peak_seconds = window_seconds + LIST_FRESH_SECONDS + 2 * lease_seconds
+        self._move_seconds = MOVE_LEASES * lease_seconds
+        self._peak_seconds = window_seconds + LIST_FRESH_SECONDS + self._move_seconds
         self._listed: dict[str, ListedInstance] = {}
+        # A peer that the list has just dropped may still be at work.
+        self._last_listed: dict[str, float] = {}
         self._list_read: float | None = None
         self._own_listed_since: float | None = None
+        # As before, but starts again after a gap in the reading of the list, in
+        # which the others may have dropped this instance.
+        self._unbroken_since: float | None = None
+        self._counted = False
         self._contacts: dict[str, _Contact] = {}
         self._counts: deque[tuple[float, int]] = deque()
         self.own_leaving = False
 
     def apply_list(self, instances: Iterable[ListedInstance], now: float) -> None:
         """Take an answer of the platform's list."""
+        previous = self._listed
+        gap = self._list_read is not None and now - self._list_read > LIST_FRESH_SECONDS
         self._listed = {item.instance_id: item for item in instances}
+        self._last_listed.update(dict.fromkeys([*previous, *self._listed], now))
         self._list_read = now
+        if gap or self.own_id not in self._listed:
+            self._unbroken_since = None
+            self._counted = False
         if self.own_id not in self._listed:
             self._own_listed_since = None
-        elif self._own_listed_since is None:
-            self._own_listed_since = now
+        else:
+            self._own_listed_since = _first(self._own_listed_since, now)
+            self._unbroken_since = _first(self._unbroken_since, now)
         self._note_count(now)
 
     def hear(
@@ -68,7 +86,9 @@
         """Take a heartbeat of a peer."""
         contact = self._contacts.get(peer)
         if contact is None:
-            self._contacts[peer] = _Contact(incarnation, now, listed, leaving, now)
+            self._contacts[peer] = _Contact(
+                incarnation, now, listed, leaving, live_from=now, raised=now
+            )
             self._note_count(now)
             return
         silence = now - contact.heard
@@ -76,6 +96,9 @@
             self._hold(contact, silence, now)
         contact.incarnation = incarnation
         contact.heard = now
+        # During a silence its N may have been smaller.
+        if listed > contact.listed or silence > self._lease_seconds:
+            contact.raised = now
         contact.listed = listed
         contact.leaving = leaving
 
@@ -84,6 +107,19 @@
         self._note_count(now)
         return max(count for _, count in self._counts)
 
+    def count_shares(self, now: float) -> int:
+        """Return the number that divides a budget: N, or a greater N of a peer.
+
+        An instance that cannot read the list learns of others in this way. It is
+        not reported as N, or else no N would ever fall.
+        """
+        reported = (
+            contact.listed
+            for contact in self._contacts.values()
+            if now - contact.heard <= self._window_seconds
+        )
+        return max([self.count_listed(now), *reported])
+
     def list_live(self, now: float) -> tuple[str, ...]:
         """Return the sorted ids of instances that may own targets."""
         live = [] if self.own_leaving else [self.own_id]
@@ -107,32 +143,47 @@
         """Tell whether the others count this instance in their N.
 
         True once it has been listed for the window or each listed peer reports an
-        N that is at least its own.
+        N that is at least its own, and delegations under a smaller N have lapsed.
         """
         if self.own_leaving:
             return False
         since = self._own_listed_since
-        if since is not None and now - since >= self._window_seconds:
+        window = self._window_seconds + self._move_seconds
+        if since is not None and now - since >= window:
             return True
         return self._peers_count_this(now)
 
     def is_confirmed(self, now: float) -> bool:
         """Tell whether no other instance can have dropped this one from its N.
 
-        True with a fresh list that shows this instance, or while every listed
-        peer is heard with an N that is at least its own.
+        True with a fresh list that shows this instance, once the others have
+        counted it. Without one, only while it hears all its peers with an N that is
+        at least its own: then no known instance can be on the far side of a
+        partition, with a list that no longer shows this instance.
         """
         fresh = (
             self._list_read is not None and now - self._list_read <= LIST_FRESH_SECONDS
         )
-        if fresh:
-            return self.own_id in self._listed
+        if not fresh:
+            return len(self._listed) > 1 and self._peers_count_this(now)
+        self._counted = self._counted or self._is_counted(now)
+        return self._counted
+
+    def _is_counted(self, now: float) -> bool:
+        since = self._unbroken_since
+        window = self._window_seconds + self._move_seconds
+        alone = len(self._listed) == 1
+        if alone and (since is None or now - since < window):
+            return False
         return self._peers_count_this(now)
 
     def forget(self, now: float) -> None:
         """Drop contacts that are neither listed nor heard within the window."""
         for peer in [name for name in self._contacts if self.is_gone(name, now)]:
             del self._contacts[peer]
+        for peer, last_listed in list(self._last_listed.items()):
+            if peer not in self._listed and now - last_listed > self._window_seconds:
+                del self._last_listed[peer]
 
     def _hold(self, contact: _Contact, silence: float, now: float) -> None:
         """Delay the return of a flapping peer, longer with each return."""
@@ -152,14 +203,17 @@
         if self.own_id not in self._listed:
             return False
         own_count = self.count_listed(now)
-        for peer in self._listed:
-            if peer == self.own_id:
+        for peer, last_listed in self._last_listed.items():
+            dropped = now - last_listed > self._window_seconds
+            if peer == self.own_id or (dropped and peer not in self._listed):
                 continue
             contact = self._contacts.get(peer)
             if contact is None or now - contact.heard > self._lease_seconds:
                 return False
             if contact.listed < own_count:
                 return False
+            if now - contact.raised < self._move_seconds:
+                return False
         return True
 
     def _note_count(self, now: float) -> None:
@@ -174,3 +228,7 @@
         self._counts.append((now, count))
         while self._counts[0][0] < now - self._peak_seconds:
             self._counts.popleft()
+
+
+def _first(since: float | None, now: float) -> float:
+    return now if since is None else since
--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -28,6 +28,8 @@
 
 SENT_MEMORY = 1024
 HOUSEKEEPING_SECONDS = 1.0
+# A load report older than this many intervals no longer shows a target as ready.
+PROBE_INTERVALS = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +40,7 @@
     lease_seconds: float = 1.5
     list_window_seconds: float = 10.0
     ask_seconds: float = 0.01
+    probe_seconds: float = 0.5
     load_multiple: float = 1.25
 
 
@@ -104,6 +107,7 @@
             timing.lease_seconds,
             now + timing.lease_seconds + 2 * timing.heartbeat_seconds,
             timing.load_multiple,
+            PROBE_INTERVALS * timing.probe_seconds,
         )
         self._delegator = Delegator(timing.lease_seconds, now)
         self._owners = OwnerMap()
@@ -226,6 +230,7 @@
             echo_incarnation=link.incarnation,
             confirmed=self.view.is_confirmed(now),
             leaving=self.view.own_leaving,
+            shares=self.view.count_shares(now),
         )
 
     def _report(
@@ -248,6 +253,7 @@
             answers=usage.answers,
             errors=usage.errors,
             first_byte_ms=usage.first_byte_ms,
+            requests=usage.requests,
         )
 
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> list[Outgoing]:
@@ -283,7 +289,7 @@
     def _serve_holder(
         self, message: Heartbeat, floor: float, now: float
     ) -> list[AllowanceItem]:
-        share = Fraction(1, max(1, message.listed))
+        share = Fraction(1, max(1, message.listed, message.shares))
         for report in message.reports:
             self._take_report(
                 message.sender, report, share, message.confirmed, floor, now
@@ -311,6 +317,7 @@
             unit=report.unit,
             acked=report.acked,
             sent_floor=floor,
+            requests=max(0, report.requests),
         )
         self.owned.report(report.target_id, holder, usage, now)
         self.owned.note_evidence(report, holder)
@@ -318,7 +325,7 @@
     def _serve_itself(self, now: float) -> None:
         """Act as holder and owner for the targets that this instance owns."""
         delegating = self.view.may_delegate(now)
-        share = Fraction(1, self.view.count_listed(now))
+        share = Fraction(1, self.view.count_shares(now))
         confirmed = self.view.is_confirmed(now)
         known = []
         for declaration in self.owned.declarations.values():
--- a/carobladder/peers/messages.py
+++ b/carobladder/peers/messages.py
@@ -28,8 +28,9 @@
 
     ``acked`` is the sequence number of the newest allowance applied. ``delegated``
     says that the message delegates the sender's share to the receiver. ``unit`` is
-    the weight of the next request. ``answers``, ``errors`` and ``first_byte_ms``
-    are totals since the sender's start, so that a lost message loses nothing.
+    the weight of the next request and ``requests`` the number in flight.
+    ``answers``, ``errors`` and ``first_byte_ms`` are totals since the sender's
+    start, so that a lost message loses nothing.
     """
 
     target_id: str
@@ -41,6 +42,7 @@
     answers: int = 0
     errors: int = 0
     first_byte_ms: int = 0
+    requests: int = 0
 
 
 class EvidenceItem(msgspec.Struct, array_like=True, frozen=True):
@@ -62,7 +64,8 @@
 
     ``echo`` is the newest sequence number received from the peer under
     ``echo_incarnation``; it bounds the time of sending on the peer's clock.
-    ``confirmed`` says that no instance can have dropped the sender from its N.
+    ``confirmed`` says that no instance can have dropped the sender from its N;
+    ``shares`` is the number of shares into which it divides a budget.
     """
 
     sender: str
@@ -78,6 +81,7 @@
     echo_incarnation: int = 0
     confirmed: bool = False
     leaving: bool = False
+    shares: int = 0
 
 
 class AllowanceItem(msgspec.Struct, array_like=True, frozen=True):
--- a/carobladder/peers/ownerside.py
+++ b/carobladder/peers/ownerside.py
@@ -1,6 +1,7 @@
 """Owner's side of the protocol: ledgers, warm-up and load of owned targets."""
 
 import math
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from fractions import Fraction
@@ -10,16 +11,23 @@
 from carobladder.limits.declarations import TargetDeclaration, TargetProbe
 from carobladder.limits.warmup import Warmup
 from carobladder.peers.messages import AllowanceItem, Report
-from carobladder.targets import TargetState
+from carobladder.targets import CLASS_WEIGHT, TargetState
 
 __all__ = ["OwnedTargets"]
 
+SURPLUS_PROBES = 3
+_MAX_WEIGHT = max(CLASS_WEIGHT.values())
+
 
 @dataclass(slots=True)
 class _Owned:
     ledger: Ledger
     warmup: Warmup
     ready: bool = False
+    probed: float = -math.inf
+    # Requests reported by the target less those that the holders reported, newest
+    # last; holders' reports lag, so that only what stays counts as foreign.
+    surplus: deque[int] = field(default_factory=lambda: deque(maxlen=SURPLUS_PROBES))
     totals: dict[str, tuple[int, int, int]] = field(default_factory=dict)
 
 
@@ -27,12 +35,17 @@
     """Hold ledgers and warm-up of the targets that this instance serves as owner."""
 
     def __init__(
-        self, lease_seconds: float, hold_until: float, load_multiple: float
+        self,
+        lease_seconds: float,
+        hold_until: float,
+        load_multiple: float,
+        probe_valid_seconds: float,
     ) -> None:
         self.declarations: dict[str, TargetDeclaration] = {}
         self._lease_seconds = lease_seconds
         self._hold_until = hold_until
         self._load_multiple = load_multiple
+        self._probe_valid_seconds = probe_valid_seconds
         self._owned: dict[str, _Owned] = {}
         self._pools: dict[tuple[str, str], list[str]] = {}
 
@@ -66,8 +79,13 @@
             return
         if not owned.warmup.boot_id and known is not None and known.boot_id:
             owned.warmup.adopt(known.boot_id, known.cold, known.limit)
+        if probe.boot_id != owned.warmup.boot_id:
+            owned.surplus.clear()
         owned.warmup.observe(probe.boot_id, probe.cold, probe.bearable, now)
         owned.ready = probe.ready
+        owned.probed = now
+        reported = probe.running + probe.waiting
+        owned.surplus.append(max(0, reported - owned.ledger.count_requests()))
 
     def delegate(
         self,
@@ -169,7 +187,8 @@
         self, target_id: str, owned: _Owned, book: AllowanceBook, now: float
     ) -> Terms:
         declaration = self.declarations[target_id]
-        usable = owned.ready and not declaration.state.leaving
+        fresh = now - owned.probed <= self._probe_valid_seconds
+        usable = owned.ready and fresh and not declaration.state.leaving
         load_cap = None
         if declaration.balanced:
             load_cap = self._find_load_cap(declaration.state, book, now)
@@ -178,6 +197,7 @@
             usable=usable,
             cold=owned.warmup.cold,
             load_cap=load_cap,
+            foreign=_count_foreign(owned),
         )
 
     def _find_load_cap(
@@ -206,3 +226,10 @@
         if owned is not None and allowance.owner in owned.ledger.list_holders():
             return max(allowance.load, owned.ledger.count_load())
         return allowance.load
+
+
+def _count_foreign(owned: _Owned) -> int:
+    """Return the slots that requests of unknown instances may occupy."""
+    if len(owned.surplus) < SURPLUS_PROBES:
+        return owned.warmup.limit
+    return _MAX_WEIGHT * min(owned.surplus)
--- /dev/null
+++ b/tests/membership/test_delegations.py
@@ -0,0 +1,127 @@
+"""Tests that owners who disagree never hand out more than the limit."""
+
+import random
+import unittest
+from dataclasses import dataclass
+from fractions import Fraction
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from carobladder.limits.budgets import Ledger, Terms
+from carobladder.membership import delegations
+from carobladder.membership.delegations import Delegator
+from tests.peers import variants
+
+LEASE = 1.5
+LIMIT = 12
+TERMS = Terms(limit=LIMIT, usable=True, cold=True)
+HOLDERS = ("x", "y", "z")
+
+
+@dataclass
+class _Message:
+    owner: str
+    holder: str
+    echo: float
+
+
+class DelegationSchedule:
+    """Let holders change their mind about the owner while messages are late.
+
+    An owner's allowance outlives the delegations behind it by up to a lease, so
+    that the sum judged is over each owner's greatest capacity within a lease.
+    """
+
+    def __init__(self, seed: int, from_receipt: bool = False) -> None:
+        self.random = random.Random(seed)
+        self.from_receipt = from_receipt
+        self.now = 0.0
+        self.owners = {name: Ledger(LEASE, 0.0) for name in ("p", "q")}
+        self.capacities: dict[str, list[tuple[float, int]]] = {"p": [], "q": []}
+        self.delegators = {name: Delegator(LEASE, -60.0) for name in HOLDERS}
+        self.chosen = dict.fromkeys(HOLDERS, "p")
+        self.echoes = {(h, o): 0.0 for h in HOLDERS for o in self.owners}
+        self.bag: list[_Message] = []
+        self.worst = 0
+
+    def step(self) -> None:
+        self.now += self.random.choice((0.0, 0.01, 0.02, 0.05, 0.3))
+        holder = self.random.choice(HOLDERS)
+        action = self.random.randrange(16)
+        if action == 0:
+            self.chosen[holder] = self.random.choice(("p", "q"))
+        elif action == 1 and self.bag:
+            self.bag.pop(self.random.randrange(len(self.bag)))
+        elif action <= 8:
+            self._deliver()
+        else:
+            self._send(holder)
+        self._judge()
+
+    def _send(self, holder: str) -> None:
+        owner = self.chosen[holder]
+        if self.random.random() < 0.7:
+            self.echoes[holder, owner] = self.now
+        if self.delegators[holder].choose("t", owner, self.now) == owner:
+            self.delegators[holder].mark_sent("t", owner, self.now)
+            self.bag.append(_Message(owner, holder, self.echoes[holder, owner]))
+
+    def _deliver(self) -> None:
+        if not self.bag:
+            return
+        message = self.random.choice(self.bag)
+        if self.random.random() < 0.7:
+            self.bag.remove(message)
+        floor = self.now if self.from_receipt else message.echo
+        ledger = self.owners[message.owner]
+        ledger.delegate(message.holder, Fraction(1, len(HOLDERS)), floor + LEASE)
+
+    def _judge(self) -> None:
+        total = 0
+        for name, ledger in self.owners.items():
+            history = self.capacities[name]
+            history.append((self.now, ledger.count_capacity(TERMS, self.now)))
+            total += max(c for time, c in history if time > self.now - LEASE)
+        self.worst = max(self.worst, total)
+
+
+def find_worst(seed: int, from_receipt: bool = False) -> int:
+    """Return the most slots that both owners together had given out."""
+    schedule = DelegationSchedule(seed, from_receipt)
+    for _ in range(200):
+        schedule.step()
+    return schedule.worst
+
+
+class DelegationTest(unittest.TestCase):
+    """Guard against two owners that both count the same share."""
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32))
+    def test_owners_together_stay_within_the_limit(self, seed):
+        self.assertLessEqual(find_worst(seed), LIMIT)
+
+    def find_most(self, **options: bool) -> int:
+        return max(find_worst(seed, **options) for seed in range(30))
+
+    def test_immediate_move_is_caught(self):
+        with variants.immediate_move():
+            self.assertGreater(self.find_most(), LIMIT)
+
+    def test_move_after_one_lease_is_caught(self):
+        with mock.patch.object(delegations, "MOVE_LEASES", 1):
+            self.assertGreater(self.find_most(), LIMIT)
+
+    def test_delegation_counted_from_receipt_is_caught(self):
+        self.assertGreater(self.find_most(from_receipt=True), LIMIT)
+
+    def test_undivided_budget_is_caught(self):
+        with variants.undivided_budget():
+            self.assertGreater(self.find_most(), LIMIT)
+
+    def test_new_incarnation_waits_for_the_old_ones_delegations(self):
+        delegator = Delegator(LEASE, 100.0)
+        self.assertIsNone(delegator.choose("t", "p", 102.9))
+        self.assertEqual(delegator.choose("t", "p", 103.0), "p")
