--- /dev/null
+++ b/tests/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmarks."""
