Keep the logs of a killed demonstration out of the system's temporary directory

Cause: the test that kills the demonstration left its directory of logs behind.

Change: the test gives it a directory that is removed afterwards.

--- a/tests/demo/test_fleet.py
+++ b/tests/demo/test_fleet.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import tempfile
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -97,9 +98,13 @@
     """Guard against a demonstration that is ended and leaves processes behind."""
 
     async def start(self) -> tuple[asyncio.subprocess.Process, list[int]]:
+        # A killed demonstration cannot remove its directory of logs.
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
         process = await asyncio.create_subprocess_exec(
             *(sys.executable, "-c", RUN_WITH_STUB),
             stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, "TMPDIR": directory.name},
         )
         self.addCleanup(lambda: process.returncode is None and process.kill())
         # The first line comes when the first fleet is ready.
