--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -27,9 +27,14 @@
 class Harness:
     """Run the reader and the clock beside requests."""
 
-    def __init__(self, start: datetime | None = None) -> None:
-        self.log = FakeLog()
-        self.clock = VirtualClock(start)
+    def __init__(
+        self,
+        start: datetime | None = None,
+        log: FakeLog | None = None,
+        clock: VirtualClock | None = None,
+    ) -> None:
+        self.log = log or FakeLog()
+        self.clock = clock or VirtualClock(start)
         self.catalog = Catalog()
         self.history = WatchHistory()
         self.directory = ConfiguredDirectory(self.catalog, self.clock)
--- a/tests/resources/fake_log.py
+++ b/tests/resources/fake_log.py
@@ -28,6 +28,8 @@
         self.outage = False
         self.lose_answers = 0
         self.fail_after_loss = False
+        self.delay_appends = 0
+        self.delayed: list[str] = []
         self.client = LogClient(self, "127.0.0.1:1", read_limit=batch_records)
 
     async def fetch(
@@ -42,6 +44,10 @@
         return self._read(int(query["from"][0]), int(query["limit"][0]))
 
     def _append(self, records: list[str]) -> HttpAnswer:
+        if self.delay_appends:
+            self.delay_appends -= 1
+            self.delayed.extend(records)
+            raise ConnectionBrokenError("timed out", request_written=True)
         first = len(self.history)
         self.history.extend(records)
         if self.lose_answers:
@@ -50,6 +56,11 @@
             raise ConnectionBrokenError("answer lost", request_written=True)
         return self._answer(200, {"first_offset": first})
 
+    def deliver(self) -> None:
+        """Let delayed appends arrive, long after their senders gave up."""
+        self.history.extend(self.delayed)
+        self.delayed.clear()
+
     def _read(self, start: int, limit: int) -> HttpAnswer:
         if start < self.oldest:
             return self._answer(410, {"oldest_offset": self.oldest})
