Run the tests of tests/platform and wait for a listening instance

Cause: nose2 skips folders without __init__.py, so 16 tests under tests/platform never ran; with one, the script's folder on sys.path hid the standard module. The fleet of the instance tests read the port 50 ms after the start, which a busy machine does not meet. Change: the root goes first on sys.path; the fleet waits for the listening event.

--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -39,6 +39,7 @@
         self._clock = clock
         self._started = clock.monotonic()
         self._draining = False
+        self.listening = asyncio.Event()
         self._listed_leaving: frozenset[str] = frozenset()
         self._sends: set[asyncio.Task[None]] = set()
         self._client = HttpClient(clock)
@@ -78,6 +79,7 @@
         """Serve until ``stop`` is set, then drain; return the exit status."""
         self._fleet.transport.start()
         await self.server.start(self._settings.listen)
+        self.listening.set()
         log_event("instance started", listen=self._settings.listen)
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(work) for work in self._list_tasks()]
--- a/tests/instance/cluster.py
+++ b/tests/instance/cluster.py
@@ -104,7 +104,7 @@
         self.instances.append(instance)
         self._stops.append(stop)
         self.runs.append(asyncio.create_task(instance.serve(stop)))
-        await asyncio.sleep(0.05)
+        await asyncio.wait_for(instance.listening.wait(), PATIENCE_SECONDS)
         entry = {
             "kind": "entry",
             "address": self.address(len(self.instances) - 1),
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of outside systems."""
--- a/tests/run.py
+++ b/tests/run.py
@@ -33,7 +33,8 @@
 
 def main() -> int:
     """Run the tests, print known failures and the closing line."""
-    sys.path.insert(0, str(ROOT))
+    # The script's own folder would let tests/platform hide the standard module.
+    sys.path[0] = str(ROOT)
     ran, failed = run_tests(sys.argv[1:])
     known = read_known_red()
     for test_id in sorted(known & failed):
