Bound the size of a change and keep the reader running

Cause: a record beyond the log's or a peer message's size would be retried as an outage, and an unexpected gap in the log ended the reader's task.

--- a/carobladder/admin/submission.py
+++ b/carobladder/admin/submission.py
@@ -12,6 +12,7 @@
 from carobladder.platform.log import LogClient
 from carobladder.resources import (
     CONFIG_STREAM,
+    MAX_PART_BYTES,
     AuditEntry,
     Catalog,
     Change,
@@ -50,8 +51,14 @@
 
         Raises NotReadyError if it certainly was not appended, ChangeUnknownError
         if the log stayed unreachable after an append that may have taken effect,
-        InvalidResourceError if the change id belongs to another change.
+        InvalidResourceError if it is too large or its id belongs to another change.
         """
+        record = encode_record(change)
+        if len(record) > MAX_PART_BYTES:
+            raise InvalidResourceError(
+                f"{change.kind}/{change.name} has {len(record)} bytes, more than "
+                f"{MAX_PART_BYTES}; declare several resources"
+            )
         deadline = self._clock.monotonic() + self._resolve_seconds
         waiter = self._history.subscribe()
         try:
--- a/carobladder/resources/reader.py
+++ b/carobladder/resources/reader.py
@@ -10,7 +10,6 @@
     CarobladderError,
     LogUnavailableError,
     OffsetDroppedError,
-    RecordVersionError,
     SnapshotError,
 )
 from carobladder.platform.log import Batch, LogClient
@@ -96,7 +95,7 @@
             try:
                 await self.step()
                 self._retry_seconds = self._options.retry_seconds
-            except (LogUnavailableError, RecordVersionError, SnapshotError) as error:
+            except CarobladderError as error:
                 log_event("config_read_failed", error=error)
                 await self._load_from_peer()
                 await self._back_off()
@@ -160,8 +159,6 @@
             if not batch.records:
                 break
         if scan.snapshot:
-            # Only a snapshot in the log protects against retention.
-            self._note_snapshot(scan.snapshot[0])
             self._load_parts(scan.snapshot)
         if scan.first_kept > self._catalog.applied_offset + 1:
             raise SnapshotError(
@@ -185,6 +182,8 @@
             return
         entry = self._catalog.apply(offset, record)
         if isinstance(record, SnapshotPart):
+            # Only a snapshot in the log postpones the next one; one from a peer
+            # does not protect the records against retention.
             whole = self._collector.add(record)
             if whole:
                 self._note_snapshot(whole[0])
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -120,6 +120,7 @@
             for method, path, body, status in (
                 ("PUT", "team/a", {"spec": {"weight": -1}}, 422),
                 ("PUT", "team/a", [], 400),
+                ("PUT", "team/a", {"spec": {"models": ["m"] * 20_000}}, 422),
                 ("PUT", "team/a", {"spec": {}, "expected_revision": "x"}, 400),
                 ("PUT", "city/a", {"spec": {}}, 404),
                 ("GET", "team/a", None, 404),
