Add the operators' commands and look up outcomes at the service

Cause: the commands were not on the command line, and /v1/outcomes answered 'unknown key' for a claimed call whose answer was lost. Change: the commands join the binary; an outcome is the recorded answer, the service's own answer if it has a lookup path, unknown if a call was claimed, and 'no call' only if the claims stream is read and holds no open claim. Conclusion: an operator can resolve an unknown booking without a second call.

--- a/carobladder/bookings/runner.py
+++ b/carobladder/bookings/runner.py
@@ -37,6 +37,9 @@
 class OutcomeLookup(Protocol):
     """Ask a service whether it knows the booking of a key."""
 
+    def find_route(self, service: str) -> ServiceRoute | None:
+        """Return the route of a service by its name, or None."""
+
     async def look_up(self, route: ServiceRoute, key: str) -> ServiceAnswer | None:
         """Return the service's answer, or None if it knows no such booking."""
 
@@ -108,11 +111,22 @@
         return await self._send(attempt, call)
 
     async def find_outcome(self, team: Team, key: str) -> ServiceAnswer | None:
-        """Return the recorded answer of a key, or None if there is none."""
+        """Return the answer of a key, or None if no call was made with it.
+
+        Raises OutcomeUnknownError if a call was claimed and neither the log nor
+        the service tells its answer.
+        """
         entry = self._find_entry(parse_key(team.name, key))
-        if entry is None or entry.completion is None:
+        if not self._reader.caught_up:
+            raise NotReadyError(
+                "the claims stream is not read yet", _RETRY_AFTER_SECONDS
+            )
+        if entry is None or entry.withdrawn:
             return None
-        return _restore_answer(entry.completion)
+        if entry.completion is not None:
+            return _restore_answer(entry.completion)
+        route = self._lookup.find_route(entry.holder.service)
+        return await self._resolve_unknown(route, entry.holder.key, None)
 
     def _prepare(self, key: BookingKey, route: ServiceRoute, fingerprint: str) -> _Call:
         claim = Claim(
@@ -180,28 +194,28 @@
                 raise NotReadyError(
                     f"the service could not be reached: {error}", _RETRY_AFTER_SECONDS
                 ) from error
-            return await self._resolve_unknown(attempt, error)
+            return await self._resolve_unknown(attempt.route, attempt.key.value, error)
         self._record(attempt.claim, answer)
         return answer
 
     async def _resolve_unknown(
-        self, attempt: _Call, error: Exception | None
+        self, route: ServiceRoute | None, key: str, error: Exception | None
     ) -> ServiceAnswer:
         """Ask the service for the booking; a miss proves nothing."""
         answer = None
-        if attempt.route.lookup_path:
-            answer = await self._look_up(attempt)
+        if route is not None and route.lookup_path:
+            answer = await self._look_up(route, key)
         if answer is None:
             raise OutcomeUnknownError(
                 "the service may have run the call but its answer is not known"
             ) from error
         return answer
 
-    async def _look_up(self, attempt: _Call) -> ServiceAnswer | None:
+    async def _look_up(self, route: ServiceRoute, key: str) -> ServiceAnswer | None:
         try:
-            return await self._lookup.look_up(attempt.route, attempt.key.value)
+            return await self._lookup.look_up(route, key)
         except TargetError as error:
-            log_event("booking lookup failed", key=attempt.key.value, error=str(error))
+            log_event("booking lookup failed", key=key, error=str(error))
             return None
 
     def _record(self, claim: Claim, answer: ServiceAnswer) -> None:
@@ -227,7 +241,9 @@
         deadline = self._clock.monotonic() + self._outcome_wait_seconds
         while entry.completion is None and not entry.withdrawn:
             if not await self._wait_for_change(deadline):
-                return await self._resolve_unknown(attempt, None)
+                return await self._resolve_unknown(
+                    attempt.route, attempt.key.value, None
+                )
             entry = self._find_entry(attempt.key) or entry
         if entry.completion is None:
             raise NotReadyError("the first call withdrew", _RETRY_AFTER_SECONDS)
--- a/carobladder/cli.py
+++ b/carobladder/cli.py
@@ -9,6 +9,19 @@
 import zmq
 
 from carobladder import __version__
+from carobladder.admin.commands import (
+    ApplyCommand,
+    DeleteCommand,
+    DiffCommand,
+    GetCommand,
+    WatchCommand,
+)
+from carobladder.admin.move_commands import (
+    DrainCommand,
+    MoveCommand,
+    PlanCommand,
+    ReturnCommand,
+)
 from carobladder.exceptions import SettingsError
 from carobladder.settings import (
     InstanceSettings,
@@ -65,7 +78,20 @@
 class Carobladder:
     """Router fleet between callers and model engines or plain services."""
 
-    command: cappa.Subcommands[Serve | Check | Keys]
+    command: cappa.Subcommands[
+        Serve
+        | Check
+        | Keys
+        | ApplyCommand
+        | GetCommand
+        | DeleteCommand
+        | DiffCommand
+        | WatchCommand
+        | MoveCommand
+        | DrainCommand
+        | ReturnCommand
+        | PlanCommand
+    ]
 
 
 def main() -> None:
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -65,6 +65,9 @@
     def find_route(self, team: Team, method: str, path: str) -> ServiceRoute | None:
         """Return the service route of the team for a path, or None."""
 
+    def find_service(self, service: str) -> ServiceRoute | None:
+        """Return the route of a service by its name, or None."""
+
     def list_targets(self, pool: str) -> Sequence[TargetState]:
         """Return the targets of a model or service."""
 
@@ -144,7 +147,11 @@
         """
 
     async def find_outcome(self, team: Team, key: str) -> ServiceAnswer | None:
-        """Return the recorded answer of a key, or None if there is none."""
+        """Return the answer of a key, or None if no call was made with it.
+
+        Raises OutcomeUnknownError if a call was claimed and neither the log nor
+        the service tells its answer.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/instance/directory.py
+++ b/carobladder/instance/directory.py
@@ -37,6 +37,10 @@
         """Return the service route of the team for a path, or None."""
         return self._configured.find_route(team, method, path)
 
+    def find_service(self, service: str) -> ServiceRoute | None:
+        """Return the route of a service by its name, or None."""
+        return self._configured.find_service(service)
+
     def list_targets(self, pool: str) -> Sequence[TargetState]:
         """Return the targets of a model or service with their live state."""
         return [self._join(state) for state in self._configured.list_targets(pool)]
--- a/carobladder/instance/lookup.py
+++ b/carobladder/instance/lookup.py
@@ -19,6 +19,10 @@
         self._directory = directory
         self._fetcher = fetcher
 
+    def find_route(self, service: str) -> ServiceRoute | None:
+        """Return the route of a service by its name, or None."""
+        return self._directory.find_service(service)
+
     async def look_up(self, route: ServiceRoute, key: str) -> ServiceAnswer | None:
         """Return the service's answer, or None if no target knows the booking.
 
--- a/carobladder/resources/directory.py
+++ b/carobladder/resources/directory.py
@@ -102,6 +102,16 @@
                 )
         return None
 
+    def find_service(self, service: str) -> ServiceRoute | None:
+        """Return the route of a service by its name, or None."""
+        resource = self._catalog.get("service", service)
+        if resource is None or not isinstance(resource.spec, ServiceSpec):
+            return None
+        spec = resource.spec
+        return ServiceRoute(
+            service, spec.path_prefix, spec.repeatable, spec.lookup_path
+        )
+
     def list_targets(self, pool: str) -> Sequence[TargetState]:
         """Return the targets of a pool; leaving if their data centre is out."""
         index = self._current()
--- a/tests/bookings/test_runner.py
+++ b/tests/bookings/test_runner.py
@@ -46,6 +46,7 @@
         self.effects_by_call: Counter[int] = Counter()
         self.lose_answer = 0.0
         self.refuse = 0.0
+        self.lookup_declared = False
         self.delay_seconds = 0.2
 
     async def book(self, key: str, call_id: int = 0) -> ServiceAnswer:
@@ -59,6 +60,9 @@
             raise ConnectionBrokenError("closed", request_written=True)
         return ServiceAnswer(201, (("content-type", "text/plain"),), key.encode())
 
+    def find_route(self, service: str) -> ServiceRoute | None:
+        return ROUTE_WITH_LOOKUP if self.lookup_declared else ROUTE
+
     async def look_up(self, route: ServiceRoute, key: str) -> ServiceAnswer | None:
         if not self.effects[key]:
             return None
@@ -168,6 +172,24 @@
         answer = await self.book(0, route=ROUTE_WITH_LOOKUP)
         self.assertEqual(answer.status, 200)
 
+    async def find_outcome(self):
+        return await drive(
+            self.world.clock,
+            self.world.instances[1].runner.find_outcome(TEAM, self.key),
+        )
+
+    async def test_outcome_of_a_key_that_was_never_used_is_none(self):
+        self.assertIsNone(await self.find_outcome())
+
+    async def test_outcome_of_a_lost_answer_is_unknown_until_looked_up(self):
+        self.world.service.lose_answer = 1.0
+        with self.assertRaises(OutcomeUnknownError):
+            await self.book(0)
+        with self.assertRaises(OutcomeUnknownError):
+            await self.find_outcome()
+        self.world.service.lookup_declared = True
+        self.assertEqual((await self.find_outcome()).status, 200)
+
     async def test_refused_connection_is_not_run_and_key_opens_again(self):
         self.world.service.refuse = 1.0
         with self.assertRaises(NotReadyError) as caught:
