--- a/carobladder/moves/datacentres.py
+++ b/carobladder/moves/datacentres.py
@@ -57,7 +57,11 @@
     },
 }
 _HOLDABLE = frozenset(
-    {DataCentrePhase.DECLARED, DataCentrePhase.EMPTY, DataCentrePhase.RETURNING}
+    {
+        DataCentrePhase.DECLARED,
+        DataCentrePhase.EMPTY,
+        DataCentrePhase.RETURNING,
+    }
 )
 
 
@@ -78,8 +82,10 @@
     """Declare that a data centre leaves for a window and returns after it.
 
     ``drain_time`` is how long the longest answers take; the move starts that long,
-    plus ``margin``, before the window. ``refill_steps`` are the shares of its usual
-    work that the data centre takes while it returns.
+    plus ``margin``, before the window. ``notice_time`` is how long instances may
+    take to learn of the leave; before it has passed, a data centre without requests
+    in flight may still receive one. ``refill_steps`` are the shares of its usual
+    prefixes that the data centre takes while it returns.
     """
 
     move_id: str
@@ -87,6 +93,7 @@
     window: MaintenanceWindow
     drain_time: timedelta = timedelta(minutes=5)
     margin: timedelta = timedelta(minutes=10)
+    notice_time: timedelta = timedelta(seconds=5)
     refill_steps: tuple[float, ...] = (0.05, 0.15, 0.35, 0.65, 1.0)
     step_time: timedelta = timedelta(minutes=3)
 
@@ -125,8 +132,8 @@
         return self.held_phase or self.phase
 
     @property
-    def refill_share(self) -> float:
-        """Return the part of its usual work that the data centre takes."""
+    def usual_share(self) -> float:
+        """Return the part of its usual prefixes that the data centre takes."""
         phase = self.serving_phase
         if phase in (DataCentrePhase.LEAVING, DataCentrePhase.EMPTY):
             return 0.0
@@ -223,7 +230,7 @@
                 reason = "the remaining data centres cannot bear the load"
                 return DataCentreStep(DataCentrePhase.HELD, state.step, reason)
             return DataCentreStep(DataCentrePhase.LEAVING, 0, "start time reached")
-        case DataCentrePhase.LEAVING if situation.in_flight == 0:
+        case DataCentrePhase.LEAVING if _is_empty(state, situation, now):
             return DataCentreStep(DataCentrePhase.EMPTY, 0, "no request in flight")
         case DataCentrePhase.EMPTY if _may_return(spec, situation, now):
             reason = "window is over and targets are ready"
@@ -233,6 +240,13 @@
     return None
 
 
+def _is_empty(
+    state: DataCentreMoveState, situation: DataCentreSituation, now: datetime
+) -> bool:
+    noticed = now - (state.since or now) >= state.spec.notice_time
+    return noticed and situation.in_flight == 0
+
+
 def _may_return(
     spec: DataCentreMoveSpec, situation: DataCentreSituation, now: datetime
 ) -> bool:
@@ -268,24 +282,23 @@
 
 
 def rule_for_chat(
-    state: DataCentreMoveState, chat_key: int, returning: bool, context_here: bool
+    state: DataCentreMoveState, prefix_key: int, context_here: bool
 ) -> ChatRule:
     """Return how the targets of the data centre rank for a chat's next request.
 
-    While the data centre returns, first requests rank it as usual by the share of
-    the present step. Chats that moved away keep their context where they are: one
-    without a token, which the hash would send back, follows one step later, when
-    more of the contexts left elsewhere have expired. All others use the data
-    centre only when the rest is full, so a slow refill costs no service.
+    During the return a part of the shared prefixes uses the data centre. The parts
+    are whole prefixes, because a prefix split between old
+    and new places is computed and kept in both. A chat whose token names a target
+    here stays, and one whose context is elsewhere is not sent back, because its
+    token goes first. All others use the data centre only when the rest is full, so
+    a slow refill costs no service.
     """
     phase = state.serving_phase
     if phase in (DataCentrePhase.LEAVING, DataCentrePhase.EMPTY):
         return ChatRule.REFUSED
-    if phase is not DataCentrePhase.RETURNING or context_here:
+    if context_here or key_fraction(prefix_key) < state.usual_share:
         return ChatRule.USUAL
-    step = state.step - 1 if returning else state.step
-    share = state.spec.refill_steps[step] if step >= 0 else 0.0
-    return ChatRule.USUAL if key_fraction(chat_key) < share else ChatRule.OVERFLOW
+    return ChatRule.OVERFLOW
 
 
 @dataclass(frozen=True, slots=True)
