Give unused slots back and leave room for asks under the load rule

Cause: an idle slot at one holder counted as load, so the load rule refused every other holder while a pool was idle; slots granted to a request that was served elsewhere stayed reserved for up to two heartbeats. Change: a holder without waiting requests gives its unused slots back with each heartbeat; a served request makes the owners that it asked due at once; idle slots are handed out only within the room that the load rule leaves; the load cap is at least one request of the greatest weight.

--- a/carobladder/instance/assembly.py
+++ b/carobladder/instance/assembly.py
@@ -38,6 +38,7 @@
     Catalog,
     ConfigReader,
     ConfiguredDirectory,
+    ReaderOptions,
     WatchHistory,
 )
 from carobladder.retries import RetryBudget
@@ -48,6 +49,9 @@
 __all__ += ["build_data_path", "build_fleet"]
 
 _MAX_WAITING_REQUESTS = 2000
+# An instance counts as informed while its last read is recent, so a long poll must
+# return well within that time also without news.
+_CONFIG_POLL_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +98,8 @@
     catalog = Catalog()
     directory = ConfiguredDirectory(catalog, clock)
     history = WatchHistory()
-    reader = ConfigReader(log, catalog, history, clock)
+    options = ReaderOptions(poll_seconds=_CONFIG_POLL_SECONDS)
+    reader = ConfigReader(log, catalog, history, clock, options=options)
     admin_key = settings.admin_key.get_secret_value()
     admin = AdminApi(catalog, directory, history, log, clock, admin_key)
     return Configuration(log, catalog, directory, history, reader, admin)
--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -41,6 +41,7 @@
         self._draining = False
         self.listening = asyncio.Event()
         self._listed_leaving: frozenset[str] = frozenset()
+        self._noted_read_at: float | None = None
         self._sends: set[asyncio.Task[None]] = set()
         self._client = HttpClient(clock)
         self._metrics = GatewayMetrics()
@@ -170,7 +171,7 @@
                 )
             )
         applied = configuration.catalog.applied_offset
-        self._fleet.exchange.set_config_offset(applied)
+        self._note_config(applied)
         offsets = {
             peer.instance_id: self._callbacks.applied_offsets.get(
                 peer.instance_id, ABSENT
@@ -180,6 +181,13 @@
         offsets[self._settings.instance_id] = applied
         configuration.history.update_instances(offsets)
 
+    def _note_config(self, applied: int) -> None:
+        """Tell the exchange of reads of the log since the last call."""
+        read_at = self._configuration.reader.read_at
+        if read_at != self._noted_read_at:
+            self._noted_read_at = read_at
+            self._fleet.exchange.note_config(applied)
+
     def _answer_snapshot(self, request: SnapshotRequest) -> None:
         offset = self._configuration.catalog.applied_offset
         self._send(request.sender, self._snapshots.answer(request, offset))
--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -121,8 +121,11 @@
                 continue
             permit = self._try_targets(waiting, now, reserved)
             if permit is not None:
+                asked = self._list_asked(waiting, now)
                 self._queue.remove(waiting)
                 self._futures.pop(waiting).set_result(permit)
+                # The next heartbeats give back what other owners granted meanwhile.
+                self._ask(asked)
             elif not self._queue.is_above_share(waiting.request):
                 reserved.update(self._reserve(waiting, now, reserved))
 
--- a/carobladder/limits/allowances.py
+++ b/carobladder/limits/allowances.py
@@ -1,6 +1,6 @@
 """Holder's book of allowances and the permits taken from it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 __all__ = ["Allowance", "AllowanceBook", "BookPermit", "Usage"]
 
@@ -152,6 +152,23 @@
             entry.answers += 1
             entry.first_byte_ms += round(first_byte_seconds * 1000)
 
+    def give_back(self, target_id: str) -> int:
+        """Reduce the allowance to the slots in flight and return their number."""
+        entry = self._entries.get(target_id)
+        if entry is None:
+            return 0
+        allowance = entry.allowance
+        if allowance is not None and allowance.slots > entry.in_flight:
+            entry.allowance = replace(allowance, slots=entry.in_flight)
+        return entry.in_flight
+
+    def count_held(self, target_id: str) -> int:
+        """Return the slots that the last allowance lets this instance use."""
+        entry = self._entries.get(target_id)
+        if entry is None or entry.allowance is None:
+            return 0
+        return max(entry.in_flight, entry.allowance.slots)
+
     def describe(self, target_id: str, owner: str) -> Usage:
         """Return the usage of a target as reported to the given owner."""
         entry = self._entries.get(target_id)
--- a/carobladder/limits/budgets.py
+++ b/carobladder/limits/budgets.py
@@ -12,7 +12,7 @@
 # Holders that were busy within this time receive idle slots.
 RECENT_SECONDS = 30.0
 # Part of the unused slots that may lie idle at holders; the rest answers asks.
-IDLE_SHARE = Fraction(3, 4)
+IDLE_SHARE = Fraction(1, 2)
 IDLE_UNITS = 2
 MAX_GRANTS = 64
 
@@ -39,6 +39,8 @@
     """Carry what a holder uses and wants, in slots.
 
     ``sent_floor`` is a time on the owner's clock at or before the sending.
+    ``kept`` is the number of slots up to which the holder uses the allowances up
+    to the acknowledged one; None if it gives nothing back.
     """
 
     in_flight: int
@@ -47,6 +49,7 @@
     acked: int
     sent_floor: float
     requests: int = 0
+    kept: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +130,8 @@
             for grant in state.grants
             if grant.sequence >= report.acked and grant.expires > report.sent_floor
         ]
+        if report.kept is not None:
+            _reduce_grants(state.grants, report.acked, report.kept)
 
     def forget(self, holder: str) -> None:
         """Drop a holder that has stopped; its requests ended with it."""
@@ -247,7 +252,10 @@
             for name, state in active.items()
             if now - state.active <= RECENT_SECONDS
         }
-        self._hand_out(shares, idle, math.floor(spare * IDLE_SHARE))
+        if terms.load_cap is not None:
+            # Idle slots count as load, so they must leave room for asks of others.
+            spare = min(spare, math.floor(terms.load_cap - sum(shares.values())))
+        self._hand_out(shares, idle, math.floor(max(0, spare) * IDLE_SHARE))
         return shares
 
     def _hand_out(
@@ -272,6 +280,13 @@
         return spare
 
 
+def _reduce_grants(grants: list[_Grant], acked: int, kept: int) -> None:
+    """Lower the grants that the holder has applied and partly given back."""
+    for grant in grants:
+        if grant.sequence <= acked:
+            grant.slots = min(grant.slots, kept)
+
+
 def _cap_by_load(state: _Holder, others: int, load_cap: float | None) -> int:
     """Return the slots so that each request starts at a load of at most the cap."""
     if load_cap is None:
--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -276,8 +276,12 @@
         )
         if delegated:
             self._delegator.mark_sent(target_id, owner, now)
-        usage = self.book.describe(target_id, owner)
         demand = self.demand(target_id)
+        if demand.wanted:
+            kept = self.book.count_held(target_id)
+        else:
+            kept = self.book.give_back(target_id)
+        usage = self.book.describe(target_id, owner)
         return Report(
             target_id=target_id,
             in_flight=usage.in_flight,
@@ -289,6 +293,7 @@
             errors=usage.errors,
             first_byte_ms=usage.first_byte_ms,
             requests=usage.requests,
+            kept=kept,
         )
 
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> list[Outgoing]:
@@ -355,6 +360,7 @@
             acked=report.acked,
             sent_floor=floor,
             requests=max(0, report.requests),
+            kept=max(0, report.kept),
         )
         self.owned.report(report.target_id, holder, usage, now)
         self.owned.note_evidence(report, holder)
--- a/carobladder/peers/messages.py
+++ b/carobladder/peers/messages.py
@@ -29,6 +29,8 @@
     ``acked`` is the sequence number of the newest allowance applied. ``delegated``
     says that the message delegates the sender's share to the receiver. ``unit`` is
     the weight of the next request and ``requests`` the number in flight.
+    ``kept`` is the number of slots up to which the sender goes on to use the
+    acknowledged allowance; it gives the rest back with this message.
     ``answers``, ``errors`` and ``first_byte_ms`` are totals since the sender's
     start, so that a lost message loses nothing.
     """
@@ -43,6 +45,7 @@
     errors: int = 0
     first_byte_ms: int = 0
     requests: int = 0
+    kept: int = 0
 
 
 class EvidenceItem(msgspec.Struct, array_like=True, frozen=True):
--- a/carobladder/peers/ownerside.py
+++ b/carobladder/peers/ownerside.py
@@ -220,7 +220,9 @@
     ) -> float | None:
         """Return multiple x mean load over the ready targets of the pool.
 
-        None if no other target is ready, as there is nothing to compare with.
+        None if no other target is ready, as there is nothing to compare with. The
+        cap is at least one request of the greatest weight: below it the mean is so
+        small that whole requests cannot be spread more evenly.
         """
         loads = []
         others = 0
@@ -233,9 +235,10 @@
             load = self._find_load(target_id, allowance, now)
             if load is not None:
                 loads.append(load)
-        if not others or not loads:
-            return None if not others else 0.0
-        return self._load_multiple * math.fsum(loads) / len(loads)
+        if not others:
+            return None
+        mean = math.fsum(loads) / len(loads) if loads else 0.0
+        return max(self._load_multiple * mean, float(_MAX_WEIGHT))
 
     def _find_load(
         self, target_id: str, allowance: Allowance | None, now: float
--- a/carobladder/resources/reader.py
+++ b/carobladder/resources/reader.py
@@ -83,6 +83,7 @@
         self._delay_factor = self._draw_delay_factor()
         self._hold_until: float | None = None
         self._retry_seconds = self._options.retry_seconds
+        self.read_at: float | None = None
 
     @property
     def catalog(self) -> Catalog:
@@ -139,6 +140,7 @@
         )
         for record in batch.records:
             self._apply(record.offset, decode_record(record.data))
+        self.read_at = self._clock.monotonic()
         if batch.next_offset == self._catalog.applied_offset + 1:
             await self._append_due_snapshot(batch)
 
