Keep delegating when one counted peer falls silent

Cause: an instance stopped delegating whenever a listed peer was silent and it had been listed for less than the window; killing one instance within 13 s of a fleet's start left no delegations, and all targets granted no slots for 1.5 s. Ruled out: the load rule, the information rule and the cold-start rule; a trace showed every owner granting 0 slots at a load of 0 at the same moment. Change: once its peers have counted it, an instance delegates while a fresh list shows it. A boot id in an answer reaches the holder's book at once.

--- a/carobladder/gateway/attempts.py
+++ b/carobladder/gateway/attempts.py
@@ -73,15 +73,24 @@
     body: bytes
 
 
+def _ignore_boot(target_id: str, boot_id: str) -> None:
+    """Take no notice of a boot id."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetCaller:
-    """Hold what the calls of an instance share."""
+    """Hold what the calls of an instance share.
+
+    ``note_boot`` takes the boot id of each answer, which tells of a restart before
+    the next load report does.
+    """
 
     client: HttpClient
     admission: Admission
     budget: RetryBudget
     clock: Clock
     metrics: GatewayMetrics
+    note_boot: Callable[[str, str], None] = _ignore_boot
 
     def start(self, call: TargetCall) -> "CallSession":
         """Begin a call; nothing is sent yet."""
@@ -161,7 +170,9 @@
                 permit.release()
                 raise
             self.written = True
-            return OpenCall(permit, answer, self._caller.clock, sent_at)
+            opened = OpenCall(permit, answer, self._caller.clock, sent_at)
+            self._caller.note_boot(opened.target.target_id, opened.target.boot_id)
+            return opened
 
     async def fetch(self) -> WholeAnswer:
         """Return the first whole answer; raises CallerError if there is none."""
--- a/carobladder/instance/assembly.py
+++ b/carobladder/instance/assembly.py
@@ -150,7 +150,14 @@
     """Return the parts that serve callers."""
     directory = LiveDirectory(configuration.directory, fleet.exchange.find_target)
     budget = RetryBudget(settings.retry_budget_ratio, clock.monotonic())
-    caller = TargetCaller(client, fleet.admission, budget, clock, metrics)
+    caller = TargetCaller(
+        client,
+        fleet.admission,
+        budget,
+        clock,
+        metrics,
+        note_boot=fleet.exchange.note_boot,
+    )
     window = timedelta(seconds=settings.claim_window_seconds)
     reader = ClaimReader(configuration.log, clock, window)
     writer = ClaimWriter(configuration.log, clock, settings.claim_linger_seconds)
--- a/carobladder/membership/views.py
+++ b/carobladder/membership/views.py
@@ -59,6 +59,7 @@
         # which the others may have dropped this instance.
         self._unbroken_since: float | None = None
         self._counted = False
+        self._admitted = False
         self._contacts: dict[str, _Contact] = {}
         self._counts: deque[tuple[float, int]] = deque()
         self.own_leaving = False
@@ -76,6 +77,7 @@
             self._unbroken_since = None
             self._counted = False
         if self.own_id not in self._listed:
+            self._admitted = False
             self._own_listed_since = None
         else:
             self._own_listed_since = _first(self._own_listed_since, now)
@@ -153,14 +155,18 @@
 
         True once it has been listed for the window or each listed peer reports an
         N that is at least its own, and delegations under a smaller N have lapsed.
+        With a fresh list that shows this instance it then stays true: peers that
+        counted it once go on to do so, and the silence of one must not stop others.
         """
         if self.own_leaving:
             return False
         since = self._own_listed_since
         window = self._window_seconds + self._move_seconds
-        if since is not None and now - since >= window:
+        listed_long = since is not None and now - since >= window
+        if listed_long or self._peers_count_this(now):
+            self._admitted = True
             return True
-        return self._peers_count_this(now)
+        return self._admitted and self._is_list_fresh(now)
 
     def is_confirmed(self, now: float) -> bool:
         """Tell whether no other instance can have dropped this one from its N.
@@ -170,14 +176,15 @@
         at least its own: then no known instance can be on the far side of a
         partition, with a list that no longer shows this instance.
         """
-        fresh = (
-            self._list_read is not None and now - self._list_read <= LIST_FRESH_SECONDS
-        )
-        if not fresh:
+        if not self._is_list_fresh(now):
             return len(self._listed) > 1 and self._peers_count_this(now)
         self._counted = self._counted or self._is_counted(now)
         return self._counted
 
+    def _is_list_fresh(self, now: float) -> bool:
+        read = self._list_read
+        return read is not None and now - read <= LIST_FRESH_SECONDS
+
     def _is_counted(self, now: float) -> bool:
         since = self._unbroken_since
         window = self._window_seconds + self._move_seconds
--- a/tests/membership/test_views.py
+++ b/tests/membership/test_views.py
@@ -199,6 +199,18 @@
         self.assertFalse(self.view.may_delegate(12.9))
         self.assertTrue(self.view.may_delegate(WINDOW + MOVE_LEASES * LEASE))
 
+    def test_silence_of_one_peer_does_not_stop_the_delegations_of_others(self):
+        instances = [ListedInstance(name, "", "dc-1") for name in ("a", "b", "c")]
+        now = 0.0
+        while now < 9.0:
+            now += 0.5
+            self.view.apply_list(instances, now)
+            self.view.hear("b", 1, 3, False, now)
+            if now < 5.0:
+                self.view.hear("c", 1, 3, False, now)
+            delegates = self.view.may_delegate(now)
+        self.assertTrue(delegates)
+
 
 class OwnershipTest(unittest.TestCase):
     """Guard against targets that change their owner without need."""
