--- a/carobladder/moves/versions.py
+++ b/carobladder/moves/versions.py
@@ -79,7 +79,7 @@
     new_version: str
     start: datetime
     finish_by: datetime
-    steps: tuple[float, ...] = (0.005, 0.02, 0.1, 0.3, 0.6, 0.95)
+    steps: tuple[float, ...] = (0.0025, 0.01, 0.05, 0.2, 0.5, 0.95)
     bake_time: timedelta = timedelta(minutes=30)
     step_time_min: timedelta = timedelta(seconds=60)
     step_requests_min: int = 20
