--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -16,6 +16,7 @@
     build_snapshots,
 )
 from carobladder.instance.callbacks import PeerCallbacks
+from carobladder.instance.collector import FleetCollector
 from carobladder.instance.declarations import declare_targets
 from carobladder.peers import PeerMessage, SnapshotRequest
 from carobladder.platform.http import HttpClient
@@ -57,6 +58,9 @@
             self._fleet,
         )
         self._snapshots = build_snapshots(settings, clock, self._configuration.reader)
+        self._metrics.registry.register(
+            FleetCollector(self._configuration, self._fleet, self._path, clock)
+        )
         self._connect_parts()
         self.server = self._build_server()
 
--- a/tests/instance/test_runtime.py
+++ b/tests/instance/test_runtime.py
@@ -129,6 +129,17 @@
         chat = await self.fleet.call(2, "POST", CHAT, chat_body())
         self.assertEqual(chat.status, 200)
 
+    async def test_metrics_show_leases_peers_and_requests(self):
+        await self.fleet.call(0, "POST", CHAT, chat_body())
+        text = (await self.fleet.call(0, "GET", "/metrics")).body
+        for name in (
+            'carobladder_admission_requests_total{decision="admitted"}',
+            "carobladder_peer_sent_bytes_total",
+            "carobladder_live_instances 2.0",
+            'carobladder_request_seconds_count{class="quick"}',
+        ):
+            self.assertIn(name, text)
+
     async def test_drain_finishes_streams_and_exits_with_status_0(self):
         slow = {"rules": [{"kind": "slow_tokens", "seconds": 0.05}]}
         for address in self.fleet.engine_addresses:
