--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -16,6 +16,7 @@
     build_snapshots,
 )
 from carobladder.instance.callbacks import PeerCallbacks
+from carobladder.instance.collector import FleetCollector
 from carobladder.instance.declarations import declare_targets
 from carobladder.peers import PeerMessage, SnapshotRequest
 from carobladder.platform.http import HttpClient
@@ -39,7 +40,9 @@
         self._clock = clock
         self._started = clock.monotonic()
         self._draining = False
+        self.listening = asyncio.Event()
         self._listed_leaving: frozenset[str] = frozenset()
+        self._noted_read_at: float | None = None
         self._sends: set[asyncio.Task[None]] = set()
         self._client = HttpClient(clock)
         self._metrics = GatewayMetrics()
@@ -55,6 +58,9 @@
             self._fleet,
         )
         self._snapshots = build_snapshots(settings, clock, self._configuration.reader)
+        self._metrics.registry.register(
+            FleetCollector(self._configuration, self._fleet, self._path, clock)
+        )
         self._connect_parts()
         self.server = self._build_server()
 
@@ -78,6 +84,7 @@
         """Serve until ``stop`` is set, then drain; return the exit status."""
         self._fleet.transport.start()
         await self.server.start(self._settings.listen)
+        self.listening.set()
         log_event("instance started", listen=self._settings.listen)
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(work) for work in self._list_tasks()]
@@ -168,7 +175,7 @@
                 )
             )
         applied = configuration.catalog.applied_offset
-        self._fleet.exchange.set_config_offset(applied)
+        self._note_config(applied)
         offsets = {
             peer.instance_id: self._callbacks.applied_offsets.get(
                 peer.instance_id, ABSENT
@@ -178,6 +185,13 @@
         offsets[self._settings.instance_id] = applied
         configuration.history.update_instances(offsets)
 
+    def _note_config(self, applied: int) -> None:
+        """Tell the exchange of reads of the log since the last call."""
+        read_at = self._configuration.reader.read_at
+        if read_at != self._noted_read_at:
+            self._noted_read_at = read_at
+            self._fleet.exchange.note_config(applied)
+
     def _answer_snapshot(self, request: SnapshotRequest) -> None:
         offset = self._configuration.catalog.applied_offset
         self._send(request.sender, self._snapshots.answer(request, offset))
--- a/carobladder/membership/views.py
+++ b/carobladder/membership/views.py
@@ -59,9 +59,12 @@
         # which the others may have dropped this instance.
         self._unbroken_since: float | None = None
         self._counted = False
+        self._admitted = False
         self._contacts: dict[str, _Contact] = {}
         self._counts: deque[tuple[float, int]] = deque()
         self.own_leaving = False
+        # Set while this instance may have missed a configuration change.
+        self.own_uninformed = False
 
     def apply_list(self, instances: Iterable[ListedInstance], now: float) -> None:
         """Take an answer of the platform's list."""
@@ -74,6 +77,7 @@
             self._unbroken_since = None
             self._counted = False
         if self.own_id not in self._listed:
+            self._admitted = False
             self._own_listed_since = None
         else:
             self._own_listed_since = _first(self._own_listed_since, now)
@@ -122,7 +126,7 @@
 
     def list_live(self, now: float) -> tuple[str, ...]:
         """Return the sorted ids of instances that may own targets."""
-        live = [] if self.own_leaving else [self.own_id]
+        live = [] if self.own_leaving or self.own_uninformed else [self.own_id]
         for peer in self._listed:
             if peer != self.own_id and self._is_live(peer, now):
                 live.append(peer)
@@ -132,6 +136,13 @@
         """Return the listed instances other than this one."""
         return tuple(item for name, item in self._listed.items() if name != self.own_id)
 
+    def hears_half(self, now: float) -> bool:
+        """Tell whether at least half of the listed instances are heard."""
+        heard = sum(
+            peer == self.own_id or self._is_heard(peer, now) for peer in self._listed
+        )
+        return 2 * heard >= len(self._listed)
+
     def is_gone(self, instance_id: str, now: float) -> bool:
         """Tell whether an instance is neither listed nor heard within the window."""
         if instance_id in self._listed or instance_id == self.own_id:
@@ -144,14 +155,18 @@
 
         True once it has been listed for the window or each listed peer reports an
         N that is at least its own, and delegations under a smaller N have lapsed.
+        With a fresh list that shows this instance it then stays true: peers that
+        counted it once go on to do so, and the silence of one must not stop others.
         """
         if self.own_leaving:
             return False
         since = self._own_listed_since
         window = self._window_seconds + self._move_seconds
-        if since is not None and now - since >= window:
+        listed_long = since is not None and now - since >= window
+        if listed_long or self._peers_count_this(now):
+            self._admitted = True
             return True
-        return self._peers_count_this(now)
+        return self._admitted and self._is_list_fresh(now)
 
     def is_confirmed(self, now: float) -> bool:
         """Tell whether no other instance can have dropped this one from its N.
@@ -161,14 +176,15 @@
         at least its own: then no known instance can be on the far side of a
         partition, with a list that no longer shows this instance.
         """
-        fresh = (
-            self._list_read is not None and now - self._list_read <= LIST_FRESH_SECONDS
-        )
-        if not fresh:
+        if not self._is_list_fresh(now):
             return len(self._listed) > 1 and self._peers_count_this(now)
         self._counted = self._counted or self._is_counted(now)
         return self._counted
 
+    def _is_list_fresh(self, now: float) -> bool:
+        read = self._list_read
+        return read is not None and now - read <= LIST_FRESH_SECONDS
+
     def _is_counted(self, now: float) -> bool:
         since = self._unbroken_since
         window = self._window_seconds + self._move_seconds
@@ -185,6 +201,10 @@
             if peer not in self._listed and now - last_listed > self._window_seconds:
                 del self._last_listed[peer]
 
+    def _is_heard(self, peer: str, now: float) -> bool:
+        contact = self._contacts.get(peer)
+        return contact is not None and now - contact.heard <= self._lease_seconds
+
     def _hold(self, contact: _Contact, silence: float, now: float) -> None:
         """Delay the return of a flapping peer, longer with each return."""
         if silence > self._window_seconds or contact.hold_seconds == 0.0:
--- a/carobladder/resources/reader.py
+++ b/carobladder/resources/reader.py
@@ -10,7 +10,6 @@
     CarobladderError,
     LogUnavailableError,
     OffsetDroppedError,
-    RecordVersionError,
     SnapshotError,
 )
 from carobladder.platform.log import Batch, LogClient
@@ -52,8 +51,9 @@
     longest_retry_seconds: float = 2.0
     snapshot_seconds: float = 900.0
     snapshot_records: int = 2000
-    # Spreads the instances' snapshots, so that usually only one appends.
+    # Both spread the instances' snapshots, so that usually only one appends.
     snapshot_spread: float = 0.25
+    snapshot_hold_seconds: float = 10.0
 
 
 class ConfigReader:
@@ -81,7 +81,9 @@
         self._snapshot_through = -1
         self._snapshot_at: float | None = None
         self._delay_factor = self._draw_delay_factor()
+        self._hold_until: float | None = None
         self._retry_seconds = self._options.retry_seconds
+        self.read_at: float | None = None
 
     @property
     def catalog(self) -> Catalog:
@@ -98,7 +100,7 @@
             try:
                 await self.step()
                 self._retry_seconds = self._options.retry_seconds
-            except (LogUnavailableError, RecordVersionError, SnapshotError) as error:
+            except CarobladderError as error:
                 log_event("config_read_failed", error=error)
                 await self._load_from_peer()
                 await self._back_off()
@@ -138,6 +140,7 @@
         )
         for record in batch.records:
             self._apply(record.offset, decode_record(record.data))
+        self.read_at = self._clock.monotonic()
         if batch.next_offset == self._catalog.applied_offset + 1:
             await self._append_due_snapshot(batch)
 
@@ -174,7 +177,6 @@
 
     def _load_parts(self, parts: Sequence[SnapshotPart]) -> bool:
         state = join_snapshot(parts)
-        self._note_snapshot(parts[0])
         if not self._catalog.load(state):
             return False
         self._history.restart(state.applied_offset)
@@ -186,6 +188,8 @@
             return
         entry = self._catalog.apply(offset, record)
         if isinstance(record, SnapshotPart):
+            # Only a snapshot in the log postpones the next one; one from a peer
+            # does not protect the records against retention.
             whole = self._collector.add(record)
             if whole:
                 self._note_snapshot(whole[0])
@@ -205,6 +209,9 @@
 
     async def _append_due_snapshot(self, batch: Batch) -> None:
         if not self._is_snapshot_due(batch):
+            self._hold_until = None
+            return
+        if self._is_held():
             return
         try:
             for part in self._split():
@@ -213,6 +220,14 @@
             # The next read backs off if the log is down.
             log_event("config_snapshot_failed", error=error)
 
+    def _is_held(self) -> bool:
+        """Tell whether another instance is still given time to append first."""
+        now = self._clock.monotonic()
+        if self._hold_until is None:
+            hold_seconds = self._random.random() * self._options.snapshot_hold_seconds
+            self._hold_until = now + hold_seconds
+        return now < self._hold_until
+
     def _is_snapshot_due(self, batch: Batch) -> bool:
         applied = self._catalog.applied_offset
         if applied < 0:
