--- a/benchmarks/move_datacentres.py
+++ b/benchmarks/move_datacentres.py
@@ -78,10 +78,15 @@
     """Serve the workload while one data centre leaves and returns."""
 
     def __init__(
-        self, deployment: Deployment, returns_tokens: bool, seed: int, controlled: bool
+        self,
+        deployment: Deployment,
+        returns_tokens: bool,
+        seed: int,
+        controlled: bool,
+        hours: float = HOURS,
     ) -> None:
         policy = Policy(PlacementTuning(), returns_tokens)
-        super().__init__(deployment, policy, seed, HOURS)
+        super().__init__(deployment, policy, seed, hours)
         start, end = WINDOW_SECONDS
         window = MaintenanceWindow(_date(start), _date(end))
         self.result = DataCentreResult()
--- a/tests/moves/test_versions.py
+++ b/tests/moves/test_versions.py
@@ -159,7 +159,7 @@
 
     def test_share_grows_no_faster_than_targets_are_warm(self):
         state, now = run_to(VersionPhase.STEPPING)
-        cold = replace(READY, warm_share=0.01)
+        cold = replace(READY, warm_share=SPEC.steps[1] * 0.99)
         later = now + timedelta(hours=1)
         self.assertIsNone(decide_version_step(state, cold, later))
 
