Ask only owners that can grant by the loads last reported

Cause: a request whose first target was at its load cap asked owners that had to refuse. Change: after the first target, a request asks those below the cap, twice as many each 10 ms.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -33,7 +33,7 @@
 
 
 # A request that its first target cannot take goes to the others after this time.
-WIDEN_SECONDS = 0.02
+WIDEN_SECONDS = 0.01
 
 
 @dataclass(eq=False)
@@ -44,6 +44,7 @@
     seconds: float
     asked: bool = False
     target: str = ""
+    asking: list[str] = field(default_factory=list)
     next_ask: float = 0.0
     pause: float = WIDEN_SECONDS
 
@@ -212,7 +213,16 @@
         if self.now >= work.next_ask:
             work.next_ask = self.now + work.pause
             work.pause *= 2
-            instance.coordinator.ask(work.list_targets(self.now)[:3], self.now)
+            work.asking = self._list_asked(instance, work)
+            instance.coordinator.ask(work.asking, self.now)
+
+    def _list_asked(self, instance: _Instance, work: _Work) -> list[str]:
+        steps = int((self.now - work.arrived) / WIDEN_SECONDS)
+        if not steps:
+            return work.ranked[:1]
+        book = instance.coordinator.book
+        found = book.list_open(work.ranked, work.weight, 1.25, self.now)
+        return list(found or work.ranked)[: 1 << min(steps, 10)]
 
     def _start(self, instance: _Instance, permit, work: _Work) -> None:
         self.in_flight[work.target] += work.weight
--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -17,7 +17,8 @@
 # Pause between looks at deadlines while requests wait.
 POLL_SECONDS = 0.01
 # After each step without slots a waiting request asks for twice as many targets.
-WIDEN_SECONDS = 0.02
+WIDEN_SECONDS = 0.01
+DEFAULT_LOAD_MULTIPLE = 1.25
 # Requests further back in the queue do not ask; those before them go first anyway.
 MAX_ASKING = 32
 
@@ -69,6 +70,7 @@
         refusals: RefusalPolicy,
         find_target: Callable[[str], TargetState | None],
         ask: Callable[[Iterable[str]], None],
+        load_multiple: float = DEFAULT_LOAD_MULTIPLE,
     ) -> None:
         self._clock = clock
         self._book = book
@@ -76,6 +78,7 @@
         self._refusals = refusals
         self._find_target = find_target
         self._ask = ask
+        self._load_multiple = load_multiple
         self._futures: dict[Waiting, asyncio.Future[AdmissionPermit]] = {}
         self._wake = asyncio.Event()
         self.admitted = 0
@@ -273,11 +276,20 @@
         return allowance is not None and allowance.ready
 
     def _list_asked(self, waiting: Waiting, now: float) -> tuple[str, ...]:
-        """Return the targets to ask for: the first, then twice as many each step."""
+        """Return the targets to ask for: the first, then twice as many each step.
+
+        Targets whose owners would refuse by the loads last reported are left out.
+        """
         candidates = self._list_candidates(waiting, now)
-        since = waiting.queued if len(candidates) > 1 else now
-        steps = int((now - since) / WIDEN_SECONDS)
-        return candidates[: 1 << min(steps, 10)]
+        if len(candidates) < 2:
+            return candidates
+        steps = int((now - waiting.queued) / WIDEN_SECONDS)
+        if not steps:
+            return candidates[:1]
+        open_targets = self._book.list_open(
+            candidates, waiting.weight, self._load_multiple, now
+        )
+        return (open_targets or candidates)[: 1 << min(steps, 10)]
 
     def _ask_owners(self) -> None:
         now = self._clock.monotonic()
--- a/carobladder/limits/allowances.py
+++ b/carobladder/limits/allowances.py
@@ -1,6 +1,6 @@
 """Holder's book of allowances and the permits taken from it."""
 
-from collections.abc import Container
+from collections.abc import Container, Sequence
 from dataclasses import dataclass
 
 __all__ = ["Allowance", "AllowanceBook", "BookPermit", "Usage"]
@@ -115,6 +115,24 @@
             return 0
         return max(0, allowance.slots - entry.in_flight)
 
+    def list_open(
+        self, target_ids: Sequence[str], weight: int, load_multiple: float, now: float
+    ) -> tuple[str, ...]:
+        """Return the targets that can take the weight by the loads last reported."""
+        known = [
+            allowance
+            for allowance in (self.find(target_id, now) for target_id in target_ids)
+            if allowance is not None and allowance.ready
+        ]
+        if not known:
+            return ()
+        cap = load_multiple * sum(item.load for item in known) / len(known)
+        return tuple(
+            item.target_id
+            for item in known
+            if item.load <= cap and item.load + weight <= item.limit
+        )
+
     def has_free(self, now: float, reserved: Container[str] = ()) -> bool:
         """Tell whether any target outside the reserved ones has a free slot."""
         return any(
