Report freed slots at once while another holder waits

Cause: a holder's finished request counted until its next heartbeat. Change: an allowance says that the target is contended, and a release is then reported within the ask interval.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -141,6 +141,9 @@
             instance.coordinator.book.release(permit, first_byte_seconds=0.3)
             self.in_flight[work.target] -= work.weight
             self._serve(instance)
+            allowance = instance.coordinator.book.find(work.target, self.now)
+            if allowance is not None and allowance.contended:
+                instance.coordinator.ask([work.target], self.now)
         self._arrive()
         for instance in self.instances.values():
             self._probe(instance)
--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -185,8 +185,12 @@
     ) -> None:
         """Return slots to the book and serve waiting requests."""
         self._book.release(permit, failed=failed, first_byte_seconds=first_byte_seconds)
-        self._queue.finish(request, permit.weight, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._queue.finish(request, permit.weight, now)
         self.serve()
+        allowance = self._book.find(permit.target_id, now)
+        if allowance is not None and allowance.contended:
+            self._ask((permit.target_id,))
 
     async def _wait(self, waiting: Waiting, now: float) -> AdmissionPermit:
         self._make_room(waiting.request, now)
--- a/carobladder/limits/allowances.py
+++ b/carobladder/limits/allowances.py
@@ -25,6 +25,7 @@
     boot_id: str
     load: int
     limit: int
+    contended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/limits/budgets.py
+++ b/carobladder/limits/budgets.py
@@ -235,6 +235,13 @@
         extra = min(idle.get(holder, 0), room - ASK_RESERVE - slots)
         return max(0, slots + max(0, extra))
 
+    def is_contended(self, now: float) -> bool:
+        """Tell whether any holder waits for slots."""
+        return any(
+            state.wanted and not self._is_silent(state, now)
+            for state in self._holders.values()
+        )
+
     def list_unmet(self, terms: Terms, now: float) -> list[str]:
         """Return the holders whose wish can now be met further than before."""
         return [
--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -467,6 +467,7 @@
             boot_id=item.boot_id,
             load=item.load,
             limit=item.limit,
+            contended=item.contended,
         )
         self.book.apply(allowance, now)
 
--- a/carobladder/peers/messages.py
+++ b/carobladder/peers/messages.py
@@ -88,7 +88,8 @@
     """Grant a holder an absolute number of slots of one target.
 
     ``load`` is the weighted number of requests in flight of all holders and
-    ``limit`` the greatest that the owner allows, both in slots.
+    ``limit`` the greatest that the owner allows, both in slots. ``contended`` says
+    that a holder waits, so that freed slots are to be reported at once.
     """
 
     target_id: str
@@ -99,6 +100,7 @@
     boot_id: str
     load: int
     limit: int
+    contended: bool = False
 
 
 class Allowances(msgspec.Struct, tag=2, array_like=True, frozen=True):
--- a/carobladder/peers/ownerside.py
+++ b/carobladder/peers/ownerside.py
@@ -164,6 +164,7 @@
                 boot_id=owned.warmup.boot_id,
                 load=owned.ledger.count_load(),
                 limit=owned.warmup.limit,
+                contended=owned.ledger.is_contended(now),
             )
             items.append(item)
         return items
