Acknowledge a reduced allowance at once while another holder waits

Cause: the owner counts the larger allowance until a smaller one is acknowledged, up to a heartbeat later.

--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -469,7 +469,12 @@
             limit=item.limit,
             contended=item.contended,
         )
+        previous = self.book.find(item.target_id, now)
         self.book.apply(allowance, now)
+        # The owner counts the larger allowance until this one is acknowledged.
+        reduced = previous is not None and previous.slots > item.slots
+        if item.contended and reduced:
+            self.ask([item.target_id], now)
 
     def _clean_up(self, now: float) -> None:
         targets = set(self.owned.declarations)
