--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -21,7 +21,8 @@
 # holds no idle slots of the target.
 ASK_GRACE_SECONDS = 0.02
 # After each step without slots a waiting request asks for twice as many targets.
-WIDEN_SECONDS = 0.02
+WIDEN_SECONDS = 0.01
+DEFAULT_LOAD_MULTIPLE = 1.25
 # Requests further back in the queue do not ask; those before them go first anyway.
 MAX_ASKING = 32
 
@@ -73,6 +74,7 @@
         refusals: RefusalPolicy,
         find_target: Callable[[str], TargetState | None],
         ask: Callable[[Iterable[str]], None],
+        load_multiple: float = DEFAULT_LOAD_MULTIPLE,
     ) -> None:
         self._clock = clock
         self._book = book
@@ -80,6 +82,7 @@
         self._refusals = refusals
         self._find_target = find_target
         self._ask = ask
+        self._load_multiple = load_multiple
         self._futures: dict[Waiting, asyncio.Future[AdmissionPermit]] = {}
         self._wake = asyncio.Event()
         self.admitted = 0
@@ -190,8 +193,12 @@
     ) -> None:
         """Return slots to the book and serve waiting requests."""
         self._book.release(permit, failed=failed, first_byte_seconds=first_byte_seconds)
-        self._queue.finish(request, permit.weight, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._queue.finish(request, permit.weight, now)
         self.serve()
+        allowance = self._book.find(permit.target_id, now)
+        if allowance is not None and allowance.contended:
+            self._ask((permit.target_id,))
 
     async def _wait(self, waiting: Waiting, now: float) -> AdmissionPermit:
         self._make_room(waiting.request, now)
@@ -281,11 +288,20 @@
         return allowance is None or allowance.ready
 
     def _list_asked(self, waiting: Waiting, now: float) -> tuple[str, ...]:
-        """Return the targets to ask for: the first, then twice as many each step."""
+        """Return the targets to ask for: the first, then twice as many each step.
+
+        Targets whose owners would refuse by the loads last reported are left out.
+        """
         candidates = self._list_candidates(waiting, now)
-        since = waiting.queued if len(candidates) > 1 else now
-        steps = int((now - since) / WIDEN_SECONDS)
-        return candidates[: 1 << min(steps, 10)]
+        if len(candidates) < 2:
+            return candidates
+        steps = int((now - waiting.queued) / WIDEN_SECONDS)
+        if not steps:
+            return candidates[:1]
+        open_targets = self._book.list_open(
+            candidates, waiting.weight, self._load_multiple, now
+        )
+        return (open_targets or candidates)[: 1 << min(steps, 10)]
 
     def _ask_owners(self) -> None:
         now = self._clock.monotonic()
