--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
+from itertools import islice
 
 from carobladder.clock import Clock
 from carobladder.gateway.ports import SlotRequest
@@ -20,7 +21,10 @@
 # holds no idle slots of the target.
 ASK_GRACE_SECONDS = 0.02
 # After each step without slots a waiting request asks for twice as many targets.
-WIDEN_SECONDS = 0.02
+WIDEN_SECONDS = 0.01
+DEFAULT_LOAD_MULTIPLE = 1.25
+# Requests further back in the queue do not ask; those before them go first anyway.
+MAX_ASKING = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +74,7 @@
         refusals: RefusalPolicy,
         find_target: Callable[[str], TargetState | None],
         ask: Callable[[Iterable[str]], None],
+        load_multiple: float = DEFAULT_LOAD_MULTIPLE,
     ) -> None:
         self._clock = clock
         self._book = book
@@ -77,6 +82,7 @@
         self._refusals = refusals
         self._find_target = find_target
         self._ask = ask
+        self._load_multiple = load_multiple
         self._futures: dict[Waiting, asyncio.Future[AdmissionPermit]] = {}
         self._wake = asyncio.Event()
         self.admitted = 0
@@ -115,20 +121,36 @@
             return
         now = self._clock.monotonic()
         reserved: set[str] = set()
-        for waiting in self._queue.iterate():
-            if waiting.request.deadline <= now:
-                self._fail(waiting, "the deadline passed in the queue")
+        waitings = self._queue.iterate()
+        while self._book.has_free(now, reserved):
+            waiting = next(waitings, None)
+            if waiting is None:
+                return
+            if waiting not in self._futures:
                 continue
             permit = self._try_targets(waiting, now, reserved)
             if permit is not None:
                 asked = self._list_asked(waiting, now)
                 self._queue.remove(waiting)
-                self._futures.pop(waiting).set_result(permit)
+                self._resolve(waiting, permit)
                 # The next heartbeats give back what other owners granted meanwhile.
                 self._ask(asked)
             elif not self._queue.is_above_share(waiting.request):
                 reserved.update(self._reserve(waiting, now, reserved))
 
+    def _resolve(self, waiting: Waiting, permit: AdmissionPermit) -> None:
+        future = self._futures.pop(waiting)
+        if future.done():
+            permit.release()
+        else:
+            future.set_result(permit)
+
+    def _refuse_expired(self) -> None:
+        now = self._clock.monotonic()
+        for waiting in list(self._futures):
+            if waiting.request.deadline <= now:
+                self._fail(waiting, "the deadline passed in the queue")
+
     def _reserve(
         self, waiting: Waiting, now: float, reserved: set[str]
     ) -> tuple[str, ...]:
@@ -151,6 +173,7 @@
                 self._wake.clear()
                 await self._wake.wait()
             await self._clock.sleep(POLL_SECONDS)
+            self._refuse_expired()
             self.serve()
             self._ask_owners()
 
@@ -170,8 +193,12 @@
     ) -> None:
         """Return slots to the book and serve waiting requests."""
         self._book.release(permit, failed=failed, first_byte_seconds=first_byte_seconds)
-        self._queue.finish(request, permit.weight, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._queue.finish(request, permit.weight, now)
         self.serve()
+        allowance = self._book.find(permit.target_id, now)
+        if allowance is not None and allowance.contended:
+            self._ask((permit.target_id,))
 
     async def _wait(self, waiting: Waiting, now: float) -> AdmissionPermit:
         self._make_room(waiting.request, now)
@@ -182,6 +209,7 @@
         self._wake.set()
         self.serve()
         if not future.done():
+            waiting.is_ask_due(now)
             self._ask(self._list_asked(waiting, now))
         try:
             return await future
@@ -260,16 +288,26 @@
         return allowance is None or allowance.ready
 
     def _list_asked(self, waiting: Waiting, now: float) -> tuple[str, ...]:
-        """Return the targets to ask for: the first, then twice as many each step."""
+        """Return the targets to ask for: the first, then twice as many each step.
+
+        Targets whose owners would refuse by the loads last reported are left out.
+        """
         candidates = self._list_candidates(waiting, now)
-        since = waiting.queued if len(candidates) > 1 else now
-        steps = int((now - since) / WIDEN_SECONDS)
-        return candidates[: 1 << min(steps, 10)]
+        if len(candidates) < 2:
+            return candidates
+        steps = int((now - waiting.queued) / WIDEN_SECONDS)
+        if not steps:
+            return candidates[:1]
+        open_targets = self._book.list_open(
+            candidates, waiting.weight, self._load_multiple, now
+        )
+        return (open_targets or candidates)[: 1 << min(steps, 10)]
 
     def _ask_owners(self) -> None:
         now = self._clock.monotonic()
         asked: dict[str, None] = {}
-        for waiting in self._queue.iterate():
-            asked.update(dict.fromkeys(self._list_asked(waiting, now)))
+        for waiting in islice(self._queue.iterate(), MAX_ASKING):
+            if waiting.is_ask_due(now):
+                asked.update(dict.fromkeys(self._list_asked(waiting, now)))
         if asked:
             self._ask(tuple(asked))
--- a/carobladder/limits/allowances.py
+++ b/carobladder/limits/allowances.py
@@ -1,5 +1,6 @@
 """Holder's book of allowances and the permits taken from it."""
 
+from collections.abc import Container, Sequence
 from dataclasses import dataclass, replace
 
 __all__ = ["Allowance", "AllowanceBook", "BookPermit", "Usage"]
@@ -24,6 +25,7 @@
     boot_id: str
     load: int
     limit: int
+    contended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +116,31 @@
             return 0
         return max(0, allowance.slots - entry.in_flight)
 
+    def list_open(
+        self, target_ids: Sequence[str], weight: int, load_multiple: float, now: float
+    ) -> tuple[str, ...]:
+        """Return the targets that can take the weight by the loads last reported."""
+        known = [
+            allowance
+            for allowance in (self.find(target_id, now) for target_id in target_ids)
+            if allowance is not None and allowance.ready
+        ]
+        if not known:
+            return ()
+        cap = load_multiple * sum(item.load for item in known) / len(known)
+        return tuple(
+            item.target_id
+            for item in known
+            if item.load <= cap and item.load + weight <= item.limit
+        )
+
+    def has_free(self, now: float, reserved: Container[str] = ()) -> bool:
+        """Tell whether any target outside the reserved ones has a free slot."""
+        return any(
+            target_id not in reserved and self.count_free(target_id, now)
+            for target_id in self._entries
+        )
+
     def try_acquire(self, target_id: str, weight: int, now: float) -> BookPermit | None:
         """Return a permit for the weight in slots, or None."""
         if self.count_free(target_id, now) < weight:
