--- a/Makefile
+++ b/Makefile
@@ -34,5 +34,8 @@
 measure: venv
 	$(BIN)/python -m benchmarks.measure
 
+faults: venv
+	$(BIN)/python -m tests.faults
+
 docs: venv
 	$(BIN)/python -m carobladder.settings.reference > docs/settings.md
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix: each invariant under each fault at each step."""
