Wait for near targets, keep the load of a target whose owner changes

Cause: after an instance died, its targets counted with a load of 0 under their new owner until the holders had reported; the mean fell and the load rule held the requests of the whole pool for about 1 s (trace: 5 engines, cap 15 at loads of 12 to 20). The placement policy's near targets were not used by admission. Change: until a new owner has heard the holders, the load stated by the owner before counts. A request waits for one of the near targets while that is worth it. A full first target is not waited for.

--- a/carobladder/gateway/attempts.py
+++ b/carobladder/gateway/attempts.py
@@ -243,6 +243,8 @@
             ranked=ranking.ranked,
             deadline=deadline,
             sticky_seconds=ranking.sticky_seconds,
+            near_count=ranking.near_count,
+            near_seconds=ranking.near_seconds,
         )
         permit = await self._acquire_slot(slot_request)
         first = permit.target.target_id == ranking.ranked[0]
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -80,7 +80,8 @@
     """Ask for slots on the first of the ranked targets that can take them.
 
     ``deadline`` is in monotonic seconds. ``sticky_seconds`` is how long waiting
-    for the first target beats going to the next one.
+    for the first target beats going to the next one, ``near_seconds`` how long
+    waiting for one of the first ``near_count`` beats going further.
     """
 
     team: Team
@@ -89,6 +90,8 @@
     ranked: Sequence[str]
     deadline: float
     sticky_seconds: float = 0.0
+    near_count: int = 1
+    near_seconds: float = 0.0
 
 
 class Permit(Protocol):
@@ -182,11 +185,14 @@
 class Ranking:
     """Give target ids, best first.
 
-    ``sticky_seconds`` is how long waiting for the first is worth it.
+    ``sticky_seconds`` is how long waiting for the first is worth it,
+    ``near_seconds`` the same for one of the first ``near_count``.
     """
 
     ranked: Sequence[str]
     sticky_seconds: float = 0.0
+    near_count: int = 1
+    near_seconds: float = 0.0
 
 
 class Placement(Protocol):
--- a/carobladder/instance/placement.py
+++ b/carobladder/instance/placement.py
@@ -44,7 +44,12 @@
         request = self._describe(chat)
         allowed = _select_version(request.chat_key, targets, shares)
         placed = self._policy.place(request, allowed)
-        return Ranking(placed.ranked, placed.sticky_seconds)
+        return Ranking(
+            placed.ranked,
+            placed.sticky_seconds,
+            placed.near_count,
+            placed.near_seconds,
+        )
 
     def issue_token(
         self, chat: ChatRequest, target: TargetState, context_tokens: int
--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -95,8 +95,7 @@
         Raises NoCapacityError with a retry time if the deadline cannot be met.
         """
         now = self._clock.monotonic()
-        first_until = now + max(request.sticky_seconds, ASK_GRACE_SECONDS)
-        waiting = Waiting(request, now, first_until)
+        waiting = Waiting(request, now, now + request.sticky_seconds)
         if not len(self._queue):
             permit = self._try_targets(waiting, now)
             if permit is not None:
@@ -275,11 +274,38 @@
         return None
 
     def _list_candidates(self, waiting: Waiting, now: float) -> tuple[str, ...]:
-        ranked = tuple(waiting.request.ranked)
-        if ranked and now < waiting.first_until and self._could_serve(ranked[0], now):
+        """Return the targets that the request may take now, best first.
+
+        It waits for the first target while that is worth it, then for one of the
+        near ones, which hold the prefix that it shares with other chats.
+        """
+        request = waiting.request
+        ranked = tuple(request.ranked)
+        if self._waits_for_first(waiting, now):
             return ranked[:1]
+        if now < waiting.queued + request.near_seconds:
+            near = ranked[: request.near_count]
+            if any(self._could_serve(target_id, now) for target_id in near):
+                return near
         return ranked
 
+    def _waits_for_first(self, waiting: Waiting, now: float) -> bool:
+        ranked = waiting.request.ranked
+        if not ranked or not self._could_serve(ranked[0], now):
+            return False
+        if now < waiting.first_until:
+            return True
+        asked = now < waiting.queued + ASK_GRACE_SECONDS
+        return asked and self._may_have_room(ranked[0], now)
+
+    def _may_have_room(self, target_id: str, now: float) -> bool:
+        allowance = self._book.find(target_id, now)
+        if allowance is None:
+            return True
+        # The load was reported before the last requests of this instance began.
+        load = max(allowance.load, self._book.count_in_flight(target_id))
+        return load < allowance.limit
+
     def _could_serve(self, target_id: str, now: float) -> bool:
         target = self._find_target(target_id)
         if target is None or target.leaving:
--- a/carobladder/limits/allowances.py
+++ b/carobladder/limits/allowances.py
@@ -189,6 +189,11 @@
             entry.allowance = replace(allowance, slots=entry.in_flight)
         return entry.in_flight
 
+    def count_in_flight(self, target_id: str) -> int:
+        """Return the slots in flight at a target through this instance."""
+        entry = self._entries.get(target_id)
+        return 0 if entry is None else entry.in_flight
+
     def count_held(self, target_id: str) -> int:
         """Return the slots that the last allowance lets this instance use."""
         entry = self._entries.get(target_id)
--- a/carobladder/limits/budgets.py
+++ b/carobladder/limits/budgets.py
@@ -205,6 +205,10 @@
         )
         return min(sum(shares, Fraction(0)), Fraction(1))
 
+    def is_settled(self, now: float) -> bool:
+        """Tell whether the holders had time to report to this owner."""
+        return now >= self._hold_until
+
     def is_serving(self, now: float) -> bool:
         """Tell whether any share is delegated to this owner."""
         return any(item.expires > now for item in self._delegations.values())
--- a/carobladder/peers/ownerside.py
+++ b/carobladder/peers/ownerside.py
@@ -162,7 +162,7 @@
                 ready=terms.usable,
                 cold=owned.warmup.cold,
                 boot_id=owned.warmup.boot_id,
-                load=owned.ledger.count_load(),
+                load=_count_load(owned, book.find_last(target_id), now),
                 limit=owned.warmup.limit,
                 contended=owned.ledger.is_contended(now),
             )
@@ -264,12 +264,24 @@
         """Return the last known load of a ready target, or None."""
         owned = self._owned.get(target_id)
         if owned is not None and owned.ledger.is_serving(now):
-            return owned.ledger.count_load()
+            return _count_load(owned, allowance, now)
         if allowance is None or now > allowance.expires + LOAD_MEMORY_SECONDS:
             return None
         return allowance.load if allowance.ready else None
 
 
+def _count_load(owned: _Owned, last: Allowance | None, now: float) -> int:
+    """Return the load of an owned target.
+
+    Until the holders had time to report, the load that the owner before stated
+    counts; a load of 0 would lower the mean and with it the cap of the whole pool.
+    """
+    load = owned.ledger.count_load()
+    if last is None or owned.ledger.is_settled(now):
+        return load
+    return max(load, last.load)
+
+
 def _count_foreign(owned: _Owned) -> int:
     """Return the slots that requests of unknown instances may occupy."""
     if len(owned.surplus) < SURPLUS_PROBES:
