--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -17,6 +17,7 @@
     build_snapshots,
 )
 from carobladder.instance.callbacks import PeerCallbacks
+from carobladder.instance.collector import FleetCollector
 from carobladder.instance.declarations import declare_targets
 from carobladder.peers import PeerMessage, SnapshotRequest
 from carobladder.platform.http import HttpClient
@@ -62,6 +63,9 @@
             self._moves,
         )
         self._snapshots = build_snapshots(settings, clock, self._configuration.reader)
+        self._metrics.registry.register(
+            FleetCollector(self._configuration, self._fleet, self._path, clock)
+        )
         self._connect_parts()
         self.server = self._build_server()
 
