--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 
 docs: venv
 	$(BIN)/python -m carobladder.settings.reference > docs/settings.md
+
+moves: venv
+	$(BIN)/python -m benchmarks.moves --seeds 20
+	$(BIN)/python -m benchmarks.move_processes
