Answer heartbeats that nothing waits for with the next heartbeat

Change: an answer rides on the next heartbeat unless a request waits for it; heartbeats are half as frequent while neither side uses the other's targets; a holder keeps two slots instead of giving all back.

--- a/carobladder/limits/allowances.py
+++ b/carobladder/limits/allowances.py
@@ -3,6 +3,9 @@
 from collections.abc import Container, Sequence
 from dataclasses import dataclass, replace
 
+# Slots that a holder keeps for its next request while nothing waits.
+KEPT_SLOTS = 2
+
 __all__ = ["Allowance", "AllowanceBook", "BookPermit", "Usage"]
 
 
@@ -180,14 +183,16 @@
             entry.first_byte_ms += round(first_byte_seconds * 1000)
 
     def give_back(self, target_id: str) -> int:
-        """Reduce the allowance to the slots in flight and return their number."""
+        """Keep few slots beyond those in flight and return how many are left."""
         entry = self._entries.get(target_id)
         if entry is None:
             return 0
         allowance = entry.allowance
-        if allowance is not None and allowance.slots > entry.in_flight:
-            entry.allowance = replace(allowance, slots=entry.in_flight)
-        return entry.in_flight
+        kept = entry.in_flight + KEPT_SLOTS
+        if allowance is None or allowance.slots <= kept:
+            return self.count_held(target_id)
+        entry.allowance = replace(allowance, slots=kept)
+        return kept
 
     def count_in_flight(self, target_id: str) -> int:
         """Return the slots in flight at a target through this instance."""
--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -28,6 +28,8 @@
 
 SENT_MEMORY = 1024
 HOUSEKEEPING_SECONDS = 1.0
+# Heartbeats to a peer are this much rarer while neither side uses the other's targets.
+IDLE_FACTOR = 2
 # A load report older than this many intervals no longer shows a target as ready.
 PROBE_INTERVALS = 2.5
 # Without a configuration read for this long, an instance may have missed a change.
@@ -67,6 +69,15 @@
     confirmed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Unanswered:
+    """Hold what the answer to a peer's last heartbeat refers to."""
+
+    sequence: int
+    incarnation: int
+    target_ids: list[str]
+
+
 @dataclass(slots=True)
 class _Link:
     """Hold the state of the exchange with one peer."""
@@ -79,6 +90,8 @@
     incarnation: int = 0
     heard_sequence: int = 0
     evidence: list[EvidenceItem] = field(default_factory=list)
+    unanswered: _Unanswered | None = None
+    peer_busy: bool = False
 
     def record(self, now: float) -> int:
         """Return the next sequence number and remember its time of sending."""
@@ -272,7 +285,10 @@
             for target_id in self._list_targets_of(peer)
         ]
         evidence, link.evidence = link.evidence, []
-        link.due = now + self.timing.heartbeat_seconds
+        answer = self._answer(peer, link, now)
+        busy = link.peer_busy or any(r.in_flight or r.wanted for r in reports)
+        factor = 1 if busy else IDLE_FACTOR
+        link.due = now + factor * self.timing.heartbeat_seconds
         link.last_sent = now
         return Heartbeat(
             sender=self.own_id,
@@ -289,6 +305,20 @@
             confirmed=facts.confirmed,
             leaving=self.view.own_leaving or self.view.own_uninformed,
             shares=facts.shares,
+            answer=answer,
+        )
+
+    def _answer(self, peer: str, link: _Link, now: float) -> Allowances | None:
+        """Return the answer to the peer's last heartbeat if it has none yet."""
+        request, link.unanswered = link.unanswered, None
+        if request is None:
+            return None
+        return Allowances(
+            sender=self.own_id,
+            incarnation=self.incarnation,
+            answers=request.sequence,
+            items=self.owned.allot(peer, request.target_ids, self.book, now),
+            answers_incarnation=request.incarnation,
         )
 
     def _list_targets_of(self, owner: str) -> list[str]:
@@ -351,18 +381,22 @@
         floor = None
         if message.echo_incarnation == self.incarnation:
             floor = link.find_sent(message.echo)
+        if message.answer is not None:
+            self._receive_allowances(message.answer, now)
         if floor is None or not message.reports:
             return []
-        items = self._serve_holder(message, floor, now)
-        answer = Allowances(
-            sender=self.own_id,
-            incarnation=self.incarnation,
-            answers=message.sequence,
-            items=items,
-            answers_incarnation=message.incarnation,
-        )
+        link.peer_busy = any(r.in_flight or r.wanted for r in message.reports)
+        self._take_reports(message, floor, now)
         known = [report.target_id for report in message.reports]
-        return [Outgoing(message.sender, answer), *self._serve_unmet(known, now)]
+        link.unanswered = _Unanswered(message.sequence, message.incarnation, known)
+        outgoing = []
+        # Answers that nothing waits for ride on the next heartbeat, which halves
+        # the number of messages.
+        if any(report.wanted for report in message.reports):
+            answer = self._answer(message.sender, link, now)
+            if answer is not None:
+                outgoing.append(Outgoing(message.sender, answer))
+        return [*outgoing, *self._serve_unmet(known, now)]
 
     def _serve_unmet(self, target_ids: list[str], now: float) -> list[Outgoing]:
         """Hand slots that a report has freed to the holders that wait for them."""
@@ -387,16 +421,12 @@
             outgoing.append(Outgoing(holder, answer))
         return outgoing
 
-    def _serve_holder(
-        self, message: Heartbeat, floor: float, now: float
-    ) -> list[AllowanceItem]:
+    def _take_reports(self, message: Heartbeat, floor: float, now: float) -> None:
         share = Fraction(1, max(1, message.listed, message.shares))
         for report in message.reports:
             self._take_report(
                 message.sender, report, share, message.confirmed, floor, now
             )
-        known = [report.target_id for report in message.reports]
-        return self.owned.allot(message.sender, known, self.book, now)
 
     def _take_report(
         self,
--- a/carobladder/peers/messages.py
+++ b/carobladder/peers/messages.py
@@ -68,31 +68,6 @@
     slow_gap: int
 
 
-class Heartbeat(msgspec.Struct, tag=1, array_like=True, frozen=True):
-    """Tell a peer that the sender lives and which slots it uses and wants.
-
-    ``echo`` is the newest sequence number received from the peer under
-    ``echo_incarnation``; it bounds the time of sending on the peer's clock.
-    ``confirmed`` says that no instance can have dropped the sender from its N;
-    ``shares`` is the number of shares into which it divides a budget.
-    """
-
-    sender: str
-    incarnation: int
-    sequence: int
-    listed: int
-    view_hash: int
-    config_offset: int
-    delegating: bool
-    reports: list[Report]
-    evidence: list[EvidenceItem] = []
-    echo: int = 0
-    echo_incarnation: int = 0
-    confirmed: bool = False
-    leaving: bool = False
-    shares: int = 0
-
-
 class AllowanceItem(msgspec.Struct, array_like=True, frozen=True):
     """Grant a holder an absolute number of slots of one target.
 
@@ -125,6 +100,33 @@
     answers_incarnation: int = 0
 
 
+class Heartbeat(msgspec.Struct, tag=1, array_like=True, frozen=True):
+    """Tell a peer that the sender lives and which slots it uses and wants.
+
+    ``echo`` is the newest sequence number received from the peer under
+    ``echo_incarnation``; it bounds the time of sending on the peer's clock.
+    ``confirmed`` says that no instance can have dropped the sender from its N;
+    ``shares`` is the number of shares into which it divides a budget. ``answer``
+    answers the peer's last heartbeat if nothing there waited for it.
+    """
+
+    sender: str
+    incarnation: int
+    sequence: int
+    listed: int
+    view_hash: int
+    config_offset: int
+    delegating: bool
+    reports: list[Report]
+    evidence: list[EvidenceItem] = []
+    echo: int = 0
+    echo_incarnation: int = 0
+    confirmed: bool = False
+    leaving: bool = False
+    shares: int = 0
+    answer: Allowances | None = None
+
+
 class SnapshotRequest(msgspec.Struct, tag=3, array_like=True, frozen=True):
     """Ask a peer for its configuration from the given part on."""
 
