Test move drivers in virtual time with broken variants

Cause: deaths, pauses, outages and races of drivers were tested only for the pure rules. Change: drivers of three instances run over one log and engines in virtual time; a driver that ignores its lease, one that misses an outage and a catalog without preconditions must be caught.

--- a/carobladder/instance/movedriver.py
+++ b/carobladder/instance/movedriver.py
@@ -101,6 +101,8 @@
     under the same id, and takes effect once.
     """
 
+    lease_rules: type[Driver] = Driver
+
     def __init__(
         self,
         fleet: FleetView,
@@ -182,7 +184,7 @@
         work = self._works.get(key)
         if work is None:
             times = self._times
-            driver = Driver(
+            driver = self.lease_rules(
                 describe_lease(move.name, move.progress),
                 self._fleet.instance,
                 times.lease_seconds,
