Tell watches of an outage of the log

Cause: a watch did not show that moves hold. Change: the message log says down or up; the commands print it. Conclusion: status and watch tell of an outage and of its end.

--- a/benchmarks/move_processes.py
+++ b/benchmarks/move_processes.py
@@ -6,17 +6,21 @@
 
 import argparse
 import asyncio
+import os
 import sys
+import tempfile
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
+from pathlib import Path
 from typing import Any
 
 from benchmarks.move_load import SteadyLoad
 from benchmarks.move_races import RaceResult, run_race
 from demo.deployments import DEPLOYMENT_S, DEPLOYMENT_V, Declaration, Deployment
 from demo.fleet import Fleet, FleetOptions
+from demo.processes import ChildGroup
 from standins.client import fetch_json
 
 _DEPLOYMENTS = {"v": DEPLOYMENT_V, "s": DEPLOYMENT_S}
@@ -25,6 +29,7 @@
 _NEW_WORK_SECONDS = 3.0
 _SETTLE_SECONDS = 3.0
 _SESSIONS_PER_SECOND = 30.0
+_STOP_SECONDS = 10.0
 _FLEET = FleetOptions(
     engine_arguments=("--warm-tokens", "500", "--weights-bytes", "100000000")
 )
@@ -385,15 +390,35 @@
         print(f"  {part:10} in time {share:7.2%}  reuse {result.reuse[part]:6.1%}")
 
 
-async def _run_all(names: Sequence[str], parts: Sequence[str]) -> list[str]:
-    reports = await asyncio.gather(
-        *(run_deployment(_DEPLOYMENTS[name], parts) for name in names)
-    )
-    missed = []
-    for report in reports:
-        print_report(report)
-        missed += report.list_missed()
-    return missed
+async def _run_side_by_side(names: Sequence[str], parts: Sequence[str]) -> int:
+    """Run each deployment in a process of its own; return the worst exit status.
+
+    Two fleets of one process would pick the same ports.
+    """
+    with tempfile.TemporaryDirectory("-moves") as directory:
+        group = ChildGroup(Path(directory))
+        try:
+            children = []
+            for name in names:
+                command = [sys.executable, "-m", "benchmarks.move_processes"]
+                command += ["--deployments", name, "--parts", *parts]
+                children.append(await group.start(name, command, os.environ))
+            for child in children:
+                await child.wait()
+                print((Path(directory) / f"{child.name}.log").read_text(), flush=True)
+            return max(abs(child.status or 0) for child in children)
+        finally:
+            await group.stop(_STOP_SECONDS)
+
+
+async def _run_one(name: str, parts: Sequence[str]) -> int:
+    report = await run_deployment(_DEPLOYMENTS[name], parts)
+    print_report(report)
+    missed = report.list_missed()
+    for text in missed:
+        print(f"missed: {text}")
+    print("moves: ok" if not missed else f"moves: {len(missed)} missed")
+    return 1 if missed else 0
 
 
 def main() -> int:
@@ -404,11 +429,10 @@
     parser.add_argument("--deployments", nargs="+", choices=names, default=names)
     parser.add_argument("--parts", nargs="+", choices=parts, default=parts)
     arguments = parser.parse_args()
-    missed = asyncio.run(_run_all(arguments.deployments, arguments.parts))
-    for text in missed:
-        print(f"missed: {text}")
-    print("moves: ok" if not missed else f"moves: {len(missed)} missed")
-    return 1 if missed else 0
+    chosen = arguments.deployments
+    if len(chosen) == 1:
+        return asyncio.run(_run_one(chosen[0], arguments.parts))
+    return asyncio.run(_run_side_by_side(chosen, arguments.parts))
 
 
 if __name__ == "__main__":
--- a/carobladder/admin/commands.py
+++ b/carobladder/admin/commands.py
@@ -234,6 +234,8 @@
         case "waiting":
             names = ", ".join(message["waiting_for"]) or "nobody"
             print(f"waiting for {names}")
+        case "log":
+            print(f"log is {message['log']}")
         case "accepted" | "in_force":
             change = message["change"]
             print(
--- a/carobladder/admin/streams.py
+++ b/carobladder/admin/streams.py
@@ -51,6 +51,7 @@
     """
     waiter = history.subscribe()
     waiting: tuple[str, ...] = ()
+    log_up = True
     try:
         yield form.write({"type": "started", "cursor": str(watch.cursor)})
         while True:
@@ -60,6 +61,8 @@
                 yield form.write(_to_message(event))
             if waiting != (waiting := watch.waiting_for()):
                 yield form.write({"type": "waiting", "waiting_for": waiting})
+            if log_up != (log_up := history.log_up):
+                yield form.write({"type": "log", "log": "up" if log_up else "down"})
             if not waiter.is_set():
                 start = clock.monotonic()
                 await wait_or_sleep(waiter, clock, _ALIVE_SECONDS)
--- a/carobladder/instance/movedriver.py
+++ b/carobladder/instance/movedriver.py
@@ -172,7 +172,7 @@
             return {}
         now = self._clock.monotonic()
         status = work.driver.status(self._is_owner(kind, name), now)
-        if not self._is_log_up(now):
+        if not self.is_log_up(now):
             status = DriverStatus.HELD_BY_LOG
         elif status is DriverStatus.NOT_OWNER and self._is_lease_fresh(work, now):
             # Another instance drives; this one reports what the log shows of it.
@@ -202,7 +202,7 @@
             if view.offset != work.driver.view.offset:
                 work.lease_seen_at = now
             work.driver.observe(view, now)
-        work.driver.note_log(self._is_log_up(now))
+        work.driver.note_log(self.is_log_up(now))
 
     async def _run_turn(self, move: DeclaredMove, work: _Work) -> None:
         try:
@@ -470,7 +470,7 @@
 
     def _declare_windows(self) -> None:
         """Declare due moves of the data centres that this instance owns."""
-        if not self._is_log_up(self._clock.monotonic()):
+        if not self.is_log_up(self._clock.monotonic()):
             return
         for planned in plan_window_moves(self._catalog, self._clock.now()):
             if not self._is_owner("data-centre", planned.spec.data_centre):
@@ -503,7 +503,8 @@
         owner = find_owner(f"{kind}/{name}", self._fleet.list_live())
         return owner == self._fleet.instance
 
-    def _is_log_up(self, now: float) -> bool:
+    def is_log_up(self, now: float) -> bool:
+        """Tell whether the log has answered lately; moves hold while it has not."""
         read_at = self._fleet.log_read_at()
         return read_at is not None and now - read_at < self._times.log_silence_seconds
 
--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -192,6 +192,9 @@
         }
         offsets[self._settings.instance_id] = applied
         configuration.history.update_instances(offsets)
+        if configuration.catalog.loaded:
+            now = self._clock.monotonic()
+            configuration.history.note_log(self._moves.driver.is_log_up(now))
 
     def _note_config(self, applied: int) -> None:
         """Tell the exchange of reads of the log since the last call."""
--- a/carobladder/resources/watches.py
+++ b/carobladder/resources/watches.py
@@ -150,6 +150,18 @@
         self._applied = ABSENT
         self._frontier = Frontier()
         self._waiters: set[asyncio.Event] = set()
+        self._log_up = True
+
+    @property
+    def log_up(self) -> bool:
+        """Tell whether the log answers; changes and moves hold while it does not."""
+        return self._log_up
+
+    def note_log(self, up: bool) -> None:
+        """Take whether the log answers this instance."""
+        if up != self._log_up:
+            self._log_up = up
+            self._wake()
 
     @property
     def applied(self) -> int:
--- a/tests/instance/test_move_drivers.py
+++ b/tests/instance/test_move_drivers.py
@@ -32,7 +32,8 @@
 class DeafDriver(MoveDriver):
     """Broken variant: takes the log to be up at all times."""
 
-    def _is_log_up(self, now: float) -> bool:
+    def is_log_up(self, now: float) -> bool:
+        """Return true."""
         return True
 
 
