--- a/tests/instance/test_move_drivers.py
+++ b/tests/instance/test_move_drivers.py
@@ -218,3 +218,50 @@
         await fleet.run(30.0)
         self.assertEqual(fleet.engines.all[0].orders, [])
         self.assertTrue(fleet.members[0].catalog.get("target", "t0").spec.leaving)
+
+
+class DataCentreTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a data centre that is emptied or refilled without its steps."""
+
+    async def run_move(self, fleet: MoveFleet, direction: str) -> list[str]:
+        """Return the states that the move passes through."""
+        spec = {
+            "data_centre": "dc-0",
+            "direction": direction,
+            "finish_by": fleet.clock.now().timestamp() + 3600,
+            "refill_steps": [0.2, 1.0],
+            "step_seconds": 3.0,
+        }
+        fleet.put("data-centre-move", direction, spec)
+        catalog = fleet.members[0].catalog
+        states: list[str] = []
+        for _ in range(60):
+            await fleet.run(0.5)
+            progress = catalog.get_progress("data-centre-move", direction)
+            shown = f"{progress.state} {progress.step}"
+            if [shown] != states[-1:]:
+                states.append(shown)
+        return states
+
+    async def test_it_leaves_closes_and_returns_by_steps(self):
+        fleet = MoveFleet()
+        fleet.put("data-centre", "dc-0", {"region": "r"})
+        left = await self.run_move(fleet, "leave")
+        self.assertEqual(left[-2:], ["leaving 0", "empty 0"])
+        catalog = fleet.members[0].catalog
+        self.assertEqual(catalog.get("data-centre", "dc-0").spec.state, "closed")
+        returned = await self.run_move(fleet, "return")
+        steps = ["returning 0", "returning 1", "refilled 1"]
+        self.assertEqual(returned[-3:], steps)
+        self.assertEqual(catalog.get("data-centre", "dc-0").spec.state, "open")
+        self.assertEqual(fleet.members[0].watch.list_returning(), {})
+
+    async def test_requests_in_flight_delay_the_empty_state(self):
+        fleet = MoveFleet()
+        fleet.put("data-centre", "dc-0", {"region": "r"})
+        fleet.engines.all[0].running = 1
+        self.assertEqual((await self.run_move(fleet, "leave"))[-1], "leaving 0")
+        fleet.engines.all[0].running = 0
+        await fleet.run(5.0)
+        progress = fleet.members[0].catalog.get_progress("data-centre-move", "leave")
+        self.assertEqual(progress.state, "empty")
