--- a/carobladder/instance/placement.py
+++ b/carobladder/instance/placement.py
@@ -17,6 +17,7 @@
     derive_chat_key,
     derive_prefix_key,
 )
+from carobladder.placement import Placement as Placed
 from carobladder.targets import TargetState
 
 __all__ = ["FleetPlacement"]
@@ -56,15 +57,21 @@
         request = self._describe(chat)
         returning = self._list_returning()
         ranked: list[str] = []
-        sticky_seconds: float | None = None
+        first: Placed | None = None
         for group in _group_by_version(request.chat_key, targets, shares):
-            usual, overflow = _split_by_rule(request, group, returning)
-            for part in (usual, overflow):
+            for part in _split_by_rule(request, group, returning):
                 placed = self._policy.place(request, part)
                 ranked += placed.ranked
-                if sticky_seconds is None and placed.ranked:
-                    sticky_seconds = placed.sticky_seconds
-        return Ranking(ranked, sticky_seconds or 0.0)
+                if first is None and placed.ranked:
+                    first = placed
+        if first is None:
+            return Ranking([])
+        return Ranking(
+            ranked,
+            first.sticky_seconds,
+            min(first.near_count, len(first.ranked)),
+            first.near_seconds,
+        )
 
     def issue_token(
         self, chat: ChatRequest, target: TargetState, context_tokens: int
--- a/carobladder/peers/ownerside.py
+++ b/carobladder/peers/ownerside.py
@@ -47,6 +47,8 @@
         self.declarations: dict[str, TargetDeclaration] = {}
         # False while a configuration change may have been missed; allots nothing.
         self.informed = True
+        # Counts the changes of the declarations.
+        self.revision = 0
         self._lease_seconds = lease_seconds
         self._hold_until = hold_until
         self._load_multiple = load_multiple
@@ -56,6 +58,7 @@
 
     def set_declarations(self, declarations: Iterable[TargetDeclaration]) -> None:
         """Take the declared targets."""
+        self.revision += 1
         self.declarations = {item.state.target_id: item for item in declarations}
         self._pools = {}
         for target_id, item in self.declarations.items():
@@ -159,12 +162,27 @@
                 ready=terms.usable,
                 cold=owned.warmup.cold,
                 boot_id=owned.warmup.boot_id,
-                load=owned.ledger.count_load(),
+                load=_count_load(owned, book.find_last(target_id), now),
                 limit=owned.warmup.limit,
+                contended=owned.ledger.is_contended(now),
             )
             items.append(item)
         return items
 
+    def list_unmet(
+        self, target_ids: Sequence[str], book: AllowanceBook, now: float
+    ) -> dict[str, list[str]]:
+        """Return the targets of which each waiting holder can now get more."""
+        unmet: dict[str, list[str]] = {}
+        for target_id in target_ids:
+            owned = self._owned.get(target_id)
+            if owned is None:
+                continue
+            terms = self._state_terms(target_id, owned, book, now)
+            for holder in owned.ledger.list_unmet(terms, now):
+                unmet.setdefault(holder, []).append(target_id)
+        return unmet
+
     def forget_holder(self, holder: str) -> None:
         """Drop a holder that has restarted."""
         for owned in self._owned.values():
@@ -246,12 +264,24 @@
         """Return the last known load of a ready target, or None."""
         owned = self._owned.get(target_id)
         if owned is not None and owned.ledger.is_serving(now):
-            return owned.ledger.count_load()
+            return _count_load(owned, allowance, now)
         if allowance is None or now > allowance.expires + LOAD_MEMORY_SECONDS:
             return None
         return allowance.load if allowance.ready else None
 
 
+def _count_load(owned: _Owned, last: Allowance | None, now: float) -> int:
+    """Return the load of an owned target.
+
+    Until the holders had time to report, the load that the owner before stated
+    counts; a load of 0 would lower the mean and with it the cap of the whole pool.
+    """
+    load = owned.ledger.count_load()
+    if last is None or owned.ledger.is_settled(now):
+        return load
+    return max(load, last.load)
+
+
 def _count_foreign(owned: _Owned) -> int:
     """Return the slots that requests of unknown instances may occupy."""
     if len(owned.surplus) < SURPLUS_PROBES:
