--- a/tests/faults/config_row.py
+++ b/tests/faults/config_row.py
@@ -191,6 +191,12 @@
     {
         "skipped record": _variant(catalog=SkippingCatalog),
         "reverted resource": _variant(catalog=KeepingCatalog),
+        "change applied again": _variant(catalog=RepeatingCatalog),
+        "precondition ignored": _variant(catalog=UnconditionalCatalog),
+        "older snapshot loaded": _variant(catalog=RevertingCatalog),
+        "gap taken as whole": _variant(reader=GapReader),
+        "ids forgotten": _variant(reader=ForgetfulReader),
+        "event before all have it": _variant(history=HastyHistory),
     },
     {
         "log-down": ["event before all have it"],
@@ -204,13 +210,3 @@
     variant_seeds=range(1, 13),
     seeds=range(1, 7),
 )
-ROW.variants.update(  # type: ignore[attr-defined]
-    {
-        "change applied again": _variant(catalog=RepeatingCatalog),
-        "precondition ignored": _variant(catalog=UnconditionalCatalog),
-        "older snapshot loaded": _variant(catalog=RevertingCatalog),
-        "gap taken as whole": _variant(reader=GapReader),
-        "ids forgotten": _variant(reader=ForgetfulReader),
-        "event before all have it": _variant(history=HastyHistory),
-    }
-)
--- a/tests/faults/stream_row.py
+++ b/tests/faults/stream_row.py
@@ -254,9 +254,9 @@
     {
         "bytes passed on unchecked": bytes_passed_on,
         "first event dropped": first_event_dropped,
+        "other answers taken": other_answers_taken,
     },
     {"answer-crossed": ["other answers taken"]},
     seeds=(1, 2),
     variant_seeds=(1,),
 )
-ROW.variants.update({"other answers taken": other_answers_taken})
