Split the state of links and the configuration rule from the coordinator

Change: links.py holds the state of an exchange with a peer, currency.py the rule by which an instance knows that no change has passed it by; the capacity benchmark follows the answers that now ride on heartbeats.

--- a/benchmarks/slopes_peers.py
+++ b/benchmarks/slopes_peers.py
@@ -22,7 +22,7 @@
     decode_message,
     encode_message,
 )
-from carobladder.peers.coordination import SENT_MEMORY
+from carobladder.peers.links import SENT_MEMORY
 from carobladder.targets import TargetState
 
 __all__ = ["PeerCost", "ViewCost", "measure_peers", "measure_view_change"]
@@ -105,6 +105,7 @@
         self._now = 0.0
         self._incarnation = 1
         self._sequence = 0
+        self._sequences: dict[str, int] = {}
         peers = [f"entry-{index:04}" for index in range(instances)]
         self._listed = [
             ListedInstance(p, f"10.1.0.1:{i}", "dc-00") for i, p in enumerate(peers)
@@ -140,18 +141,17 @@
             probe = TargetProbe("boot-1", ready=True, cold=False)
             coordinator.note_probe(item.state.target_id, probe, self._now)
         sent = coordinator.tick(self._now)
-        sequences = {}
         for outgoing in sent:
             self._send(outgoing)
             assert isinstance(outgoing.message, Heartbeat)
-            sequences[outgoing.peer] = outgoing.message.sequence
+            self._sequences[outgoing.peer] = outgoing.message.sequence
         self._sequence += 1
         for peer in self._peers:
-            for frame in self._frames_of(peer, sequences[peer]):
-                self.received_bytes += len(frame)
-                self.messages += 1
-                for outgoing in coordinator.receive(decode_message(frame), self._now):
-                    self._send(outgoing)
+            frame = self._frame_of(peer, self._sequences.get(peer, 0))
+            self.received_bytes += len(frame)
+            self.messages += 1
+            for outgoing in coordinator.receive(decode_message(frame), self._now):
+                self._send(outgoing)
 
     def fill_memory(self) -> None:
         """Bring the memory of sent heartbeats to its size after some minutes."""
@@ -163,7 +163,7 @@
         self.sent_bytes += len(encode_message(outgoing.message))
         self.messages += 1
 
-    def _frames_of(self, peer: str, answered: int) -> list[bytes]:
+    def _frame_of(self, peer: str, answered: int) -> bytes:
         """Return what a peer sends; its cost is not that of the instance."""
         started = time.process_time()
         count = len(self._listed)
@@ -171,6 +171,11 @@
             Report(target_id, 8, 0, self._sequence, True, 2, 1000, 0, 50_000, 4)
             for target_id in self._by_owner[_OWN]
         ]
+        items = [
+            AllowanceItem(target_id, 8, self._sequence, True, False, "boot-1", 60, 100)
+            for target_id in self._by_owner[peer]
+        ]
+        answer = Allowances(peer, 1, answered, items, self._incarnation)
         heartbeat = Heartbeat(
             sender=peer,
             incarnation=1,
@@ -184,17 +189,11 @@
             echo_incarnation=self._incarnation,
             confirmed=True,
             shares=count,
+            answer=answer if items else None,
         )
-        items = [
-            AllowanceItem(target_id, 8, self._sequence, True, False, "boot-1", 60, 100)
-            for target_id in self._by_owner[peer]
-        ]
-        frames = [encode_message(heartbeat)]
-        if items:
-            answer = Allowances(peer, 1, answered, items, self._incarnation)
-            frames.append(encode_message(answer))
+        frame = encode_message(heartbeat)
         self.foreign_seconds += time.process_time() - started
-        return frames
+        return frame
 
 
 def measure_view_change(instances: int) -> ViewCost:
--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -1,9 +1,8 @@
 """Protocol between instances as pure code: messages in, messages out."""
 
 import itertools
-from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from fractions import Fraction
 
 from carobladder.limits.admission import Demand
@@ -13,6 +12,8 @@
 from carobladder.membership.delegations import Delegator
 from carobladder.membership.ownership import OwnerMap, hash_view
 from carobladder.membership.views import ListedInstance, MemberView
+from carobladder.peers.currency import ConfigCurrency
+from carobladder.peers.links import Link, Outgoing, Timing, Unanswered, ViewFacts
 from carobladder.peers.messages import (
     AllowanceItem,
     Allowances,
@@ -24,91 +25,13 @@
 from carobladder.peers.ownerside import OwnedTargets
 from carobladder.targets import TargetState
 
-__all__ = ["Coordinator", "Outgoing", "Timing"]
+__all__ = ["Coordinator"]
 
-SENT_MEMORY = 1024
 HOUSEKEEPING_SECONDS = 1.0
 # Heartbeats to a peer are this much rarer while neither side uses the other's targets.
 IDLE_FACTOR = 2
 # A load report older than this many intervals no longer shows a target as ready.
 PROBE_INTERVALS = 2.5
-# Without a configuration read for this long, an instance may have missed a change.
-CONFIG_FRESH_SECONDS = 2.0
-# Time in which an instance applies a change that a peer has already applied.
-CONFIG_BEHIND_SECONDS = 1.0
-
-
-@dataclass(frozen=True, slots=True)
-class Timing:
-    """Bundle the times and ratios of the protocol."""
-
-    heartbeat_seconds: float = 0.25
-    lease_seconds: float = 1.5
-    list_window_seconds: float = 10.0
-    ask_seconds: float = 0.01
-    probe_seconds: float = 0.5
-    load_multiple: float = 1.25
-
-
-@dataclass(frozen=True, slots=True)
-class Outgoing:
-    """Address a message to a peer."""
-
-    peer: str
-    message: PeerMessage
-
-
-@dataclass(frozen=True, slots=True)
-class _ViewFacts:
-    """Hold what all heartbeats of one tick say alike."""
-
-    listed: int
-    shares: int
-    view_hash: int
-    delegating: bool
-    confirmed: bool
-
-
-@dataclass(frozen=True, slots=True)
-class _Unanswered:
-    """Hold what the answer to a peer's last heartbeat refers to."""
-
-    sequence: int
-    incarnation: int
-    target_ids: list[str]
-
-
-@dataclass(slots=True)
-class _Link:
-    """Hold the state of the exchange with one peer."""
-
-    sequence: int = 0
-    sent: deque[tuple[int, float]] = field(default_factory=deque)
-    due: float = 0.0
-    last_sent: float = float("-inf")
-    asked: bool = False
-    incarnation: int = 0
-    heard_sequence: int = 0
-    evidence: list[EvidenceItem] = field(default_factory=list)
-    unanswered: _Unanswered | None = None
-    peer_busy: bool = False
-
-    def record(self, now: float) -> int:
-        """Return the next sequence number and remember its time of sending."""
-        self.sequence += 1
-        self.sent.append((self.sequence, now))
-        if len(self.sent) > SENT_MEMORY:
-            self.sent.popleft()
-        return self.sequence
-
-    def find_sent(self, sequence: int) -> float | None:
-        """Return when a sequence number was sent, or None if it is not known."""
-        if not self.sent:
-            return None
-        index = sequence - self.sent[0][0]
-        if 0 <= index < len(self.sent):
-            return self.sent[index][1]
-        return None
 
 
 class Coordinator:
@@ -130,10 +53,7 @@
             own_id, timing.lease_seconds, timing.list_window_seconds, now
         )
         self.demand = demand
-        self.config_offset = 0
-        self._config_read: float | None = None
-        self._newest_offset = 0
-        self._behind_since: float | None = None
+        self._currency = ConfigCurrency()
         self.owned = OwnedTargets(
             timing.lease_seconds,
             now + timing.lease_seconds + 2 * timing.heartbeat_seconds,
@@ -144,7 +64,7 @@
         self._owners = OwnerMap()
         self._index: dict[str, list[str]] = {}
         self._index_key: tuple[tuple[str, ...], int] = ((), -1)
-        self._links: dict[str, _Link] = {}
+        self._links: dict[str, Link] = {}
         self._own_sequences = itertools.count(1)
         self._housekeeping_due = now
         self._own_due = now
@@ -154,12 +74,14 @@
         """Take the declared targets; an owner allots nothing to a leaving one."""
         self.owned.set_declarations(declarations)
 
+    @property
+    def config_offset(self) -> int:
+        """Return the configuration offset that heartbeats carry."""
+        return self._currency.offset
+
     def note_config(self, offset: int, now: float) -> None:
         """Note that the configuration was read up to the offset."""
-        self.config_offset = offset
-        self._config_read = now
-        if offset >= self._newest_offset:
-            self._behind_since = None
+        self._currency.note_read(offset, now)
 
     def is_informed(self, now: float) -> bool:
         """Tell whether a configuration change would have reached this instance.
@@ -167,18 +89,7 @@
         Without the log it goes on while it hears half of the listed instances and
         none of them has applied a newer change, so that a log outage stops nothing.
         """
-        behind = self._behind_since
-        if behind is not None and now - behind > CONFIG_BEHIND_SECONDS:
-            return False
-        if self._config_read is None:
-            return True
-        fresh = now - self._config_read <= CONFIG_FRESH_SECONDS
-        return fresh or self.view.hears_half(now)
-
-    def _note_peer_offset(self, offset: int, now: float) -> None:
-        self._newest_offset = max(self._newest_offset, offset)
-        if offset > self.config_offset and self._behind_since is None:
-            self._behind_since = now
+        return self._currency.is_current(now, self.view.hears_half(now))
 
     def apply_list(self, instances: Sequence[ListedInstance], now: float) -> None:
         """Take an answer of the platform's list."""
@@ -252,7 +163,7 @@
             self._serve_itself(now)
         due = []
         for peer in self.view.list_peers():
-            link = self._links.setdefault(peer.instance_id, _Link(due=now))
+            link = self._links.setdefault(peer.instance_id, Link(due=now))
             if now >= link.due:
                 due.append((peer.instance_id, link))
         if not due:
@@ -262,8 +173,8 @@
             Outgoing(peer, self._beat(peer, link, facts, now)) for peer, link in due
         ]
 
-    def _gather_facts(self, now: float) -> _ViewFacts:
-        return _ViewFacts(
+    def _gather_facts(self, now: float) -> ViewFacts:
+        return ViewFacts(
             listed=self.view.count_listed(now),
             shares=self.view.count_shares(now),
             view_hash=hash_view(self.view.list_live(now)),
@@ -279,7 +190,7 @@
             self._receive_allowances(message, now)
         return []
 
-    def _beat(self, peer: str, link: _Link, facts: _ViewFacts, now: float) -> Heartbeat:
+    def _beat(self, peer: str, link: Link, facts: ViewFacts, now: float) -> Heartbeat:
         reports = [
             self._report(target_id, peer, facts.delegating, now)
             for target_id in self._list_targets_of(peer)
@@ -308,7 +219,7 @@
             answer=answer,
         )
 
-    def _answer(self, peer: str, link: _Link, now: float) -> Allowances | None:
+    def _answer(self, peer: str, link: Link, now: float) -> Allowances | None:
         """Return the answer to the peer's last heartbeat if it has none yet."""
         request, link.unanswered = link.unanswered, None
         if request is None:
@@ -362,7 +273,7 @@
         )
 
     def _receive_heartbeat(self, message: Heartbeat, now: float) -> list[Outgoing]:
-        link = self._links.setdefault(message.sender, _Link(due=now))
+        link = self._links.setdefault(message.sender, Link(due=now))
         if message.incarnation < link.incarnation:
             return []
         if message.incarnation > link.incarnation:
@@ -373,7 +284,7 @@
         if message.sequence <= link.heard_sequence:
             return []
         link.heard_sequence = message.sequence
-        self._note_peer_offset(message.config_offset, now)
+        self._currency.note_peer(message.config_offset, now)
         self.view.hear(
             message.sender, message.incarnation, message.listed, message.leaving, now
         )
@@ -388,7 +299,7 @@
         link.peer_busy = any(r.in_flight or r.wanted for r in message.reports)
         self._take_reports(message, floor, now)
         known = [report.target_id for report in message.reports]
-        link.unanswered = _Unanswered(message.sequence, message.incarnation, known)
+        link.unanswered = Unanswered(message.sequence, message.incarnation, known)
         outgoing = []
         # Answers that nothing waits for ride on the next heartbeat, which halves
         # the number of messages.
