--- a/benchmarks/move_load.py
+++ b/benchmarks/move_load.py
@@ -11,7 +11,8 @@
 
 __all__ = ["Sample", "SteadyLoad"]
 
-_SERVICE_SECONDS = 5.0
+# First-token target of the design page, section 1.6.
+_SERVICE_SECONDS = 0.72
 _WORDS = ("wool", "oak", "glass", "rail", "grey", "beige", "loop", "hinge", "pile")
 _CATALOGUE_WORDS = 300
 _VERSIONS = frozenset({"v1", "v2", "v3"})
