--- a/carobladder/limits/budgets.py
+++ b/carobladder/limits/budgets.py
@@ -145,9 +145,21 @@
         """Return the holders that reported."""
         return tuple(self._holders)
 
-    def count_load(self) -> int:
-        """Return the weighted requests in flight as reported by all holders."""
-        return sum(state.in_flight for state in self._holders.values())
+    def count_load(self, now: float) -> int:
+        """Return the weighted requests in flight of the holders that report."""
+        return sum(
+            state.in_flight
+            for state in self._holders.values()
+            if not self._is_silent(state, now)
+        )
+
+    def count_silent_load(self, now: float) -> int:
+        """Return what silent holders last reported; a dead one has none of it."""
+        return sum(
+            state.in_flight
+            for state in self._holders.values()
+            if self._is_silent(state, now)
+        )
 
     def count_requests(self, now: float) -> int:
         """Return the requests in flight of the holders that are not silent."""
--- a/carobladder/peers/ownerside.py
+++ b/carobladder/peers/ownerside.py
@@ -276,7 +276,10 @@
     Until the holders had time to report, the load that the owner before stated
     counts; a load of 0 would lower the mean and with it the cap of the whole pool.
     """
-    load = owned.ledger.count_load()
+    # Requests of a silent holder end with it if it is dead and go on if it is cut
+    # off; the target's own report tells.
+    silent = min(owned.ledger.count_silent_load(now), _count_foreign(owned))
+    load = owned.ledger.count_load(now) + silent
     if last is None or owned.ledger.is_settled(now):
         return load
     return max(load, last.load)
