--- a/tests/faults/record_traces.py
+++ b/tests/faults/record_traces.py
@@ -34,7 +34,7 @@
 INSTANCES = 3
 # The repository keeps traces below this size.
 MAX_TRACE_BYTES = 500_000
-SIZE = WorkloadSize(2.0, 5, 8, 8, 6, 8)
+SIZE = WorkloadSize(2.2, 6, 8, 9, 7, 9)
 
 
 class RecordedFleet(cluster.LocalFleet):
