Split capacity and appends from the move driver

Change: movecapacity.py compares slots and load, moverecords.py appends records under ids that make them take effect once; behaviour is unchanged.

--- a/carobladder/instance/movedriver.py
+++ b/carobladder/instance/movedriver.py
@@ -1,12 +1,14 @@
 """Task that drives the moves which this instance owns."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 from carobladder.clock import Clock
-from carobladder.exceptions import CarobladderError, LogUnavailableError
+from carobladder.exceptions import CarobladderError
+from carobladder.instance.movecapacity import CapacitySurvey
+from carobladder.instance.moverecords import RecordAppender
 from carobladder.instance.movetargets import DRIVER_PREFIX, TargetSurvey
 from carobladder.instance.movewatch import DeclaredMove, MoveWatch, list_moves
 from carobladder.instance.windows import WindowMove, plan_window_moves
@@ -17,7 +19,6 @@
     Driver,
     DriverStatus,
     OrderTarget,
-    PoolCapacity,
     Switch,
     SwitchAction,
     TargetView,
@@ -25,26 +26,20 @@
     decide_data_centre_step,
     decide_version_step,
     describe_arms,
-    plan_leave,
     plan_switches,
 )
 from carobladder.platform.engines import EngineClient, OrderOutcome
 from carobladder.platform.log import LogClient
 from carobladder.resources import (
     ABSENT,
-    CONFIG_STREAM,
     Catalog,
     Change,
-    ConfigRecord,
-    DataCentreSpec,
     MoveLease,
     MoveStep,
     Resource,
     TargetSpec,
     describe_lease,
-    encode_record,
 )
-from carobladder.resources.directory import is_out_of_service
 from carobladder.telemetry import log_event
 
 __all__ = ["DriverTimes", "FleetView", "MoveDriver"]
@@ -116,15 +111,20 @@
     ) -> None:
         self._fleet = fleet
         self._catalog = catalog
-        self._log = log
         self._watch = watch
         self._survey = survey
         self._engines = engines
         self._clock = clock
         self._times = times or DriverTimes()
         self._works: dict[Key, _Work] = {}
-        self._appended: dict[str, float] = {}
-        self._attempts: dict[str, int] = {}
+        self._capacity = CapacitySurvey(catalog, survey, clock)
+        self._records = RecordAppender(
+            catalog,
+            log,
+            clock,
+            self._times.resend_seconds,
+            self._times.refused_seconds,
+        )
         self._windows: dict[str, asyncio.Task[None]] = {}
         self._newest: dict[str, str] = {}
         self._claims = 0
@@ -148,7 +148,7 @@
         """
         if not self._catalog.loaded:
             return
-        self._forget_old_appends()
+        self._records.forget_old()
         moves = list_moves(self._catalog)
         self._newest = {
             move.state.spec.model: move.name
@@ -278,7 +278,7 @@
             expected_offset=claim.expected_offset,
             lease_seconds=self._times.lease_seconds,
         )
-        await self._append(record)
+        await self._records.append(record)
 
     async def _drive_version(
         self, move: DeclaredMove, state: VersionMoveState, work: _Work
@@ -309,67 +309,22 @@
         situation = DataCentreSituation(
             in_flight=sum(view.in_flight for view in views),
             ready_share=len(ready) / len(views) if views else 0.0,
-            bearable_share=self._find_bearable_share(data_centre, ready),
+            bearable_share=self._capacity.find_bearable_share(data_centre, ready),
             verdict=self._watch.verdict(move.name),
-            remaining_bear_load=self._bears_leave(data_centre),
+            remaining_bear_load=self._capacity.bears_leave(data_centre),
             intent=move.intent,
         )
         step = decide_data_centre_step(state, situation, self._clock.now())
         if step is not None:
             await self._append_step(move, work, step.phase, step.step, step.reason)
 
-    def _bears_leave(self, data_centre: str) -> bool:
-        now = self._clock.now()
-        closed = {
-            resource.name
-            for resource in self._catalog.list_kind("data-centre")
-            if isinstance(resource.spec, DataCentreSpec)
-            and is_out_of_service(resource.spec, now)
-        }
-        capacities = [
-            PoolCapacity(spec.pool, spec.data_centre, spec.slots, view.load)
-            for view, spec in self._list_serving()
-        ]
-        return plan_leave(capacities, frozenset({*closed, data_centre})).feasible
-
-    def _find_bearable_share(
-        self, data_centre: str, ready: Sequence[TargetView]
-    ) -> float:
-        """Return the part of its usual work that a data centre can bear now.
-
-        The usual work is the present load of each pool, spread over all slots. The
-        pool that can bear the least counts.
-        """
-        slots: dict[str, int] = {}
-        load: dict[str, int] = {}
-        here: dict[str, int] = {}
-        for view, spec in self._list_serving():
-            slots[spec.pool] = slots.get(spec.pool, 0) + spec.slots
-            load[spec.pool] = load.get(spec.pool, 0) + view.load
-            if spec.data_centre == data_centre:
-                here[spec.pool] = here.get(spec.pool, 0) + spec.slots
-        bearable: dict[str, int] = {}
-        for view in ready:
-            bearable[view.pool] = bearable.get(view.pool, 0) + view.bearable
-        shares = [
-            bearable.get(pool, 0) / max(1.0, load[pool] * own / slots[pool])
-            for pool, own in here.items()
-        ]
-        return min(1.0, *shares) if shares else 0.0
-
-    def _list_serving(self) -> Iterable[tuple[TargetView, TargetSpec]]:
-        for target in self._survey.list_all():
-            spec = target.spec
-            if isinstance(spec, TargetSpec) and not spec.leaving:
-                yield self._survey.join(target, None), spec
-
     async def _append_step(
         self, move: DeclaredMove, work: _Work, phase: str, step: int, reason: str
     ) -> None:
         if not self._may_append(move, work):
             return
         revision = move.progress.revision
-        await self._append_once(
+        await self._records.append_once(
             f"{move.name}:{revision}:{phase}:{step}",
             lambda change_id: MoveStep(
                 change_id=change_id,
@@ -395,7 +350,7 @@
             leaves = switch.action is SwitchAction.LEAVE
             version = spec.version if leaves else switch.version
             changed = spec.model_copy(update={"leaving": leaves, "version": version})
-            await self._append_once(
+            await self._records.append_once(
                 f"{move.name}:{target.name}:{target.revision}:{switch.action}",
                 lambda change_id: Change(
                     change_id=change_id,
@@ -442,32 +397,6 @@
         self._observe(move, work)
         return work.driver.may_append(self._clock.monotonic())
 
-    async def _append_once(
-        self, change_id: str, make: Callable[[str], ConfigRecord]
-    ) -> None:
-        """Append a record unless its outcome is known or its append is recent."""
-        attempt = self._attempts.get(change_id, 0)
-        numbered = f"{change_id}:{attempt}" if attempt else change_id
-        outcome = self._catalog.find_outcome(numbered)
-        now = self._clock.monotonic()
-        sent = self._appended.get(numbered)
-        if outcome is not None:
-            # A refusal may depend on other resources, so it is tried again later.
-            if not outcome.accepted and now - (sent or 0) > self._times.refused_seconds:
-                log_event("move_record_refused", change=numbered, error=outcome.reason)
-                self._attempts[change_id] = attempt + 1
-            return
-        if sent is not None and now - sent < self._times.resend_seconds:
-            return
-        self._appended[numbered] = now
-        await self._append(make(numbered))
-
-    async def _append(self, record: ConfigRecord) -> None:
-        try:
-            await self._log.append(CONFIG_STREAM, [encode_record(record)])
-        except LogUnavailableError as error:
-            log_event("move_append_failed", error=error)
-
     def _declare_windows(self) -> None:
         """Declare due moves of the data centres that this instance owns."""
         if not self.is_log_up(self._clock.monotonic()):
@@ -481,7 +410,7 @@
                 self._windows[planned.name] = asyncio.ensure_future(work)
 
     async def _declare_window(self, planned: WindowMove) -> None:
-        await self._append_once(
+        await self._records.append_once(
             f"window:{planned.name}",
             lambda change_id: Change(
                 change_id=change_id,
@@ -508,11 +437,6 @@
         read_at = self._fleet.log_read_at()
         return read_at is not None and now - read_at < self._times.log_silence_seconds
 
-    def _forget_old_appends(self) -> None:
-        oldest = self._clock.monotonic() - 10 * self._times.refused_seconds
-        for change_id in [c for c, at in self._appended.items() if at < oldest]:
-            del self._appended[change_id]
-
 
 def _final_version(state: VersionMoveState) -> str:
     spec = state.spec
