Let a halved cold limit grow back while nothing runs

A trace showed a limit of 1 slot after errors while requests of 2 and 4 slots waited, so no answer could ever raise it. Ruled out: delegations (6 of 6 shares) and silent holders (0 foreign requests).

--- a/carobladder/limits/warmup.py
+++ b/carobladder/limits/warmup.py
@@ -26,6 +26,7 @@
         self.cold = False
         self.warm_first_byte_seconds = DEFAULT_FIRST_BYTE_SECONDS
         self._limit = float(warm_slots)
+        self._start_limit = float(self.cold_slots)
         self._bearable: int | None = None
         self._interval_end = now + GROWTH_INTERVAL_SECONDS
         self._answers = 0
@@ -76,10 +77,21 @@
         self._interval_end = now + GROWTH_INTERVAL_SECONDS
         if self._answers and not self._errors:
             self._judge(self._first_byte_total / self._answers)
+        elif not self._answers and not self._errors:
+            self._recover()
         self._answers = 0
         self._errors = 0
         self._first_byte_total = 0.0
 
+    def _recover(self) -> None:
+        """Grow back to the first limit of a cold start while nothing runs.
+
+        Errors can halve the limit below the weight of every waiting request; then
+        no answer could ever raise it again.
+        """
+        if self.cold and self._limit < self._start_limit:
+            self._limit = min(self._limit * GROWTH_FACTOR, self._start_limit)
+
     def _judge(self, first_byte_seconds: float) -> None:
         if not self.cold:
             difference = first_byte_seconds - self.warm_first_byte_seconds
@@ -96,7 +108,8 @@
     def _turn_cold(self, bearable: int | None, now: float) -> None:
         self.cold = True
         start = self.cold_slots if bearable is None else bearable
-        self._limit = float(min(start, self.warm_slots))
+        self._start_limit = float(min(start, self.warm_slots))
+        self._limit = self._start_limit
         self._answers = 0
         self._errors = 0
         self._first_byte_total = 0.0
--- a/tests/limits/test_warmup.py
+++ b/tests/limits/test_warmup.py
@@ -53,6 +53,18 @@
         warmup.tick(21.0)
         self.assertEqual((warmup.limit, warmup.cold), (32, False))
 
+    def test_limit_below_every_waiting_request_grows_again(self):
+        # Seed 9 of the fault schedules: errors left a limit of 1 slot, requests of 2
+        # and 4 slots waited, and no answer could raise the limit.
+        warmup = self.make(8)
+        for second in range(1, 5):
+            warmup.note_answers(0, 1, 0.0)
+            warmup.tick(float(second))
+        self.assertEqual(warmup.limit, 1)
+        for second in range(5, 20):
+            warmup.tick(float(second))
+        self.assertEqual(warmup.limit, 8)
+
     def test_new_owner_continues_from_the_limit_of_the_old_one(self):
         warmup = Warmup(32, cold_slots=4)
         warmup.adopt("b1", True, 10)
--- a/tests/peers/test_coordination.py
+++ b/tests/peers/test_coordination.py
@@ -217,7 +217,8 @@
     """Guard against slots that nobody gets back."""
 
     def test_slots_are_handed_out_again_after_faults(self):
-        for seed in range(8):
+        # Seed 9 found a warm-up limit below the weight of every waiting request.
+        for seed in range(10):
             fleet = run_schedule(seed, faults=25)
             fleet.run_until(FAULTS_END + RECOVERY_SECONDS)
             fleet.starts.clear()
