--- a/carobladder/moves/datacentres.py
+++ b/carobladder/moves/datacentres.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from enum import StrEnum
 
@@ -15,6 +15,7 @@
     MoveError,
     MoveRecord,
     RecordFault,
+    advance_phase,
     apply_move_record,
 )
 from carobladder.placement import key_fraction
@@ -223,18 +224,7 @@
         return None
     if not _is_allowed(state, phase, record.step):
         return None
-    holds = phase is DataCentrePhase.HELD
-    resumes = state.phase is DataCentrePhase.HELD
-    return replace(
-        state,
-        phase=phase,
-        step=record.step,
-        since=state.since if holds or resumes else record.at,
-        revision=offset,
-        change_id=record.change_id,
-        reason=record.reason,
-        held_phase=state.phase if holds else None,
-    )
+    return advance_phase(state, phase, record, offset)
 
 
 def _is_allowed(state: DataCentreMoveState, phase: DataCentrePhase, step: int) -> bool:
--- a/carobladder/moves/records.py
+++ b/carobladder/moves/records.py
@@ -1,10 +1,10 @@
 """Records by which a move changes its state, and the rule for applying them."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime
 from enum import StrEnum
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -14,14 +14,18 @@
     "Intent",
     "MoveError",
     "MoveRecord",
+    "Phased",
     "RecordFault",
     "Revisioned",
+    "advance_phase",
     "apply_move_record",
 ]
 
 
 # Reason of a hold that ends as soon as the operator asks to run again.
 PAUSED_REASON = "paused by an operator"
+# Value of the phase that both kinds of moves hold in.
+HELD_PHASE = "held"
 
 
 class Intent(StrEnum):
@@ -79,7 +83,24 @@
         """Return the id of the last change applied."""
 
 
+class Phased(Protocol):
+    """Describe what advancing a phase needs to know of a state."""
+
+    @property
+    def phase(self) -> StrEnum:
+        """Return the phase of the move."""
+
+    @property
+    def held_phase(self) -> StrEnum | None:
+        """Return the phase to go on from after a hold, if it is held."""
+
+    @property
+    def since(self) -> datetime | None:
+        """Return when the phase or step began."""
+
+
 State = TypeVar("State", bound=Revisioned)
+PhasedState = TypeVar("PhasedState", bound=Phased)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,3 +137,26 @@
     if changed is None:
         return Failure(RecordFault.FORBIDDEN_TRANSITION)
     return Success(changed)
+
+
+def advance_phase(
+    state: PhasedState, phase: StrEnum, record: MoveRecord, offset: int
+) -> PhasedState:
+    """Return the state in an allowed phase, keeping what a hold must not lose.
+
+    A hold remembers the phase to go on from, and the time of the step goes on
+    during it, because the share of the step stays in force.
+    """
+    holds = phase == HELD_PHASE
+    resumes = state.phase == HELD_PHASE and phase == state.held_phase
+    changed: Any = state
+    return replace(
+        changed,
+        phase=phase,
+        step=record.step,
+        since=state.since if holds or resumes else record.at,
+        revision=offset,
+        change_id=record.change_id,
+        reason=record.reason,
+        held_phase=state.phase if holds else None,
+    )
--- a/carobladder/moves/versions.py
+++ b/carobladder/moves/versions.py
@@ -1,7 +1,7 @@
 """Version moves: a new version takes over the traffic of a model step by step."""
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from enum import StrEnum
 
@@ -14,6 +14,7 @@
     MoveError,
     MoveRecord,
     RecordFault,
+    advance_phase,
     apply_move_record,
 )
 
@@ -195,19 +196,7 @@
         return None
     if not _is_allowed(state, phase, record.step):
         return None
-    holds = phase is VersionPhase.HELD
-    resumes = state.phase is VersionPhase.HELD and phase is state.held_phase
-    return replace(
-        state,
-        phase=phase,
-        step=record.step,
-        # The share stays in force during a hold, so the time of the step goes on.
-        since=state.since if holds or resumes else record.at,
-        revision=offset,
-        change_id=record.change_id,
-        reason=record.reason,
-        held_phase=state.phase if holds else None,
-    )
+    return advance_phase(state, phase, record, offset)
 
 
 def _is_allowed(state: VersionMoveState, phase: VersionPhase, step: int) -> bool:
