--- a/carobladder/peers/transport.py
+++ b/carobladder/peers/transport.py
@@ -64,7 +64,8 @@
         authenticator = AsyncioAuthenticator(self._context)
         authenticator.start()
         authenticator.configure_curve_callback(
-            domain=_ZAP_DOMAIN, credentials_provider=_FleetKey(self._keys.public)
+            domain=_ZAP_DOMAIN,
+            credentials_provider=_FleetKey(self._keys.public, self.dropped),
         )
         self._authenticator = authenticator
         router = self._context.socket(zmq.ROUTER)
@@ -143,8 +144,12 @@
 class _FleetKey:
     """Accept exactly the fleet's public key."""
 
-    def __init__(self, public: str) -> None:
+    def __init__(self, public: str, dropped: Counter[str]) -> None:
         self._public = public.encode()
+        self._dropped = dropped
 
     def callback(self, domain: str, key: bytes) -> bool:
-        return key == self._public
+        if key == self._public:
+            return True
+        self._dropped["bad_key"] += 1
+        return False
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import zmq
 
@@ -35,6 +36,30 @@
         self.assertEqual(message, SnapshotRequest("a", 3))
 
     async def test_other_key_is_not_heard(self):
+        keys = make_keys()
+        receiver = self.start(keys)
+        stranger = self.start(make_keys())
+        # The stranger knows the server's key, which is public, but not the secret one.
+        with mock.patch.object(stranger, "_connect", self.connect_to(stranger, keys)):
+            stranger.set_peers({"b": receiver.address})
+        await stranger.send("b", SnapshotRequest("a", 3))
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(receiver.receive(), SILENCE_SECONDS)
+        self.assertGreater(receiver.dropped["bad_key"], 0)
+
+    def connect_to(self, stranger: PeerTransport, keys: PeerKeys):
+        def connect(address: str):
+            socket = stranger._context.socket(zmq.DEALER)
+            socket.curve_serverkey = keys.public.encode()
+            socket.curve_publickey = stranger._keys.public.encode()
+            socket.curve_secretkey = stranger._keys.secret.encode()
+            socket.linger = 0
+            socket.connect(f"tcp://{address}")
+            return socket
+
+        return connect
+
+    async def test_public_key_without_its_secret_is_not_heard(self):
         keys = make_keys()
         receiver = self.start(keys)
         stranger = self.start(PeerKeys(keys.public, make_keys().secret))
