Remove state of the coordinator that nothing reads

Cause: the coordinator kept a counter of its own sequences and each link a flag 'asked' since an earlier form of the protocol; neither was read. Change: both are removed. What stands twice and is left: next_version_record and next_data_centre_record, and the step classes beside them. Measured: 49 tests of peers, replay and benchmarks pass; lint and types are clean. Conclusion: behaviour is unchanged.

--- a/carobladder/peers/coordination.py
+++ b/carobladder/peers/coordination.py
@@ -1,6 +1,5 @@
 """Protocol between instances as pure code: messages in, messages out."""
 
-import itertools
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from fractions import Fraction
@@ -65,7 +64,6 @@
         self._index: dict[str, list[str]] = {}
         self._index_key: tuple[tuple[str, ...], int] = ((), -1)
         self._links: dict[str, Link] = {}
-        self._own_sequences = itertools.count(1)
         self._housekeeping_due = now
         self._own_due = now
         self._own_asked = False
--- a/carobladder/peers/links.py
+++ b/carobladder/peers/links.py
@@ -58,7 +58,6 @@
     sent: deque[tuple[int, float]] = field(default_factory=deque)
     due: float = 0.0
     last_sent: float = float("-inf")
-    asked: bool = False
     incarnation: int = 0
     heard_sequence: int = 0
     evidence: list[EvidenceItem] = field(default_factory=list)
