--- a/benchmarks/slopes_state.py
+++ b/benchmarks/slopes_state.py
@@ -13,6 +13,8 @@
 from benchmarks.capacity_size import SIZE
 from carobladder.bookings.claims import Claim, Completion, decode_record, encode_record
 from carobladder.bookings.ledger import ClaimLedger
+from carobladder.clients.instances import InstanceListClient
+from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import SystemClock
 from carobladder.gateway.ports import ChatRequest, ChatTurn
 from carobladder.instance.declarations import declare_targets
@@ -26,8 +28,6 @@
 )
 from carobladder.peers import EvidenceItem
 from carobladder.placement import PlacementPolicy, TokenSigner
-from carobladder.platform.instances import InstanceListClient
-from carobladder.platform.ports import HttpAnswer
 from carobladder.resources import Catalog, ConfiguredDirectory
 from carobladder.resources.records import Change
 from carobladder.resources.records import decode_record as decode_config
--- a/carobladder/admin/api.py
+++ b/carobladder/admin/api.py
@@ -11,6 +11,7 @@
 from carobladder.admin.roles import Actor, Roles, is_visible_to_team
 from carobladder.admin.streams import StreamFormat, stream_watch
 from carobladder.admin.submission import ChangeSubmitter
+from carobladder.clients.log import LogClient
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     CallerError,
@@ -22,7 +23,6 @@
     UnknownPathError,
     UnknownResourceError,
 )
-from carobladder.platform.log import LogClient
 from carobladder.resources import (
     ABSENT,
     KINDS,
--- a/carobladder/admin/client.py
+++ b/carobladder/admin/client.py
@@ -11,6 +11,7 @@
 from carobladder.admin.api import PATH_PREFIX
 from carobladder.admin.change_ids import new_change_id
 from carobladder.admin.transport import SocketFetcher
+from carobladder.clients.ports import HttpAnswer, HttpFetcher
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     ClientError,
@@ -19,7 +20,6 @@
     MissingResourceError,
     UnknownResourceError,
 )
-from carobladder.platform.ports import HttpAnswer, HttpFetcher
 from carobladder.resources import parse_spec
 from carobladder.telemetry import log_event
 
--- a/carobladder/admin/submission.py
+++ b/carobladder/admin/submission.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from carobladder.clients.log import LogClient
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     ChangeUnknownError,
@@ -9,7 +10,6 @@
     LogUnavailableError,
     NotReadyError,
 )
-from carobladder.platform.log import LogClient
 from carobladder.resources import (
     CONFIG_STREAM,
     MAX_PART_BYTES,
--- a/carobladder/admin/transport.py
+++ b/carobladder/admin/transport.py
@@ -7,8 +7,8 @@
 
 import h11
 
+from carobladder.clients.ports import HttpAnswer
 from carobladder.exceptions import ConnectionBrokenError
-from carobladder.platform.ports import HttpAnswer
 
 __all__ = ["SocketFetcher", "StreamedAnswer"]
 
--- /dev/null
+++ b/carobladder/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the outside systems."""
--- a/carobladder/platform/connection.py
+++ b/carobladder/clients/connection.py
@@ -12,6 +12,7 @@
 Sink = Callable[[bytes], bool]
 
 _MAX_ANSWER_HEADER_BYTES = 65_536
+_DEFAULT_IDLE_SECONDS = 4.0
 # Reading from the socket stops while this much is not yet consumed.
 _HIGH_WATER_BYTES = 262_144
 
@@ -23,6 +24,7 @@
         self.address = address
         self.reused = False
         self.idle_since = 0.0
+        self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.request_written = False
         self.answer_started = False
         self._loop = asyncio.get_running_loop()
@@ -37,6 +39,7 @@
         self.timed_out = False
         self._paused = False
         self._unread_bytes = 0
+        self._request: h11.Request | None = None
         self._sink: Sink | None = None
         self._pushed: asyncio.Future[bool] | None = None
         self._gap_seconds = 0.0
@@ -51,6 +54,10 @@
             self._lost or self._eof or transport is None or transport.is_closing()
         )
 
+    def is_stale(self, now: float) -> bool:
+        """Tell whether the server may have closed the connection for idleness."""
+        return now - self.idle_since > self.idle_seconds
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
@@ -105,6 +112,7 @@
         if not self.usable:
             raise self._broken("connection closed before the request")
         self._idle = False
+        self._request = request
         self.answer_started = False
         parts = [self._http.send(request) or b""]
         if body:
@@ -143,6 +151,32 @@
             else:
                 raise self._broken("connection closed inside the answer")
 
+    async def skip_answer(self, limit_at: float) -> None:
+        """Read the present answer to its end and expect one more for the request.
+
+        A server may send the late answer of an earlier request before the right one.
+        """
+        while await self.read_data(max(0.0, limit_at - self._loop.time())):
+            pass
+        rest, _ = self._http.trailing_data
+        if self._http.their_state is not h11.DONE or self._request is None:
+            raise self._broken("the answer of another request ended the connection")
+        # A new parser that believes to have sent the same request.
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_ANSWER_HEADER_BYTES
+        )
+        headers = [(n, v) for n, v in self._request.headers if n != b"content-length"]
+        self._http.send(
+            h11.Request(
+                method=self._request.method,
+                target=self._request.target,
+                headers=headers,
+            )
+        )
+        self._http.send(h11.EndOfMessage())
+        if rest:
+            self._http.receive_data(rest)
+
     async def push_data(self, sink: Sink, gap_seconds: float) -> bool:
         """Hand the body to ``sink`` as it arrives; return True at its end.
 
--- a/carobladder/platform/engines.py
+++ b/carobladder/clients/engines.py
@@ -10,10 +10,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from carobladder.clients.ports import HttpAnswer, HttpFetcher
 from carobladder.clock import Clock
 from carobladder.exceptions import ConnectionBrokenError
 from carobladder.limits.declarations import TargetDeclaration, TargetProbe
-from carobladder.platform.ports import HttpAnswer, HttpFetcher
 
 __all__ = [
     "CacheEvent",
--- a/carobladder/platform/http.py
+++ b/carobladder/clients/http.py
@@ -1,16 +1,17 @@
 """HTTP/1.1 client with a connection pool for each target address."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
 import h11
 
+from carobladder.clients.connection import ClientConnection, Sink
+from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import Clock
 from carobladder.exceptions import ConnectionBrokenError, RequestWithheldError
-from carobladder.platform.connection import ClientConnection, Sink
-from carobladder.platform.ports import HttpAnswer
 
 __all__ = ["AnswerStream", "HttpClient"]
 
@@ -19,6 +20,9 @@
 _CONNECT_SECONDS = 2.0
 # Below the usual keep-alive limit of servers, so that few pooled connections are stale.
 _IDLE_SECONDS = 4.0
+# A connection is reused up to this part of the idle time that its server states.
+_IDLE_PART = 0.7
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
 _MAX_IDLE_FOR_ADDRESS = 128
 _MAX_ANSWER_BYTES = 67_108_864
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -39,6 +43,7 @@
         self.headers: Headers = _decode_headers(response)
         self._client = client
         self._connection: ClientConnection | None = connection
+        connection.idle_seconds = _read_idle_seconds(self.headers)
 
     async def __aenter__(self) -> Self:
         """Return the stream itself."""
@@ -104,6 +109,27 @@
                 )
         return b"".join(parts)
 
+    async def skip_to_next(self, limit_at: float) -> None:
+        """Drop this answer and read the next one on the connection.
+
+        For an answer that belongs to an earlier request. Raises
+        ConnectionBrokenError; ``limit_at`` is by the loop's time.
+        """
+        connection = self._connection
+        if connection is None:
+            raise ConnectionBrokenError(
+                "the answer of another request ended its connection",
+                request_written=True,
+            )
+        try:
+            await connection.skip_answer(limit_at)
+            response = await connection.read_response(limit_at)
+        except BaseException:
+            self.close()
+            raise
+        self.status = response.status_code
+        self.headers = _decode_headers(response)
+
     def _release_if_complete(self, connection: ClientConnection) -> None:
         if connection.answer_complete:
             self._connection = None
@@ -119,8 +145,11 @@
 class HttpClient:
     """Send requests to servers at IP:PORT over pooled connections."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, *, connect_seconds: float = _CONNECT_SECONDS
+    ) -> None:
         self._clock = clock
+        self._connect_seconds = connect_seconds
         self._pool: dict[str, list[ClientConnection]] = {}
         self._prune_at = 0.0
 
@@ -193,6 +222,18 @@
         self._confirm(connection, confirm)
         return await self._exchange(connection, request, body, limit_at)
 
+    async def probe(self, address: str) -> bool:
+        """Tell whether the server takes a connection, and keep it for a request."""
+        loop = asyncio.get_running_loop()
+        try:
+            connection = await self._connect(
+                address, loop.time() + self._connect_seconds
+            )
+        except ConnectionBrokenError:
+            return False
+        self._keep(connection, self._clock.monotonic())
+        return True
+
     def close(self) -> None:
         """Close the idle connections."""
         for connections in self._pool.values():
@@ -230,7 +271,7 @@
     async def _connect(self, address: str, limit_at: float) -> ClientConnection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        connect_at = min(loop.time() + _CONNECT_SECONDS, limit_at)
+        connect_at = min(loop.time() + self._connect_seconds, limit_at)
         try:
             async with asyncio.timeout_at(connect_at):
                 _, connection = await loop.create_connection(
@@ -245,10 +286,10 @@
 
     def _take(self, address: str) -> ClientConnection | None:
         connections = self._pool.get(address)
-        oldest = self._clock.monotonic() - _IDLE_SECONDS
+        now = self._clock.monotonic()
         while connections:
             connection = connections.pop()
-            if connection.usable and connection.idle_since >= oldest:
+            if connection.usable and not connection.is_stale(now):
                 connection.reused = True
                 return connection
             connection.abort()
@@ -274,9 +315,8 @@
         if now < self._prune_at:
             return
         self._prune_at = now + _IDLE_SECONDS
-        oldest = now - _IDLE_SECONDS
         for address, connections in list(self._pool.items()):
-            kept = [c for c in connections if c.usable and c.idle_since >= oldest]
+            kept = [c for c in connections if c.usable and not c.is_stale(now)]
             for connection in set(connections) - set(kept):
                 connection.abort()
             if kept:
@@ -288,12 +328,22 @@
 def _build_request(
     method: str, address: str, path: str, headers: Headers, body: bytes
 ) -> h11.Request:
-    fields = [("Host", address), *headers]
+    fields = list(headers)
+    if not any(name.lower() == "host" for name, _ in headers):
+        fields.insert(0, ("Host", address))
     if body or method in _BODY_METHODS:
         fields.append(("Content-Length", str(len(body))))
     return h11.Request(method=method, target=path, headers=fields)
 
 
+def _read_idle_seconds(headers: Headers) -> float:
+    """Return how long the connection may be idle before it counts as stale."""
+    for name, value in headers:
+        if name == "keep-alive" and (match := _KEEP_ALIVE_TIMEOUT.search(value)):
+            return int(match[1]) * _IDLE_PART
+    return _IDLE_SECONDS
+
+
 def _decode_headers(response: h11.Response) -> Headers:
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/carobladder/platform/instances.py
+++ b/carobladder/clients/instances.py
@@ -8,10 +8,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from carobladder.clients.ports import HttpFetcher
 from carobladder.clock import Clock
 from carobladder.exceptions import ConnectionBrokenError
 from carobladder.membership.views import ListedInstance
-from carobladder.platform.ports import HttpFetcher
 from carobladder.telemetry import log_event
 
 __all__ = ["InstanceList", "InstanceListClient", "ListWatcher", "ListedTarget"]
--- a/carobladder/platform/log.py
+++ b/carobladder/clients/log.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
+from carobladder.clients.ports import HttpAnswer, HttpFetcher
 from carobladder.exceptions import (
     ConnectionBrokenError,
     LogUnavailableError,
     OffsetDroppedError,
 )
-from carobladder.platform.ports import HttpAnswer, HttpFetcher
 
 __all__ = ["Batch", "LogClient", "LogRecord"]
 
--- a/carobladder/clock.py
+++ b/carobladder/clock.py
@@ -23,6 +23,9 @@
     def monotonic(self) -> float:
         """Return seconds from an arbitrary start; never goes back."""
 
+    def boottime(self) -> float:
+        """Return seconds that also count while the machine is suspended."""
+
     async def sleep(self, seconds: float) -> None:
         """Wait for the given number of seconds."""
 
@@ -38,6 +41,10 @@
         """Return seconds from an arbitrary start; never goes back."""
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Return seconds that also count while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     async def sleep(self, seconds: float) -> None:
         """Wait for the given number of seconds."""
         await asyncio.sleep(seconds)
@@ -51,6 +58,7 @@
         self._elapsed_seconds = 0.0
         self._order = itertools.count()
         self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self._suspended_seconds = 0.0
 
     def now(self) -> datetime:
         """Return the virtual time in UTC."""
@@ -60,6 +68,14 @@
         """Return the virtual seconds since the start."""
         return self._elapsed_seconds
 
+    def boottime(self) -> float:
+        """Return the virtual seconds since the start, suspensions included."""
+        return self._elapsed_seconds + self._suspended_seconds
+
+    def suspend(self, seconds: float) -> None:
+        """Let time pass that only ``boottime`` counts."""
+        self._suspended_seconds += seconds
+
     async def sleep(self, seconds: float) -> None:
         """Wait until the virtual time was advanced by the given seconds."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/carobladder/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Instance on an operator platform."""
--- /dev/null
+++ b/carobladder/entry/__main__.py
@@ -0,0 +1,28 @@
+"""Start an instance on the settings file that the environment names."""
+
+import asyncio
+import sys
+
+from carobladder.entry.runtime import run_entry
+from carobladder.exceptions import SettingsError
+from carobladder.settings.entry import find_entry_settings, load_entry_settings
+from carobladder.telemetry.logs import configure_json_logging
+
+_USAGE_STATUS = 2
+
+
+def main() -> int:
+    """Run until the end signal; return the exit status."""
+    try:
+        path = find_entry_settings()
+        settings = load_entry_settings(path)
+    except SettingsError as error:
+        print(f"carobladder: {error}", file=sys.stderr)
+        return _USAGE_STATUS
+    with configure_json_logging(settings.log_level, settings.instance):
+        asyncio.run(run_entry(path))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/carobladder/entry/followers.py
@@ -0,0 +1,108 @@
+"""Following of the newest records of a topic in the platform's store."""
+
+import random
+from collections.abc import Callable, Iterable
+
+from carobladder.clock import Clock
+from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
+from carobladder.fleet import Freshness, KeyedRecord, TopicReader
+from carobladder.telemetry import log_event
+
+__all__ = ["TopicFollower"]
+
+_FIRST_BACKOFF_SECONDS = 0.15
+_LONGEST_BACKOFF_SECONDS = 0.6
+# Collects the records of a series of changes into one more read.
+_COLLECT_SECONDS = 0.1
+
+
+class TopicFollower:
+    """Hand each change of a topic's keys to a callback, in order.
+
+    After a loss of history all keys are read anew, and keys that are missing then
+    are handed on as dropped.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        reader: TopicReader,
+        clock: Clock,
+        wait_seconds: float,
+        on_record: Callable[[str, bytes | None], None],
+        on_return: Callable[[float], None],
+    ) -> None:
+        self.freshness = Freshness()
+        self._name = name
+        self._reader = reader
+        self._clock = clock
+        self._wait_seconds = wait_seconds
+        self._on_record = on_record
+        self._on_return = on_return
+        self._next: int | None = None
+        self._offsets: dict[str, int] = {}
+        self._failures = 0
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            sent_at = self._clock.boottime()
+            try:
+                changed = await self._read()
+            except OffsetDroppedError as error:
+                log_event("store dropped its history", topic=self._name, why=str(error))
+                self._next = None
+                continue
+            except LogUnavailableError as error:
+                await self._back_off(error)
+                continue
+            self._note_success(sent_at)
+            if changed:
+                await self._clock.sleep(_COLLECT_SECONDS)
+
+    async def _read(self) -> bool:
+        """Read once and apply; tell whether there were records."""
+        if self._next is None:
+            page = await self._reader.read_newest()
+            self._apply_newest(page.records)
+            self._next = page.next_offset
+            return False
+        page = await self._reader.read_records(self._next, self._wait_seconds)
+        for record in page.records:
+            self._apply(record)
+        changed = page.next_offset > self._next
+        self._next = page.next_offset
+        return changed
+
+    def _apply_newest(self, records: Iterable[KeyedRecord]) -> None:
+        present = {record.key for record in records}
+        for key in [key for key in self._offsets if key not in present]:
+            del self._offsets[key]
+            self._on_record(key, None)
+        for record in records:
+            self._apply(record)
+
+    def _apply(self, record: KeyedRecord) -> None:
+        if record.offset <= self._offsets.get(record.key, -1):
+            return
+        if record.value is None:
+            self._offsets.pop(record.key, None)
+        else:
+            self._offsets[record.key] = record.offset
+        self._on_record(record.key, record.value)
+
+    def _note_success(self, sent_at: float) -> None:
+        if self._failures:
+            age = self.freshness.age(sent_at)
+            log_event("store regained", topic=self._name, away_seconds=round(age, 2))
+            self._failures = 0
+            self._on_return(age)
+        self.freshness.note_read(sent_at)
+
+    async def _back_off(self, error: LogUnavailableError) -> None:
+        if not self._failures:
+            log_event("store lost", topic=self._name, why=str(error))
+        self._failures += 1
+        pause = _FIRST_BACKOFF_SECONDS * 2.0 ** min(self._failures - 1, 8)
+        pause = min(pause, _LONGEST_BACKOFF_SECONDS)
+        await self._clock.sleep(pause * random.uniform(0.5, 1.0))
--- /dev/null
+++ b/carobladder/entry/prober.py
@@ -0,0 +1,44 @@
+"""Connection checks of targets that failed."""
+
+import asyncio
+
+from carobladder.clients.http import HttpClient
+from carobladder.clock import Clock
+from carobladder.fleet import Condition, FleetTarget, TargetTable
+from carobladder.telemetry import log_event
+
+__all__ = ["TargetProber"]
+
+_INTERVAL_SECONDS = 0.25
+
+
+class TargetProber:
+    """Try to connect to a target whose pause is over before requests go there.
+
+    A target that takes a connection is on trial until it answers a request.
+    """
+
+    def __init__(self, targets: TargetTable, client: HttpClient, clock: Clock) -> None:
+        self._targets = targets
+        self._client = client
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Check targets until cancelled."""
+        while True:
+            await self._clock.sleep(_INTERVAL_SECONDS)
+            due = [
+                target for target in self._targets.list_all() if self._is_due(target)
+            ]
+            if due:
+                await asyncio.gather(*(self._check(target) for target in due))
+
+    def _is_due(self, target: FleetTarget) -> bool:
+        health = target.health
+        on_trial = health.judge(self._clock.monotonic()) is Condition.TRIAL
+        return on_trial and not health.reachable and health.in_flight == 0
+
+    async def _check(self, target: FleetTarget) -> None:
+        reachable = await self._client.probe(target.entry.address)
+        target.health.note_probe(reachable, self._clock.monotonic())
+        log_event("target checked", target=target.target_id, reachable=reachable)
--- /dev/null
+++ b/carobladder/entry/runtime.py
@@ -0,0 +1,265 @@
+"""One instance on an operator platform: its tasks, its readiness and its end."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from carobladder.clients.http import HttpClient
+from carobladder.clock import Clock, SystemClock
+from carobladder.entry.followers import TopicFollower
+from carobladder.entry.knowledge import Knowledge
+from carobladder.entry.prober import TargetProber
+from carobladder.entry.shares import SHARE_PARTITIONS, ShareKeeper
+from carobladder.entry.status import StatusHandler
+from carobladder.exceptions import SettingsError
+from carobladder.fleet import ColdPacer, ShareLedger, TargetSelector, TargetTable
+from carobladder.forwarding import FenceTimes, Forwarder, ForwardHandler
+from carobladder.gateway.requests import RequestLimits
+from carobladder.gateway.server import GatewayServer
+from carobladder.platform.documents import decode_operator_record, decode_target_entry
+from carobladder.platform.exchanges import PlatformCodec
+from carobladder.platform.names import OPERATOR_TOPIC, TARGETS_TOPIC
+from carobladder.platform.store import KeyedTopic, PlatformStore
+from carobladder.retries import RetryBudget
+from carobladder.routing import CallerLimits
+from carobladder.settings.entry import EntrySettings, load_entry_settings
+from carobladder.telemetry import GatewayMetrics, log_event
+
+__all__ = ["Entry", "run_entry"]
+
+_MS_PER_SECOND = 1000.0
+# A read of the store answers within this time after its own wait.
+_STORE_TIMEOUT_SECONDS = 0.8
+_CONNECT_SECONDS = 0.4
+# How long reads wait for records. The first bounds how old the proof may be that a
+# key was not revoked; the second how late a silent connection is noticed.
+_OPERATOR_WAIT_SECONDS = 2.0
+_TARGETS_WAIT_SECONDS = 3.0
+# Parts of the time in which a revoked key must be refused everywhere.
+_FENCE_PART = 0.9
+_READY_PART = 0.65
+_REFUSAL_AGE_SECONDS = 3.2
+# Part of the fleet's retry bounds that is used, since views of the shares differ.
+_BUDGET_PART = 0.7
+# The balancer notices a failing readiness within this time.
+_NOTICE_SECONDS = 2.8
+# Left of the grace time for the end itself.
+_END_SECONDS = 0.6
+_HOUSEKEEPING_SECONDS = 0.25
+
+
+class Entry:
+    """Own the parts of one instance and the tasks that run them."""
+
+    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._draining = False
+        generator = random.Random()
+        self._metrics = GatewayMetrics()
+        self._ledger = ShareLedger(SHARE_PARTITIONS)
+        self._pacer = ColdPacer(self._ledger)
+        self._targets = TargetTable()
+        self._budgets: dict[str, RetryBudget] = {}
+        self._client = HttpClient(clock, connect_seconds=_CONNECT_SECONDS)
+        self._store_client = HttpClient(clock, connect_seconds=_CONNECT_SECONDS)
+        self._store = PlatformStore(
+            self._store_client, settings.store_address, _STORE_TIMEOUT_SECONDS
+        )
+        self._knowledge = Knowledge(
+            clock,
+            self._targets,
+            self._pacer,
+            settings.entry_renewal_ms / _MS_PER_SECOND,
+            self._use_limits,
+        )
+        self._operator = self._follow_operator()
+        self._entries = self._follow_targets()
+        self._shares = ShareKeeper(
+            self._store,
+            self._ledger,
+            settings.instance,
+            settings.share_partitions,
+            clock,
+        )
+        self._prober = TargetProber(self._targets, self._client, clock)
+        self._server = self._build_server(generator)
+        self._status_servers = self._build_status_servers(generator)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers may be sent to this instance."""
+        if self._draining or self._knowledge.table is None or not len(self._targets):
+            return False
+        limit = self._settings.key_revocation_ms / _MS_PER_SECOND * _READY_PART
+        return self._operator.freshness.is_within(limit, self._clock.boottime())
+
+    async def serve(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set, then drain."""
+        await self._server.start(self._settings.listen)
+        for server, address in self._status_servers:
+            await server.start(address)
+        log_event("instance started", listen=self._settings.listen)
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(work) for work in self._list_tasks()]
+            await stop.wait()
+            await self._drain()
+            for task in tasks:
+                task.cancel()
+        await self._shares.leave()
+        log_event("instance stopped")
+
+    def reload(self, settings: EntrySettings) -> None:
+        """Take settings that may change while the instance runs."""
+        self._settings = settings
+        log_event("settings reloaded", instance=settings.instance)
+
+    def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self._operator.run(),
+            self._entries.run(),
+            self._shares.run(),
+            self._prober.run(),
+            self._keep_house(),
+        ]
+
+    def _follow_operator(self) -> TopicFollower:
+        return TopicFollower(
+            "operator",
+            KeyedTopic(self._store, OPERATOR_TOPIC),
+            self._clock,
+            _OPERATOR_WAIT_SECONDS,
+            lambda key, value: self._knowledge.apply(
+                decode_operator_record(key, value)
+            ),
+            lambda away_seconds: None,
+        )
+
+    def _follow_targets(self) -> TopicFollower:
+        return TopicFollower(
+            "targets",
+            KeyedTopic(self._store, TARGETS_TOPIC),
+            self._clock,
+            _TARGETS_WAIT_SECONDS,
+            self._take_target,
+            self._knowledge.note_store_return,
+        )
+
+    def _take_target(self, key: str, value: bytes | None) -> None:
+        if value is None:
+            self._knowledge.drop_target(key)
+        else:
+            self._knowledge.apply_entry(decode_target_entry(key, value))
+
+    def _build_server(self, generator: random.Random) -> GatewayServer:
+        codec = PlatformCodec()
+        selector = TargetSelector(
+            self._targets, self._pacer, self._settings.load_multiple, generator
+        )
+        forwarder = Forwarder(
+            self._client, codec, selector, self._clock, self._find_budget
+        )
+        fence = FenceTimes(
+            keys=self._settings.key_revocation_ms / _MS_PER_SECOND * _FENCE_PART,
+            refusals=_REFUSAL_AGE_SECONDS,
+        )
+        handler = ForwardHandler(
+            forwarder,
+            codec,
+            self._clock,
+            lambda: self._knowledge.table,
+            self._operator.freshness,
+            fence,
+            generator,
+        )
+        return GatewayServer(
+            handler,
+            RequestLimits(),
+            self._clock,
+            self._metrics,
+            generator,
+            labels_answers=False,
+        )
+
+    def _build_status_servers(
+        self, generator: random.Random
+    ) -> list[tuple[GatewayServer, str]]:
+        handler = StatusHandler(self._metrics, lambda: self.ready)
+        addresses = (self._settings.readiness_listen, self._settings.metrics_listen)
+        return [
+            (
+                GatewayServer(
+                    handler, RequestLimits(), self._clock, GatewayMetrics(), generator
+                ),
+                address,
+            )
+            for address in addresses
+        ]
+
+    def _find_budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self._settings
+            budget = RetryBudget(
+                settings.retry_ratio * _BUDGET_PART,
+                self._clock.monotonic(),
+                burst=settings.retry_slack * _BUDGET_PART * self._ledger.share,
+                minimum_per_second=0.0,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _use_limits(self, limits: CallerLimits) -> None:
+        self._server.set_limits(
+            RequestLimits(
+                max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
+                read_seconds=limits.header_seconds,
+                idle_seconds=limits.idle_seconds,
+            )
+        )
+
+    async def _keep_house(self) -> None:
+        """Expire lapsed targets and resize the budgets with the share."""
+        share = self._ledger.share
+        while True:
+            await self._clock.sleep(_HOUSEKEEPING_SECONDS)
+            self._knowledge.expire_targets()
+            if share != self._ledger.share:
+                share = self._ledger.share
+                slack = self._settings.retry_slack * _BUDGET_PART * share
+                for budget in self._budgets.values():
+                    budget.set_burst(slack)
+
+    async def _drain(self) -> None:
+        """Finish accepted work; listening goes on until the balancer has noticed."""
+        self._draining = True
+        self._server.begin_drain()
+        log_event("draining", notice_seconds=_NOTICE_SECONDS)
+        await self._clock.sleep(_NOTICE_SECONDS)
+        grace_seconds = self._settings.shutdown_grace_ms / _MS_PER_SECOND
+        limit_seconds = grace_seconds - _NOTICE_SECONDS - _END_SECONDS
+        finished = await self._server.finish_drain(limit_seconds)
+        log_event("drained", finished=finished)
+
+
+async def run_entry(path: Path) -> None:
+    """Run an instance on its settings file until SIGTERM or SIGINT."""
+    settings = load_entry_settings(path)
+    entry = Entry(settings, SystemClock())
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, entry, path)
+    await entry.serve(stop)
+
+
+def _reload(entry: Entry, path: Path) -> None:
+    try:
+        entry.reload(load_entry_settings(path))
+    except SettingsError as error:
+        log_event("settings not reloaded", why=str(error))
--- /dev/null
+++ b/carobladder/entry/shares.py
@@ -0,0 +1,79 @@
+"""Membership that gives an instance its part of the fleet's sums."""
+
+import math
+
+from carobladder.clock import Clock
+from carobladder.exceptions import LogUnavailableError
+from carobladder.fleet import GroupStore, ShareLedger
+from carobladder.telemetry import log_event
+
+__all__ = ["SHARE_PARTITIONS", "ShareKeeper", "name_share_topics"]
+
+# Enough partitions for each instance of the largest deployment to hold one.
+SHARE_PARTITIONS = 96
+_GROUP = "instances"
+_LEASE_SECONDS = 4.0
+_RENEWAL_SECONDS = 1.5
+_RETRY_SECONDS = 0.5
+_TOPIC_PREFIX = "shares-"
+
+
+def name_share_topics(partitions_per_topic: int) -> tuple[str, ...]:
+    """Return the topics whose partitions stand for shares."""
+    count = math.ceil(SHARE_PARTITIONS / partitions_per_topic)
+    return tuple(f"{_TOPIC_PREFIX}{index}" for index in range(count))
+
+
+class ShareKeeper:
+    """Keep this instance a member of the group and note what it holds."""
+
+    def __init__(
+        self,
+        store: GroupStore,
+        ledger: ShareLedger,
+        member: str,
+        partitions_per_topic: int,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._ledger = ledger
+        self._member = member
+        self._per_topic = partitions_per_topic
+        self._topics = name_share_topics(partitions_per_topic)
+        self._clock = clock
+        self._generation = 0
+
+    async def run(self) -> None:
+        """Renew the membership until cancelled."""
+        while True:
+            try:
+                await self._renew()
+            except LogUnavailableError as error:
+                log_event("share not renewed", why=str(error))
+                await self._clock.sleep(_RETRY_SECONDS)
+                continue
+            await self._clock.sleep(_RENEWAL_SECONDS)
+
+    async def leave(self) -> None:
+        """Give the partitions back, so that others take them at once."""
+        try:
+            await self._store.leave_group(_GROUP, self._member)
+        except LogUnavailableError as error:
+            log_event("share not given back; it lapses", why=str(error))
+
+    async def _renew(self) -> None:
+        membership = await self._store.join_group(
+            _GROUP, self._member, self._topics, _LEASE_SECONDS, self._generation
+        )
+        self._generation = membership.generation
+        held = frozenset(self._number(topic, part) for topic, part in membership.parts)
+        if self._ledger.assign(held):
+            log_event(
+                "share changed",
+                held=len(held),
+                total=len(self._ledger.names),
+                generation=membership.generation,
+            )
+
+    def _number(self, topic: str, part: int) -> int:
+        return int(topic.removeprefix(_TOPIC_PREFIX)) * self._per_topic + part
--- /dev/null
+++ b/carobladder/fleet/__init__.py
@@ -0,0 +1,31 @@
+"""Targets of a platform and the choice among them."""
+
+from carobladder.fleet import (
+    entries,
+    exchanges,
+    freshness,
+    health,
+    records,
+    selection,
+    shares,
+    targets,
+)
+from carobladder.fleet.entries import *  # noqa: F403
+from carobladder.fleet.exchanges import *  # noqa: F403
+from carobladder.fleet.freshness import *  # noqa: F403
+from carobladder.fleet.health import *  # noqa: F403
+from carobladder.fleet.records import *  # noqa: F403
+from carobladder.fleet.selection import *  # noqa: F403
+from carobladder.fleet.shares import *  # noqa: F403
+from carobladder.fleet.targets import *  # noqa: F403
+
+__all__ = [
+    *entries.__all__,
+    *exchanges.__all__,
+    *freshness.__all__,
+    *health.__all__,
+    *records.__all__,
+    *selection.__all__,
+    *shares.__all__,
+    *targets.__all__,
+]
--- /dev/null
+++ b/carobladder/fleet/exchanges.py
@@ -0,0 +1,84 @@
+"""What the headers of a request and of its answer say."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+__all__ = ["AnswerFacts", "CallFacts", "ExchangeCodec", "PromptPart", "TargetLoad"]
+
+Fields = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Name a part of a prompt and its size; requests may share parts."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallFacts:
+    """Describe a caller's request as far as the fleet needs it.
+
+    ``time_left_seconds`` is None if the caller states no deadline.
+    ``prompt`` holds the parts of the prompt in order; the last one belongs to the
+    request itself or to its chat.
+    """
+
+    request_id: str
+    host: str
+    key: str | None
+    time_left_seconds: float | None
+    prompt: tuple[PromptPart, ...] = ()
+    input_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLoad:
+    """State the requests that a target runs and holds waiting, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+    @property
+    def total(self) -> int:
+        """Return the requests at the target."""
+        return self.running + self.waiting
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """Describe a target's answer; ``not_run`` is the target's own promise."""
+
+    request_id: str
+    signed: bool
+    not_run: bool
+    load: TargetLoad | None = None
+    cold_seconds: float | None = None
+
+
+class ExchangeCodec(Protocol):
+    """Translate headers; implemented for each platform."""
+
+    def read_call(self, fields: Fields) -> CallFacts:
+        """Return what the headers of a caller's request say."""
+
+    def keep_field(self, name: str) -> bool:
+        """Tell whether a caller's header is handed on; ``name`` is lower case."""
+
+    def write_call(
+        self,
+        target_id: str,
+        time_left_seconds: float,
+        team: str,
+        priority: int,
+    ) -> Fields:
+        """Return the headers that the fleet itself sets for a target."""
+
+    def read_answer(self, status: int, fields: Fields) -> AnswerFacts:
+        """Return what the headers of a target's answer say."""
+
+    def write_answer(self, request_id: str) -> Fields:
+        """Return the headers of an answer that the fleet makes itself."""
--- /dev/null
+++ b/carobladder/fleet/health.py
@@ -0,0 +1,88 @@
+"""What an instance has seen of one target, and whether to trust it."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from carobladder.fleet.exchanges import TargetLoad
+
+__all__ = ["Condition", "TargetHealth"]
+
+_FIRST_PAUSE_SECONDS = 0.5
+_LONGEST_PAUSE_SECONDS = 4.0
+_AVERAGE_GAIN = 0.15
+# A load report says little about a target after this time.
+_REPORT_SECONDS = 1.5
+_START_LATENCY_SECONDS = 0.1
+
+
+class Condition(StrEnum):
+    """Say how far a target is trusted."""
+
+    SOUND = "sound"
+    SUSPECT = "suspect"
+    TRIAL = "trial"
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """Judge a target by the requests that were sent to it.
+
+    After failures a target is left alone for a growing pause and is then on trial
+    until an answer arrives. Times are monotonic seconds.
+    """
+
+    in_flight: int = 0
+    first_byte_seconds: float = _START_LATENCY_SECONDS
+    error_share: float = 0.0
+    failures: int = 0
+    paused_until: float = 0.0
+    last_byte_at: float = float("-inf")
+    reachable: bool = True
+    _load: TargetLoad | None = None
+    _load_at: float = 0.0
+    _load_in_flight: int = 0
+
+    def judge(self, now: float) -> Condition:
+        """Return how far the target is trusted."""
+        if self.failures == 0:
+            return Condition.SOUND
+        return Condition.SUSPECT if now < self.paused_until else Condition.TRIAL
+
+    def note_probe(self, reachable: bool, now: float) -> None:
+        """Take the result of a connection check that followed failures."""
+        if not reachable:
+            self.note_failure(now)
+        self.reachable = reachable
+
+    def note_answer(self, failed: bool) -> None:
+        """Take an answer of the target; ``failed`` marks its own failure."""
+        self.failures = 0
+        self.reachable = True
+        sample = 1.0 if failed else 0.0
+        self.error_share += _AVERAGE_GAIN * (sample - self.error_share)
+
+    def note_first_byte(self, seconds: float, now: float) -> None:
+        """Take the time from a request to the first byte of its answer."""
+        self.last_byte_at = now
+        self.first_byte_seconds += _AVERAGE_GAIN * (seconds - self.first_byte_seconds)
+
+    def note_failure(self, now: float) -> None:
+        """Take a connection that failed, broke or stayed silent."""
+        self.failures += 1
+        self.reachable = False
+        pause = _FIRST_PAUSE_SECONDS * 2.0 ** (self.failures - 1)
+        self.paused_until = now + min(pause, _LONGEST_PAUSE_SECONDS)
+
+    def note_load(self, load: TargetLoad, now: float) -> None:
+        """Take the load that the target states."""
+        self._load = load
+        self._load_at = now
+        self._load_in_flight = self.in_flight
+
+    def estimate_load(self, now: float) -> float:
+        """Return the requests that the target is likely to hold for all callers."""
+        load = self._load
+        if load is None or now - self._load_at > _REPORT_SECONDS:
+            return float(self.in_flight)
+        since = self.in_flight - self._load_in_flight
+        return float(max(self.in_flight, load.total + since))
--- /dev/null
+++ b/carobladder/fleet/records.py
@@ -0,0 +1,58 @@
+"""Records and memberships as the platform's store keeps them."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+__all__ = ["GroupShares", "GroupStore", "KeyedPage", "KeyedRecord", "TopicReader"]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """Carry a record of a keyed topic; ``value`` is None if it drops the key."""
+
+    offset: int
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedPage:
+    """Carry records of a keyed topic in order and the offset after them."""
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class GroupShares:
+    """Carry the partitions of a group's topics that a member holds."""
+
+    generation: int
+    parts: tuple[tuple[str, int], ...]
+
+
+class TopicReader(Protocol):
+    """Read one topic; raises LogUnavailableError or OffsetDroppedError."""
+
+    async def read_records(self, first: int, wait_seconds: float) -> KeyedPage:
+        """Return records from an offset on; waits if there are none yet."""
+
+    async def read_newest(self) -> KeyedPage:
+        """Return the newest record of each key and the offset to go on from."""
+
+
+class GroupStore(Protocol):
+    """Divide partitions among the members of a group."""
+
+    async def join_group(
+        self,
+        group: str,
+        member: str,
+        topics: tuple[str, ...],
+        lease_seconds: float,
+        generation: int,
+    ) -> GroupShares:
+        """Join a group or renew a membership; raises LogUnavailableError."""
+
+    async def leave_group(self, group: str, member: str) -> None:
+        """Give the member's partitions back; raises LogUnavailableError."""
--- /dev/null
+++ b/carobladder/fleet/selection.py
@@ -0,0 +1,110 @@
+"""Choice of the target of a request."""
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from carobladder.fleet.health import Condition
+from carobladder.fleet.shares import ColdPacer
+from carobladder.fleet.targets import FleetTarget, TargetTable
+from carobladder.placement.rendezvous import score_member
+from carobladder.routing import Service
+
+__all__ = ["Selection", "TargetSelector"]
+
+# A target takes affine requests up to this part of the way from the mean load to
+# the load that the operator bounds, because loads are known with a delay.
+_LOAD_PART = 0.5
+_LOAD_SLACK_REQUESTS = 1.5
+# Weight of a target's share of failed answers against its latency.
+_ERROR_WEIGHT = 20.0
+# Spread of the scores, so that instances with equal views choose differently.
+_JITTER = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """Describe what a request needs of its target.
+
+    ``affinity`` is the key of the prompt that it shares with others, or None.
+    """
+
+    service: Service
+    affinity: int | None
+    may_repeat: bool
+    excluded: Collection[str] = ()
+
+
+class TargetSelector:
+    """Choose targets by warmth of the prompt, load, latency and failures."""
+
+    def __init__(
+        self,
+        table: TargetTable,
+        pacer: ColdPacer,
+        load_multiple: float,
+        generator: random.Random,
+    ) -> None:
+        self._table = table
+        self._pacer = pacer
+        self._load_factor = 1.0 + _LOAD_PART * (load_multiple - 1.0)
+        self._generator = generator
+
+    def choose(self, wanted: Selection, now: float) -> FleetTarget | None:
+        """Return the target for a request and note a send to a cold one, or None."""
+        usable = self._list_usable(wanted, now)
+        if not usable:
+            return None
+        if wanted.affinity is None:
+            chosen = min(usable, key=lambda target: self._score(target))
+        else:
+            chosen = self._choose_affine(usable, wanted.affinity, now)
+        if chosen.is_cold(now):
+            self._pacer.take(chosen.target_id, wanted.service.cold_per_second, now)
+        return chosen
+
+    def _list_usable(self, wanted: Selection, now: float) -> list[FleetTarget]:
+        open_targets = [
+            target
+            for target in self._table.list_open(wanted.service.name)
+            if target.target_id not in wanted.excluded
+            and self._bears_one(target, wanted.service, now)
+        ]
+        sound = [t for t in open_targets if self._is_trusted(t, wanted, now)]
+        return sound or open_targets
+
+    def _bears_one(self, target: FleetTarget, service: Service, now: float) -> bool:
+        if service.cold_per_second <= 0.0 or not target.is_cold(now):
+            return True
+        return self._pacer.can_send(target.target_id, service.cold_per_second, now)
+
+    def _is_trusted(self, target: FleetTarget, wanted: Selection, now: float) -> bool:
+        condition = target.health.judge(now)
+        if condition is Condition.TRIAL:
+            health = target.health
+            return health.reachable and wanted.may_repeat and health.in_flight == 0
+        return condition is Condition.SOUND
+
+    def _choose_affine(
+        self, usable: list[FleetTarget], affinity: int, now: float
+    ) -> FleetTarget:
+        loads = {t.target_id: t.health.estimate_load(now) for t in usable}
+        mean = sum(loads.values()) / len(loads)
+        limit = mean * self._load_factor + _LOAD_SLACK_REQUESTS
+        ranked = sorted(
+            usable,
+            key=lambda target: score_member(affinity, target.target_id),
+            reverse=True,
+        )
+        for target in ranked:
+            if loads[target.target_id] <= limit:
+                return target
+        return min(ranked, key=lambda target: loads[target.target_id])
+
+    def _score(self, target: FleetTarget) -> float:
+        health = target.health
+        slots = max(1, target.entry.slots)
+        crowding = 1.0 + health.in_flight / slots
+        failing = 1.0 + _ERROR_WEIGHT * health.error_share
+        jitter = 1.0 + _JITTER * self._generator.random()
+        return health.first_byte_seconds * crowding * failing * jitter
--- /dev/null
+++ b/carobladder/fleet/targets.py
@@ -0,0 +1,149 @@
+"""Targets that the instance may use."""
+
+from collections.abc import Iterable
+
+from carobladder.fleet.entries import TargetEntry
+from carobladder.fleet.health import TargetHealth
+
+__all__ = ["FleetTarget", "TargetTable"]
+
+# Entries that lapsed while the store was away come back within this time of its
+# return if the target is alive.
+_RETURN_SECONDS = 2.0
+
+
+class FleetTarget:
+    """Hold one run of a target, its entry and what was seen of it."""
+
+    def __init__(self, entry: TargetEntry, now: float) -> None:
+        self.entry = entry
+        self.health = TargetHealth()
+        self.cold_until = now + entry.cold_seconds
+
+    @property
+    def target_id(self) -> str:
+        """Return the id under which the target registered."""
+        return self.entry.target_id
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the target bears only its cold rate."""
+        return now < self.cold_until
+
+    def update(self, entry: TargetEntry, now: float) -> None:
+        """Take a newer entry of the same run."""
+        self.entry = entry
+        self.cold_until = now + entry.cold_seconds
+
+    def note_cold(self, seconds: float, now: float) -> None:
+        """Take the cold time that the target itself stated in an answer."""
+        self.cold_until = now + seconds
+
+
+class TargetTable:
+    """Keep the registered targets, by service."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, FleetTarget] = {}
+        self._by_service: dict[str, list[FleetTarget]] = {}
+        self._emptied: set[str] = set()
+        self._lapsing: dict[str, float] = {}
+        self._hold_until = 0.0
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    @property
+    def emptied_data_centres(self) -> frozenset[str]:
+        """Return the data centres that must receive no requests."""
+        return frozenset(self._emptied)
+
+    def find(self, target_id: str) -> FleetTarget | None:
+        """Return the target of this id, or None."""
+        return self._targets.get(target_id)
+
+    def list_all(self) -> list[FleetTarget]:
+        """Return all targets."""
+        return list(self._targets.values())
+
+    def apply(self, entry: TargetEntry, now: float) -> FleetTarget:
+        """Take an entry; a restart under the same id is a new target."""
+        self._lapsing.pop(entry.target_id, None)
+        known = self._targets.get(entry.target_id)
+        if known is None or _is_other_run(known.entry, entry):
+            known = FleetTarget(entry, now)
+            self._targets[entry.target_id] = known
+        else:
+            known.update(entry, now)
+        self._regroup()
+        return known
+
+    def drop(self, target_id: str, now: float) -> bool:
+        """Forget a target whose entry was removed; tell whether it is gone at once.
+
+        Shortly after the store has returned, an entry may have lapsed only because
+        its target could not renew it; it is then kept until it must be back.
+        """
+        if target_id not in self._targets:
+            return False
+        if now < self._hold_until:
+            self._lapsing[target_id] = self._hold_until
+            return False
+        self._remove(target_id)
+        return True
+
+    def discard(self, target_id: str) -> bool:
+        """Forget a target at once; tell whether it was known."""
+        if target_id not in self._targets:
+            return False
+        self._remove(target_id)
+        return True
+
+    def note_store_return(self, now: float) -> None:
+        """Start the time in which lapsed entries may come back."""
+        self._hold_until = now + _RETURN_SECONDS
+
+    def expire(self, now: float) -> list[str]:
+        """Forget the lapsed targets that did not come back; return their ids."""
+        expired = [key for key, until in self._lapsing.items() if now >= until]
+        for target_id in expired:
+            self._remove(target_id)
+        return expired
+
+    def set_emptied(self, data_centre: str, emptied: bool) -> None:
+        """Stop or allow requests to the targets of a data centre."""
+        if emptied:
+            self._emptied.add(data_centre)
+        else:
+            self._emptied.discard(data_centre)
+
+    def replace_emptied(self, data_centres: Iterable[str]) -> None:
+        """Set the data centres that must receive no requests."""
+        self._emptied = set(data_centres)
+
+    def list_open(self, service: str) -> list[FleetTarget]:
+        """Return the targets of a service that may receive new requests."""
+        return [
+            target
+            for target in self._by_service.get(service, ())
+            if not target.entry.draining
+            and target.entry.data_centre not in self._emptied
+        ]
+
+    def _remove(self, target_id: str) -> None:
+        self._lapsing.pop(target_id, None)
+        del self._targets[target_id]
+        self._regroup()
+
+    def _regroup(self) -> None:
+        groups: dict[str, list[FleetTarget]] = {}
+        for target in self._targets.values():
+            groups.setdefault(target.entry.service, []).append(target)
+        self._by_service = groups
+
+
+def _is_other_run(known: TargetEntry, entry: TargetEntry) -> bool:
+    return (known.born_ms, known.address, known.service) != (
+        entry.born_ms,
+        entry.address,
+        entry.service,
+    )
--- /dev/null
+++ b/carobladder/forwarding/__init__.py
@@ -0,0 +1,7 @@
+"""Forwarding of callers' requests to the targets of declared routes."""
+
+from carobladder.forwarding import calls, handler
+from carobladder.forwarding.calls import *  # noqa: F403
+from carobladder.forwarding.handler import *  # noqa: F403
+
+__all__ = [*calls.__all__, *handler.__all__]
--- a/carobladder/gateway/attempts.py
+++ b/carobladder/gateway/attempts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
+from carobladder.clients.http import AnswerStream, HttpClient
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     AnswerTimeoutError,
@@ -25,7 +26,6 @@
     Team,
 )
 from carobladder.gateway.requests import is_other_request
-from carobladder.platform.http import AnswerStream, HttpClient
 from carobladder.retries import (
     FailedAttempt,
     RetryBudget,
--- a/carobladder/gateway/chats.py
+++ b/carobladder/gateway/chats.py
@@ -30,7 +30,9 @@
     Responder,
 )
 from carobladder.gateway.relay import (
+    EVENT_STREAM,
     RelayTimes,
+    StreamAttempt,
     StreamObserver,
     StreamRelay,
     pick_content_type,
@@ -211,7 +213,7 @@
             responder,
             self._options.times,
             observer,
-            lambda target: self._token_headers(chat, target, 0),
+            lambda opened: self._stream_headers(chat, opened),
         )
         try:
             with metrics.open_streams.track_inprogress():
@@ -230,6 +232,15 @@
                 prompt_tokens=_estimate_tokens(chat),
             )
 
+    def _stream_headers(
+        self, chat: ChatRequest, opened: StreamAttempt[TargetState]
+    ) -> Headers:
+        content_type = pick_content_type(opened.answer.headers)
+        headers = [("Content-Type", content_type)]
+        if content_type.startswith(EVENT_STREAM):
+            headers.append(("Cache-Control", "no-cache"))
+        return (*headers, *self._token_headers(chat, opened.target, 0))
+
     def _token_headers(
         self, chat: ChatRequest, target: TargetState, tokens: int
     ) -> Headers:
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -38,13 +38,18 @@
 
 @dataclass
 class Serving:
-    """Hold what the connections of a server share."""
+    """Hold what the connections of a server share.
+
+    ``labels_answers`` adds the request id that the gateway made to each answer.
+    ``limits`` may be replaced while connections are open.
+    """
 
     handler: Handler
     limits: RequestLimits
     clock: Clock
     metrics: GatewayMetrics
     generator: random.Random
+    labels_answers: bool = True
     draining: bool = False
     connections: set["CallerConnection"] = field(default_factory=set)
     empty: asyncio.Event = field(default_factory=asyncio.Event)
@@ -73,7 +78,6 @@
 
     def __init__(self, serving: Serving) -> None:
         self._serving = serving
-        self._limits = serving.limits
         self._loop = asyncio.get_running_loop()
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=serving.limits.max_header_bytes
@@ -88,6 +92,10 @@
         self._idle = True
         self._discarding = False
 
+    @property
+    def _limits(self) -> RequestLimits:
+        return self._serving.limits
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that serves the connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -362,7 +370,8 @@
         await self.send_answer(describe_problem(error, self._serving.generator))
 
     def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        headers.append(("X-Request-Id", self._request_id))
+        if self._serving.labels_answers:
+            headers.append(("X-Request-Id", self._request_id))
         if self._serving.draining or not self.keep_alive:
             headers.append(("Connection", "close"))
         self._connection.write(h11.Response(status_code=status, headers=headers))
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -240,7 +240,8 @@
 class Request:
     """Carry one parsed request; header names are lower case.
 
-    Headers that were sent several times are joined by a comma. ``received`` is in
+    Headers that were sent several times are joined by a comma. ``fields`` holds the
+    headers and ``target`` path and query as they were sent. ``received`` is in
     monotonic seconds.
     """
 
@@ -251,6 +252,8 @@
     body: bytes
     request_id: str
     received: float
+    fields: tuple[tuple[str, str], ...] = ()
+    target: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -2,17 +2,30 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
 
+from carobladder.clients.http import AnswerStream
 from carobladder.exceptions import CallerError, ConnectionBrokenError, TargetError
-from carobladder.gateway.attempts import CallSession, Headers, OpenCall
 from carobladder.gateway.ports import Answer, Responder
 from carobladder.gateway.problems import encode_problem
 from carobladder.retries import StreamFault, StreamTracker
-from carobladder.targets import TargetState
 
-__all__ = ["RelayTimes", "StreamObserver", "StreamRelay", "pick_content_type"]
-
-_EVENT_STREAM = "text/event-stream"
+__all__ = [
+    "EVENT_STREAM",
+    "LAST_EVENT_FIELD",
+    "RelayTimes",
+    "StreamAttempt",
+    "StreamObserver",
+    "StreamRelay",
+    "StreamSession",
+    "pick_content_type",
+]
+
+# Tells a target after which event of a stream to go on.
+LAST_EVENT_FIELD = "Last-Event-ID"
+EVENT_STREAM = "text/event-stream"
+Headers = tuple[tuple[str, str], ...]
+_Target = TypeVar("_Target")
 # The end of an answer directly follows its final event.
 _END_SECONDS = 1.0
 
@@ -38,28 +51,72 @@
     observe_gap: Callable[[float], None]
 
 
-class StreamRelay:
-    """Relay one streamed answer, resuming it where its connection breaks."""
+class StreamAttempt(Protocol[_Target]):
+    """Hold the answer of one attempt until closed."""
+
+    answer: AnswerStream
+    target: _Target
+
+    @property
+    def first_byte_seconds(self) -> float | None:
+        """Return how long the target took to its first byte, once it is known."""
+
+    def note_first_byte(self) -> None:
+        """Record how long the target took to its first byte."""
+
+    def close(self, *, failed: bool = False) -> None:
+        """Close the answer; later calls do nothing."""
+
+
+class StreamSession(Protocol[_Target]):
+    """Run the attempts of one streamed call."""
+
+    @property
+    def remaining_seconds(self) -> float:
+        """Return the time in which the first event must arrive."""
+
+    async def open(self, extra_headers: Headers = ()) -> StreamAttempt[_Target]:
+        """Return the first answer whose headers arrived; raises CallerError."""
+
+    def note_relayed(self, target: _Target) -> None:
+        """Note that the caller received a part of the answer."""
+
+    def note_failure(
+        self, target: _Target, error: TargetError, *, resumable: bool = False
+    ) -> None:
+        """Allow a further attempt, or raise the CallerError that ends the call."""
+
+
+class StreamRelay(Generic[_Target]):
+    """Relay one streamed answer, resuming it where its connection breaks.
+
+    With ``shows_errors`` a stream that cannot go on ends in a visible error event;
+    without it the handler must cut the connection.
+    """
 
     def __init__(
         self,
-        session: CallSession,
+        session: StreamSession[_Target],
         responder: Responder,
         times: RelayTimes,
         observer: StreamObserver,
-        answer_headers: Callable[[TargetState], Headers],
+        answer_headers: Callable[[StreamAttempt[_Target]], Headers],
+        tracker: StreamTracker | None = None,
+        *,
+        shows_errors: bool = True,
     ) -> None:
         self._session = session
         self._responder = responder
         self._times = times
         self._observer = observer
         self._answer_headers = answer_headers
-        self._tracker = StreamTracker()
+        self._tracker = tracker or StreamTracker()
+        self._shows_errors = shows_errors
         self._last_at: float | None = None
         self._first_at = 0.0
         self._chunks = 0
         self._first_byte_seconds: float | None = None
-        self.served_by: TargetState | None = None
+        self.served_by: _Target | None = None
 
     @property
     def first_byte_seconds(self) -> float | None:
@@ -84,7 +141,8 @@
         except CallerError as error:
             if not self._responder.started:
                 raise
-            await self._send_error(error)
+            if self._shows_errors:
+                await self._send_error(error)
             return error
         return None
 
@@ -108,30 +166,27 @@
         last_index = self._tracker.last_index
         if last_index is None:
             return ()
-        return (("Last-Event-ID", str(last_index)),)
+        return ((LAST_EVENT_FIELD, str(last_index)),)
 
-    async def _relay_answer(self, opened: OpenCall) -> TargetError | None:
-        if pick_content_type(opened.answer.headers).startswith(_EVENT_STREAM):
+    async def _relay_answer(self, opened: StreamAttempt[_Target]) -> TargetError | None:
+        if pick_content_type(opened.answer.headers).startswith(EVENT_STREAM):
             return await self._relay_events(opened)
         if self._tracker.relayed:
             return _broken(f"answered {opened.answer.status} instead of resuming")
         return await self._relay_whole(opened)
 
-    async def _relay_whole(self, opened: OpenCall) -> TargetError | None:
+    async def _relay_whole(self, opened: StreamAttempt[_Target]) -> TargetError | None:
         answer = opened.answer
         opened.note_first_byte()
         try:
             body = await answer.read_all(self._times.first_byte_seconds)
         except TargetError as error:
             return error
-        headers = (
-            ("Content-Type", pick_content_type(answer.headers)),
-            *self._answer_headers(opened.target),
-        )
+        headers = self._answer_headers(opened)
         await self._responder.send_answer(Answer(answer.status, headers, body))
         return None
 
-    async def _relay_events(self, opened: OpenCall) -> TargetError | None:
+    async def _relay_events(self, opened: StreamAttempt[_Target]) -> TargetError | None:
         """Relay whole events; return what broke the stream, or None at its end."""
         self._tracker.start_attempt()
         try:
@@ -140,6 +195,7 @@
                 if await opened.answer.push(
                     self._relay_data, self._times.stream_gap_seconds
                 ):
+                    self._tracker.end_attempt()
                     break
                 self._check_fault()
                 await self._responder.drain()
@@ -151,7 +207,7 @@
         await self._read_end(opened)
         return None
 
-    async def _relay_first_events(self, opened: OpenCall) -> None:
+    async def _relay_first_events(self, opened: StreamAttempt[_Target]) -> None:
         """Start the caller's answer once a whole event has arrived."""
         events = b""
         limit_seconds = self._times.first_byte_seconds
@@ -159,6 +215,7 @@
             remaining_seconds = self._session.remaining_seconds
             data = await opened.answer.read(min(limit_seconds, remaining_seconds))
             if not data:
+                self._tracker.end_attempt()
                 raise _broken("the stream ended without an event")
             events = self._tracker.feed(data)
             if not events:
@@ -186,18 +243,13 @@
         if fault is not StreamFault.NONE:
             raise _broken(f"the stream cannot be followed: {fault}")
 
-    async def _note_first_events(self, opened: OpenCall) -> None:
+    async def _note_first_events(self, opened: StreamAttempt[_Target]) -> None:
         opened.note_first_byte()
         if self._first_byte_seconds is None:
             self._first_byte_seconds = opened.first_byte_seconds
         self._session.note_relayed(opened.target)
         if not self._responder.started:
-            headers = (
-                ("Content-Type", _EVENT_STREAM),
-                ("Cache-Control", "no-cache"),
-                *self._answer_headers(opened.target),
-            )
-            await self._responder.start_stream(200, headers)
+            await self._responder.start_stream(200, self._answer_headers(opened))
 
     def _note_chunk(self) -> None:
         now = self._observer.monotonic()
@@ -209,7 +261,7 @@
             self._observer.observe_gap(now - self._last_at)
         self._last_at = now
 
-    async def _read_end(self, opened: OpenCall) -> None:
+    async def _read_end(self, opened: StreamAttempt[_Target]) -> None:
         """Read the end of the answer, so that its connection can be used again."""
         try:
             if await opened.answer.read(_END_SECONDS):
--- a/carobladder/gateway/requests.py
+++ b/carobladder/gateway/requests.py
@@ -32,6 +32,7 @@
 
 _HEADER_OVERHEAD_BYTES = 4
 _TOO_LARGE_STATUS = 431
+_MAX_REASON_CHARACTERS = 120
 _BEARER = "bearer"
 # Tells the fleet's request ids from ids that a target makes itself.
 _ID_PREFIX = "cb-"
@@ -61,8 +62,14 @@
 
 
 def check_head(head: h11.Request, limits: RequestLimits) -> None:
-    """Raise HeaderTooLargeError or BodyTooLargeError before the body is read."""
+    """Check a head before its body is read.
+
+    Raises MalformedRequestError, HeaderTooLargeError or BodyTooLargeError.
+    """
     size = len(head.target)
+    names = {name for name, _ in head.headers}
+    if b"transfer-encoding" in names and b"content-length" in names:
+        raise MalformedRequestError("the request states its length in two ways")
     for name, value in head.headers:
         size += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
     if size > limits.max_header_bytes:
@@ -88,7 +95,11 @@
     """Return the caller's error for bytes that are not an HTTP request."""
     if error.error_status_hint == _TOO_LARGE_STATUS:
         return header_too_large(limits)
-    return MalformedRequestError(f"request is not valid HTTP/1.1: {error}")
+    # The parser's message may quote the caller's bytes at length.
+    reason = str(error)
+    if len(reason) > _MAX_REASON_CHARACTERS or not reason.isprintable():
+        reason = "the bytes do not form a request"
+    return MalformedRequestError(f"request is not valid HTTP/1.1: {reason}")
 
 
 def build_request(
@@ -96,11 +107,14 @@
 ) -> Request:
     """Return the parsed request; raises MalformedRequestError for a bad path."""
     headers: dict[str, str] = {}
-    for raw_name, raw_value in head.headers:
-        name = raw_name.decode("ascii")
-        value = raw_value.decode("latin-1")
+    fields = tuple(
+        (raw_name.decode("ascii"), raw_value.decode("latin-1"))
+        for raw_name, raw_value in head.headers
+    )
+    for name, value in fields:
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    path, query = _split_target(head.target.decode("latin-1"))
+    target = head.target.decode("latin-1")
+    path, query = _split_target(target)
     return Request(
         method=head.method.decode("ascii"),
         path=path,
@@ -109,6 +123,8 @@
         body=body,
         request_id=request_id,
         received=received,
+        fields=fields,
+        target=target,
     )
 
 
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -26,8 +26,12 @@
         clock: Clock,
         metrics: GatewayMetrics,
         generator: random.Random,
+        *,
+        labels_answers: bool = True,
     ) -> None:
-        self._serving = Serving(handler, limits, clock, metrics, generator)
+        self._serving = Serving(
+            handler, limits, clock, metrics, generator, labels_answers
+        )
         self._serving.empty.set()
         self._server: asyncio.Server | None = None
 
@@ -37,6 +41,10 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Use other limits for the requests that come from now on."""
+        self._serving.limits = limits
+
     async def start(self, address: str) -> None:
         """Listen at IP:PORT; port 0 takes a free one."""
         host, _, port = address.rpartition(":")
--- a/carobladder/instance/assembly.py
+++ b/carobladder/instance/assembly.py
@@ -7,6 +7,10 @@
 
 from carobladder.admin.api import AdminApi
 from carobladder.bookings import BookingRunner, ClaimReader, ClaimWriter
+from carobladder.clients.engines import EngineClient, TargetProber
+from carobladder.clients.http import HttpClient
+from carobladder.clients.instances import InstanceListClient
+from carobladder.clients.log import LogClient
 from carobladder.clock import Clock
 from carobladder.gateway import (
     ChatHandler,
@@ -35,10 +39,6 @@
     Timing,
 )
 from carobladder.placement import PlacementPolicy, TokenSigner
-from carobladder.platform.engines import EngineClient, TargetProber
-from carobladder.platform.http import HttpClient
-from carobladder.platform.instances import InstanceListClient
-from carobladder.platform.log import LogClient
 from carobladder.resources import (
     Catalog,
     ConfigReader,
--- a/carobladder/instance/lookup.py
+++ b/carobladder/instance/lookup.py
@@ -2,9 +2,9 @@
 
 from urllib.parse import quote
 
+from carobladder.clients.ports import HttpFetcher
 from carobladder.exceptions import ConnectionBrokenError
 from carobladder.gateway.ports import Directory, ServiceAnswer, ServiceRoute
-from carobladder.platform.ports import HttpFetcher
 
 __all__ = ["ServiceLookup"]
 
--- a/carobladder/instance/movedriver.py
+++ b/carobladder/instance/movedriver.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from carobladder.clients.engines import EngineClient, OrderOutcome
+from carobladder.clients.log import LogClient
 from carobladder.clock import Clock
 from carobladder.exceptions import CarobladderError
 from carobladder.instance.movecapacity import CapacitySurvey
@@ -28,8 +30,6 @@
     describe_arms,
     plan_switches,
 )
-from carobladder.platform.engines import EngineClient, OrderOutcome
-from carobladder.platform.log import LogClient
 from carobladder.resources import (
     ABSENT,
     Catalog,
--- a/carobladder/instance/moverecords.py
+++ b/carobladder/instance/moverecords.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
+from carobladder.clients.log import LogClient
 from carobladder.clock import Clock
 from carobladder.exceptions import LogUnavailableError
-from carobladder.platform.log import LogClient
 from carobladder.resources import (
     CONFIG_STREAM,
     Catalog,
--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -6,6 +6,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from carobladder.clients.http import HttpClient
+from carobladder.clients.instances import InstanceList, ListWatcher
 from carobladder.clock import Clock, SystemClock, run_with_timeout
 from carobladder.gateway import GatewayServer, Router
 from carobladder.instance.administration import AdminHandler
@@ -20,8 +22,6 @@
 from carobladder.instance.collector import FleetCollector
 from carobladder.instance.declarations import declare_targets
 from carobladder.peers import PeerMessage, SnapshotRequest
-from carobladder.platform.http import HttpClient
-from carobladder.platform.instances import InstanceList, ListWatcher
 from carobladder.resources import ABSENT
 from carobladder.settings import InstanceSettings
 from carobladder.telemetry import GatewayMetrics, configure_logging, log_event
--- a/carobladder/placement/keys.py
+++ b/carobladder/placement/keys.py
@@ -10,6 +10,7 @@
     "choose_version",
     "derive_chat_key",
     "derive_prefix_key",
+    "hash_parts",
     "key_fraction",
 ]
 
@@ -34,13 +35,13 @@
     because only these are the same in every later request of the chat.
     """
     if chat_id:
-        return _hash_parts("chat-id", team, model, chat_id)
+        return hash_parts("chat-id", team, model, chat_id)
     parts = []
     for message in messages:
         parts += [message.role, message.content]
         if message.role not in _SYSTEM_ROLES:
             break
-    return _hash_parts("chat-text", team, model, *parts)
+    return hash_parts("chat-text", team, model, *parts)
 
 
 def derive_prefix_key(team: str, model: str, messages: Sequence[ChatMessage]) -> int:
@@ -50,7 +51,7 @@
         if message.role not in _SYSTEM_ROLES:
             break
         parts.append(message.content)
-    return _hash_parts("prefix", team, model, *parts)
+    return hash_parts("prefix", team, model, *parts)
 
 
 def key_fraction(key: int) -> float:
@@ -84,7 +85,8 @@
     return chosen
 
 
-def _hash_parts(*parts: str) -> int:
+def hash_parts(*parts: str) -> int:
+    """Return the 64-bit key of texts in their order."""
     # The length before each part keeps ("ab", "c") apart from ("a", "bc").
     state = xxhash.xxh3_64()
     for part in parts:
--- /dev/null
+++ b/carobladder/platform/documents.py
@@ -0,0 +1,221 @@
+"""Documents of the platform, decoded into the project's types."""
+
+from typing import Annotated
+
+import msgspec
+
+from carobladder.fleet.entries import (
+    ConfigurationStated,
+    DataCentreEmptied,
+    OperatorRecord,
+    RecordUnreadable,
+    RolloutOrdered,
+    TargetEntry,
+)
+from carobladder.platform.names import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    ROLLOUT_PREFIX,
+)
+from carobladder.routing import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+    ServiceWeight,
+    TeamKeys,
+)
+
+__all__ = ["decode_operator_record", "decode_target_entry"]
+
+_MS_PER_SECOND = 1000.0
+_KINDS = {kind.value: kind for kind in RouteKind}
+_STATES = frozenset({"ready", "draining"})
+
+Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _Document(msgspec.Struct, rename="camel"):
+    pass
+
+
+class _Split(_Document):
+    service: Text
+    weight: Annotated[float, msgspec.Meta(ge=0)] = 1.0
+
+
+class _Route(_Document):
+    name: Text
+    host: Text
+    path_prefix: Text
+    kind: str
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0.0
+    priority: int = 0
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    target_gap_ms: Milliseconds = 0.0
+    service: str = ""
+    traffic_split: tuple[_Split, ...] = ()
+
+
+class _Engine(_Document):
+    slots: int = 0
+    kv_capacity: int = 0
+
+
+class _Service(_Document):
+    name: Text
+    health_path: str = "/"
+    max_connections: int = 0
+    cold_per_s: float = 0.0
+    engine: _Engine | None = None
+
+
+class _Tenant(_Document):
+    name: Text
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class _Limits(_Document):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: Milliseconds = 10_000.0
+    idle_timeout_ms: Milliseconds = 75_000.0
+
+
+class _Configuration(_Document):
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Rollout(_Document):
+    service: Text
+    target: Text
+    duration_s: float
+
+
+class _Server(_Document):
+    service: Text
+    address: Text
+    zone: Text
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=0)]
+    state: str
+    cold_remaining_ms: Milliseconds
+    # The platform counts a server's writes here; a count says nothing of its age.
+    sequence: int
+    born: int = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_rollout_decoder = msgspec.json.Decoder(_Rollout)
+_server_decoder = msgspec.json.Decoder(_Server)
+
+
+def decode_operator_record(key: str, value: bytes | None) -> OperatorRecord:
+    """Return what the operator's record states; ``value`` is None once dropped."""
+    try:
+        return _decode_operator_record(key, value)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return RecordUnreadable(key, str(error))
+
+
+def decode_target_entry(key: str, value: bytes) -> TargetEntry | RecordUnreadable:
+    """Return the entry of a target, or why it names none."""
+    try:
+        server = _server_decoder.decode(value)
+        _check_server(server)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return RecordUnreadable(key, str(error))
+    return TargetEntry(
+        target_id=key,
+        service=server.service,
+        address=server.address,
+        data_centre=server.zone,
+        version=server.version,
+        slots=server.slots,
+        draining=server.state == "draining",
+        cold_seconds=server.cold_remaining_ms / _MS_PER_SECOND,
+        born_ms=server.born,
+    )
+
+
+def _decode_operator_record(key: str, value: bytes | None) -> OperatorRecord:
+    if key.startswith(EVACUATION_PREFIX):
+        data_centre = key.removeprefix(EVACUATION_PREFIX)
+        return DataCentreEmptied(data_centre, value is not None)
+    if key.startswith(ROLLOUT_PREFIX):
+        if value is None:
+            return RolloutOrdered(key.removeprefix(ROLLOUT_PREFIX), "", 0.0)
+        rollout = _rollout_decoder.decode(value)
+        return RolloutOrdered(rollout.service, rollout.target, rollout.duration_s)
+    if key != CONFIGURATION_KEY or value is None:
+        return RecordUnreadable(key, "no record of this name is expected")
+    document = _configuration_decoder.decode(value)
+    return ConfigurationStated(_build_configuration(document))
+
+
+def _check_server(server: _Server) -> None:
+    if server.state not in _STATES:
+        raise ValueError(f"unknown state {server.state!r}")
+    host, _, port = server.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"address {server.address!r} is not IP:PORT")
+
+
+def _build_configuration(document: _Configuration) -> Configuration:
+    limits = document.limits
+    return Configuration(
+        version=document.version,
+        routes=tuple(_build_route(route) for route in document.routes),
+        services=tuple(_build_service(service) for service in document.services),
+        teams=tuple(
+            TeamKeys(tenant.name, tenant.api_keys, tenant.priority)
+            for tenant in document.tenants
+        ),
+        limits=CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_seconds=limits.header_timeout_ms / _MS_PER_SECOND,
+            idle_seconds=limits.idle_timeout_ms / _MS_PER_SECOND,
+        ),
+    )
+
+
+def _build_route(route: _Route) -> Route:
+    services = tuple(ServiceWeight(s.service, s.weight) for s in route.traffic_split)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        # What an unknown kind allows is unknown, so it may not be repeated.
+        kind=_KINDS.get(route.kind, RouteKind.UNSAFE),
+        services=services or (ServiceWeight(route.service),),
+        timeout_seconds=route.timeout_ms / _MS_PER_SECOND,
+        objective_seconds=route.target_latency_ms / _MS_PER_SECOND,
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        public=route.public,
+        resumable=route.resumable,
+        pause_seconds=route.target_gap_ms / _MS_PER_SECOND,
+    )
+
+
+def _build_service(service: _Service) -> Service:
+    engine = service.engine or _Engine()
+    return Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        cold_per_second=service.cold_per_s,
+        batch_slots=engine.slots,
+        memory_tokens=engine.kv_capacity,
+    )
--- /dev/null
+++ b/carobladder/platform/exchanges.py
@@ -0,0 +1,123 @@
+"""Headers of requests and answers, decoded for the data path."""
+
+from collections.abc import Iterable
+
+from carobladder.fleet.exchanges import (
+    AnswerFacts,
+    CallFacts,
+    PromptPart,
+    TargetLoad,
+)
+from carobladder.platform.names import (
+    COLD_HEADER,
+    DEADLINE_HEADER,
+    EXPECTED_TARGET_HEADER,
+    KEY_HEADER,
+    LOAD_HEADER,
+    NOT_RUN_HEADER,
+    PREFIX_HEADER,
+    PRIORITY_HEADER,
+    REQUEST_ID_HEADER,
+    SIGNATURE_HEADER,
+    SYSTEM_HEADERS,
+    TEAM_HEADER,
+    TOKENS_HEADER,
+)
+
+__all__ = ["PlatformCodec"]
+
+Fields = tuple[tuple[str, str], ...]
+
+_MS_PER_SECOND = 1000.0
+_LEAST_PRIORITY = 9
+_MISDIRECTED = 421
+
+
+class PlatformCodec:
+    """Translate headers between the platform and the data path."""
+
+    def read_call(self, fields: Fields) -> CallFacts:
+        """Return what the headers of a caller's request say."""
+        values = {name.lower(): value for name, value in fields}
+        input_tokens, output_tokens = _read_tokens(values.get(TOKENS_HEADER, ""))
+        return CallFacts(
+            request_id=values.get(REQUEST_ID_HEADER, ""),
+            host=values.get("host", ""),
+            key=values.get(KEY_HEADER),
+            time_left_seconds=_read_seconds(values.get(DEADLINE_HEADER)),
+            prompt=_read_prompt(values.get(PREFIX_HEADER, "")),
+            input_tokens=input_tokens,
+            output_tokens=output_tokens,
+        )
+
+    def keep_field(self, name: str) -> bool:
+        """Tell whether a caller's header is handed on; ``name`` is lower case."""
+        return name not in SYSTEM_HEADERS
+
+    def write_call(
+        self,
+        target_id: str,
+        time_left_seconds: float,
+        team: str,
+        priority: int,
+    ) -> Fields:
+        """Return the headers that the fleet itself sets for a target."""
+        time_left_ms = max(1, int(time_left_seconds * _MS_PER_SECOND))
+        fields = [
+            (EXPECTED_TARGET_HEADER, target_id),
+            (DEADLINE_HEADER, str(time_left_ms)),
+            (PRIORITY_HEADER, str(min(max(priority, 0), _LEAST_PRIORITY))),
+        ]
+        if team:
+            fields.append((TEAM_HEADER, team))
+        return tuple(fields)
+
+    def read_answer(self, status: int, fields: Fields) -> AnswerFacts:
+        """Return what the headers of a target's answer say."""
+        values = dict(fields)
+        return AnswerFacts(
+            request_id=values.get(REQUEST_ID_HEADER, ""),
+            signed=SIGNATURE_HEADER in values,
+            not_run=NOT_RUN_HEADER in values or status == _MISDIRECTED,
+            load=_read_load(values.get(LOAD_HEADER, "")),
+            cold_seconds=_read_seconds(values.get(COLD_HEADER)),
+        )
+
+    def write_answer(self, request_id: str) -> Fields:
+        """Return the headers of an answer that the fleet makes itself."""
+        return ((REQUEST_ID_HEADER, request_id),) if request_id else ()
+
+
+def _read_seconds(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return max(0.0, float(text) / _MS_PER_SECOND)
+    except ValueError:
+        return None
+
+
+def _read_tokens(text: str) -> tuple[int, int]:
+    numbers = _read_numbers(text.split(","))
+    return (numbers[0], numbers[1]) if len(numbers) == 2 else (0, 0)
+
+
+def _read_load(text: str) -> TargetLoad | None:
+    numbers = _read_numbers(text.split(","))
+    if len(numbers) != 3:
+        return None
+    return TargetLoad(running=numbers[0], waiting=numbers[1], slots=numbers[2])
+
+
+def _read_prompt(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in text.split(","):
+        part_id, separator, tokens = entry.strip().partition(":")
+        if separator and tokens.isdigit():
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _read_numbers(texts: Iterable[str]) -> list[int]:
+    stripped = [text.strip() for text in texts]
+    return [int(text) for text in stripped if text.isdigit()]
--- /dev/null
+++ b/carobladder/platform/names.py
@@ -0,0 +1,64 @@
+"""Names that the platform uses on the wire."""
+
+__all__ = [
+    "COLD_HEADER",
+    "CONFIGURATION_KEY",
+    "DEADLINE_HEADER",
+    "EVACUATION_PREFIX",
+    "EXPECTED_TARGET_HEADER",
+    "KEY_HEADER",
+    "LOAD_HEADER",
+    "NOT_RUN_HEADER",
+    "OPERATOR_TOPIC",
+    "PREFIX_HEADER",
+    "PRIORITY_HEADER",
+    "READINESS_PATH",
+    "REQUEST_ID_HEADER",
+    "ROLLOUT_PREFIX",
+    "SIGNATURE_HEADER",
+    "STATUS_TOPIC",
+    "SYSTEM_HEADERS",
+    "TARGETS_TOPIC",
+    "TEAM_HEADER",
+    "TOKENS_HEADER",
+]
+
+READINESS_PATH = "/-/ready"
+
+OPERATOR_TOPIC = "keyed.op"
+TARGETS_TOPIC = "keyed.servers"
+STATUS_TOPIC = "keyed.status"
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+ROLLOUT_PREFIX = "rollout/"
+
+KEY_HEADER = "x-api-key"
+REQUEST_ID_HEADER = "carobladder-request-id"
+DEADLINE_HEADER = "carobladder-deadline"
+PREFIX_HEADER = "carobladder-prompt-prefix"
+TOKENS_HEADER = "carobladder-token-usage"
+EXPECTED_TARGET_HEADER = "carobladder-expect-instance"
+TEAM_HEADER = "carobladder-tenant"
+PRIORITY_HEADER = "carobladder-request-priority"
+SIGNATURE_HEADER = "carobladder-response-signature"
+NOT_RUN_HEADER = "carobladder-not-executed"
+LOAD_HEADER = "carobladder-server-load"
+COLD_HEADER = "carobladder-cold-ms"
+
+# Set by the fleet alone; what a caller sends under these names is dropped.
+SYSTEM_HEADERS = frozenset(
+    {
+        KEY_HEADER,
+        DEADLINE_HEADER,
+        EXPECTED_TARGET_HEADER,
+        TEAM_HEADER,
+        PRIORITY_HEADER,
+        "carobladder-expect-version",
+        "carobladder-hold",
+        "carobladder-pin-ms",
+        "carobladder-kv-backup",
+        "kv-from",
+        "kv-fetch",
+        "wait-ms",
+    }
+)
--- a/carobladder/resources/reader.py
+++ b/carobladder/resources/reader.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
+from carobladder.clients.log import Batch, LogClient
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     CarobladderError,
@@ -12,7 +13,6 @@
     OffsetDroppedError,
     SnapshotError,
 )
-from carobladder.platform.log import Batch, LogClient
 from carobladder.resources.catalog import Catalog
 from carobladder.resources.records import (
     CONFIG_STREAM,
--- a/carobladder/retries/budgets.py
+++ b/carobladder/retries/budgets.py
@@ -31,6 +31,11 @@
         self._tokens = burst
         self._updated = now
 
+    def set_burst(self, burst: float) -> None:
+        """Change the number of retries that may come at once."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def record_request(self) -> None:
         """Add the share of a retry that a first attempt earns."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
--- a/carobladder/retries/streams.py
+++ b/carobladder/retries/streams.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-__all__ = ["StreamFault", "StreamTracker"]
+__all__ = ["EventTracker", "StreamFault", "StreamTracker"]
 
 _EVENT_END = b"\n\n"
 _DONE = b"data: [DONE]"
@@ -49,6 +49,9 @@
         self._tail = b""
         self.fault = StreamFault.NONE
 
+    def end_attempt(self) -> None:
+        """Take note that the attempt's answer has ended whole."""
+
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that may be relayed now.
 
@@ -59,8 +62,7 @@
             return b""
         if self._tail:
             data = self._tail + data
-        if b"\r" in data:
-            data = data.replace(b"\r\n", b"\n")
+        data = self._unify_lines(data)
         start = 0
         while not self.finished:
             end = data.find(_EVENT_END, start)
@@ -74,6 +76,9 @@
             self.relayed = True
         return data[:start]
 
+    def _unify_lines(self, data: bytes) -> bytes:
+        return data.replace(b"\r\n", b"\n") if b"\r" in data else data
+
     def _keep_tail(self, data: bytes, start: int) -> None:
         if self.fault or self.finished:
             self._tail = b""
@@ -114,3 +119,34 @@
             self.finished = True
         elif event.startswith(b"data:") or b"\ndata:" in event:
             self._numbered = False
+
+
+class EventTracker(StreamTracker):
+    """Follow a stream whose event ids grow and that ends with its answer.
+
+    No event marks the end, so an answer that ends whole, and not inside an event,
+    ends the stream. Bytes are relayed as the target sent them.
+    """
+
+    def end_attempt(self) -> None:
+        """Finish the stream unless the answer ended inside an event."""
+        self.finished = self.relayed and not self._tail
+
+    def _accept_index(self, text: bytes) -> bool:
+        try:
+            index = int(text)
+        except ValueError:
+            self.fault = StreamFault.BAD_INDEX
+            return False
+        if self.last_index is not None and index <= self.last_index:
+            self.fault = StreamFault.WRONG_INDEX
+            return False
+        self.last_index = index
+        return True
+
+    def _unify_lines(self, data: bytes) -> bytes:
+        return data
+
+    def _accept_unnumbered(self, event: bytes) -> None:
+        if event.startswith(b"data:") or b"\ndata:" in event:
+            self._numbered = False
--- /dev/null
+++ b/carobladder/routing/table.py
@@ -0,0 +1,68 @@
+"""Look-up of routes, teams and services in one configuration."""
+
+from dataclasses import dataclass
+
+from carobladder.routing.configuration import Configuration, Route, Service
+
+__all__ = ["RouteTable", "TeamEntry"]
+
+
+@dataclass(frozen=True, slots=True)
+class TeamEntry:
+    """Name the team of a key; ``priority`` 0 goes first."""
+
+    name: str
+    priority: int | None = None
+
+
+class RouteTable:
+    """Find the route of a request and the team of a key.
+
+    A look-up costs one dictionary access for each segment of the path, whatever
+    the number of routes is.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, {})[route.path_prefix] = route
+        self._services = {service.name: service for service in configuration.services}
+        self._teams = {
+            key: TeamEntry(team.name, team.priority)
+            for team in configuration.teams
+            for key in team.keys
+        }
+
+    @property
+    def needs_keys(self) -> bool:
+        """Tell whether requests on routes that are not public need a key."""
+        return bool(self.configuration.teams)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, or None."""
+        prefixes = self._routes.get(_normalise_host(host))
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def find_team(self, key: str) -> TeamEntry | None:
+        """Return the team that holds the key, or None."""
+        return self._teams.get(key)
+
+    def find_service(self, name: str) -> Service | None:
+        """Return the service of this name, or None."""
+        return self._services.get(name)
+
+
+def _normalise_host(host: str) -> str:
+    name, separator, port = host.rpartition(":")
+    if separator and port.isdigit():
+        host = name
+    return host.lower()
--- a/carobladder/telemetry/logs.py
+++ b/carobladder/telemetry/logs.py
@@ -2,15 +2,22 @@
 
 import json
 import logging
+import queue
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from logging.handlers import QueueHandler, QueueListener
 from typing import Any
 
 from pythonjsonlogger.core import BaseJsonFormatter
+from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["configure_logging", "log_event"]
+__all__ = ["configure_json_logging", "configure_logging", "log_event"]
 
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
 _root = logging.getLogger("carobladder")
+# Lines that wait for a slow reader of standard output; later ones are dropped.
+_MAX_WAITING_LINES = 2000
 
 
 class _KeyValueFormatter(BaseJsonFormatter):
@@ -47,3 +54,46 @@
 def log_event(event: str, level: int = logging.INFO, **fields: Any) -> None:
     """Write one event with its fields."""
     _root.log(level, event, extra=fields)
+
+
+class _BoundedQueueHandler(QueueHandler):
+    """Queue records without waiting; count what a full queue leaves out."""
+
+    dropped = 0
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.dropped += 1
+            return
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            log_event("log lines left out", logging.WARNING, count=dropped)
+
+
+@contextmanager
+def configure_json_logging(level: str, instance_id: str) -> Iterator[None]:
+    """Send events as JSON lines to standard output from a thread of their own.
+
+    A reader that stops delays only that thread; at the end the waiting lines are
+    written only if the reader takes them.
+    """
+    formatter = JsonFormatter(
+        "{asctime}{levelname}{message}",
+        style="{",
+        rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
+        static_fields={"instance": instance_id},
+    )
+    output = logging.StreamHandler(sys.stdout)
+    output.setFormatter(formatter)
+    lines: queue.Queue[logging.LogRecord] = queue.Queue(_MAX_WAITING_LINES)
+    listener = QueueListener(lines, output)
+    _root.handlers[:] = [_BoundedQueueHandler(lines)]
+    _root.setLevel(level.upper())
+    _root.propagate = False
+    listener.start()
+    try:
+        yield
+    finally:
+        listener.stop()
--- a/tests/platform/test_engines.py
+++ b/tests/clients/test_engines.py
@@ -4,11 +4,11 @@
 
 from returns.result import Failure
 
+from carobladder.clients.engines import EngineClient, OrderOutcome, TargetProber
+from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import VirtualClock
 from carobladder.exceptions import ConnectionBrokenError
 from carobladder.limits.declarations import TargetDeclaration
-from carobladder.platform.engines import EngineClient, OrderOutcome, TargetProber
-from carobladder.platform.ports import HttpAnswer
 from carobladder.targets import TargetState
 
 LOAD = b"""{"boot_id": "b1", "ready": true, "cold": true, "running": 2,
--- a/tests/platform/test_instances.py
+++ b/tests/clients/test_instances.py
@@ -4,10 +4,10 @@
 
 from returns.result import Failure
 
+from carobladder.clients.instances import InstanceListClient, ListWatcher
+from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import VirtualClock
 from carobladder.exceptions import ConnectionBrokenError
-from carobladder.platform.instances import InstanceListClient, ListWatcher
-from carobladder.platform.ports import HttpAnswer
 
 LISTED = b"""{"instances": [
     {"id": "entry-1", "kind": "entry", "address": "127.0.0.1:1",
--- a/tests/platform/test_log.py
+++ b/tests/clients/test_log.py
@@ -4,13 +4,13 @@
 import json
 import unittest
 
+from carobladder.clients.log import Batch, LogClient, LogRecord
+from carobladder.clients.ports import HttpAnswer
 from carobladder.exceptions import (
     ConnectionBrokenError,
     LogUnavailableError,
     OffsetDroppedError,
 )
-from carobladder.platform.log import Batch, LogClient, LogRecord
-from carobladder.platform.ports import HttpAnswer
 
 
 class ScriptedFetcher:
--- a/tests/faults/stream_row.py
+++ b/tests/faults/stream_row.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from carobladder.clients.ports import HttpAnswer
 from carobladder.gateway import RelayTimes, attempts
-from carobladder.platform.ports import HttpAnswer
 from carobladder.retries import StreamTracker
 from tests.faults.cells import Injection, Row, Run
 from tests.gateway.engines import DONE, EngineRequest, read_request
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from carobladder.clients.http import HttpClient
+from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import SystemClock
 from carobladder.exceptions import (
     CallerError,
@@ -34,8 +36,6 @@
     TargetCaller,
     Team,
 )
-from carobladder.platform.http import HttpClient
-from carobladder.platform.ports import HttpAnswer
 from carobladder.retries import RetryBudget
 from carobladder.targets import TargetState
 from carobladder.telemetry import GatewayMetrics
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -4,9 +4,9 @@
 import socket
 import unittest
 
+from carobladder.clients.http import HttpClient
 from carobladder.clock import VirtualClock
 from carobladder.exceptions import ConnectionBrokenError
-from carobladder.platform.http import HttpClient
 from tests.gateway.wires import ScriptedServer, plain_answer, read_head
 
 LONG_SECONDS = 30.0
--- a/tests/instance/move_fleet.py
+++ b/tests/instance/move_fleet.py
@@ -4,14 +4,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from carobladder.clients.engines import EngineClient
+from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import VirtualClock
 from carobladder.exceptions import LogUnavailableError
 from carobladder.instance.evidence import EvidenceCollector
 from carobladder.instance.movedriver import FleetView, MoveDriver
 from carobladder.instance.movetargets import TargetSurvey
 from carobladder.instance.movewatch import MoveWatch
-from carobladder.platform.engines import EngineClient
-from carobladder.platform.ports import HttpAnswer
 from carobladder.resources import (
     Catalog,
     Change,
--- a/tests/resources/fake_log.py
+++ b/tests/resources/fake_log.py
@@ -5,9 +5,9 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from carobladder.clients.log import LogClient
+from carobladder.clients.ports import HttpAnswer
 from carobladder.exceptions import ConnectionBrokenError
-from carobladder.platform.log import LogClient
-from carobladder.platform.ports import HttpAnswer
 
 
 def drive(coroutine: Coroutine[Any, Any, Any]) -> Any:
