Copy shared prompts between engines and treat unknown loads as the mean

Change: an engine is told which other engine is likely to keep the prompt; a target of unknown load counts as the mean; an empty waiting read proves freshness up to shortly before its end.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection to a server, driven by h11."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import h11
@@ -13,6 +14,8 @@
 
 _MAX_ANSWER_HEADER_BYTES = 65_536
 _DEFAULT_IDLE_SECONDS = 4.0
+_KEEP_ALIVE_PROBES = 3
+_MS_PER_SECOND = 1000
 # Reading from the socket stops while this much is not yet consumed.
 _HIGH_WATER_BYTES = 262_144
 
@@ -63,6 +66,25 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
+    def watch_for_silence(self, seconds: float) -> None:
+        """Let the kernel end the connection when the peer's kernel is silent."""
+        transport = self._transport
+        handle = transport.get_extra_info("socket") if transport else None
+        if handle is None:
+            return
+        whole_seconds = max(1, round(seconds / _KEEP_ALIVE_PROBES))
+        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, whole_seconds)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, whole_seconds)
+        handle.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES - 1
+        )
+        handle.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            round(seconds * _MS_PER_SECOND),
+        )
+
     def data_received(self, data: bytes) -> None:
         """Pass bytes on; bytes that no request asked for end the connection."""
         if self._idle:
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -23,6 +23,8 @@
 # A connection is reused up to this part of the idle time that its server states.
 _IDLE_PART = 0.7
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d+)")
+# A peer whose kernel does not answer for this long has lost the connection.
+_SILENCE_SECONDS = 15.0
 _MAX_IDLE_FOR_ADDRESS = 128
 _MAX_ANSWER_BYTES = 67_108_864
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -146,9 +148,14 @@
     """Send requests to servers at IP:PORT over pooled connections."""
 
     def __init__(
-        self, clock: Clock, *, connect_seconds: float = _CONNECT_SECONDS
+        self,
+        clock: Clock,
+        *,
+        connect_seconds: float = _CONNECT_SECONDS,
+        silence_seconds: float = _SILENCE_SECONDS,
     ) -> None:
         self._clock = clock
+        self._silence_seconds = silence_seconds
         self._connect_seconds = connect_seconds
         self._pool: dict[str, list[ClientConnection]] = {}
         self._prune_at = 0.0
@@ -282,6 +289,7 @@
                 f"{address}: cannot connect ({error or 'timeout'}); try another target",
                 request_written=False,
             ) from None
+        connection.watch_for_silence(self._silence_seconds)
         return connection
 
     def _take(self, address: str) -> ClientConnection | None:
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -12,8 +12,10 @@
 
 _FIRST_BACKOFF_SECONDS = 0.15
 _LONGEST_BACKOFF_SECONDS = 0.6
+# A waiting read may miss records for this long before its answer.
+_WATCH_DELAY_SECONDS = 1.1
 # Collects the records of a series of changes into one more read.
-_COLLECT_SECONDS = 0.1
+_COLLECT_SECONDS = 0.25
 
 
 class TopicFollower:
@@ -47,6 +49,7 @@
         """Follow the topic until cancelled."""
         while True:
             sent_at = self._clock.boottime()
+            waited = 0.0 if self._next is None else self._wait_seconds
             try:
                 changed = await self._read()
             except OffsetDroppedError as error:
@@ -56,7 +59,7 @@
             except LogUnavailableError as error:
                 await self._back_off(error)
                 continue
-            self._note_success(sent_at)
+            self._note_success(sent_at, 0.0 if changed else waited)
             if changed:
                 await self._clock.sleep(_COLLECT_SECONDS)
 
@@ -91,13 +94,15 @@
             self._offsets[record.key] = record.offset
         self._on_record(record.key, record.value)
 
-    def _note_success(self, sent_at: float) -> None:
+    def _note_success(self, sent_at: float, waited_seconds: float) -> None:
+        """Take a read; one that waited in vain proves that nothing came meanwhile."""
         if self._failures:
             age = self.freshness.age(sent_at)
             log_event("store regained", topic=self._name, away_seconds=round(age, 2))
             self._failures = 0
             self._on_return(age)
-        self.freshness.note_read(sent_at)
+        proved_seconds = max(0.0, waited_seconds - _WATCH_DELAY_SECONDS)
+        self.freshness.note_read(sent_at + proved_seconds)
 
     async def _back_off(self, error: LogUnavailableError) -> None:
         if not self._failures:
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -15,7 +15,13 @@
 from carobladder.entry.shares import SHARE_PARTITIONS, ShareKeeper
 from carobladder.entry.status import StatusHandler
 from carobladder.exceptions import SettingsError
-from carobladder.fleet import ColdPacer, ShareLedger, TargetSelector, TargetTable
+from carobladder.fleet import (
+    ColdPacer,
+    PromptWarmth,
+    ShareLedger,
+    TargetSelector,
+    TargetTable,
+)
 from carobladder.forwarding import FenceTimes, Forwarder, ForwardHandler
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
@@ -34,14 +40,15 @@
 # A read of the store answers within this time after its own wait.
 _STORE_TIMEOUT_SECONDS = 0.8
 _CONNECT_SECONDS = 0.4
+_STORE_SILENCE_SECONDS = 3.0
 # How long reads wait for records. The first bounds how old the proof may be that a
 # key was not revoked; the second how late a silent connection is noticed.
-_OPERATOR_WAIT_SECONDS = 2.0
-_TARGETS_WAIT_SECONDS = 3.0
+_OPERATOR_WAIT_SECONDS = 1.6
+_TARGETS_WAIT_SECONDS = 4.0
 # Parts of the time in which a revoked key must be refused everywhere.
 _FENCE_PART = 0.9
-_READY_PART = 0.65
-_REFUSAL_AGE_SECONDS = 3.2
+_READY_PART = 0.75
+_REFUSAL_AGE_SECONDS = 3.0
 # Part of the fleet's retry bounds that is used, since views of the shares differ.
 _BUDGET_PART = 0.7
 # The balancer notices a failing readiness within this time.
@@ -65,7 +72,11 @@
         self._targets = TargetTable()
         self._budgets: dict[str, RetryBudget] = {}
         self._client = HttpClient(clock, connect_seconds=_CONNECT_SECONDS)
-        self._store_client = HttpClient(clock, connect_seconds=_CONNECT_SECONDS)
+        self._store_client = HttpClient(
+            clock,
+            connect_seconds=_CONNECT_SECONDS,
+            silence_seconds=_STORE_SILENCE_SECONDS,
+        )
         self._store = PlatformStore(
             self._store_client, settings.store_address, _STORE_TIMEOUT_SECONDS
         )
@@ -160,7 +171,12 @@
             self._targets, self._pacer, self._settings.load_multiple, generator
         )
         forwarder = Forwarder(
-            self._client, codec, selector, self._clock, self._find_budget
+            self._client,
+            codec,
+            selector,
+            PromptWarmth(self._targets),
+            self._clock,
+            self._find_budget,
         )
         fence = FenceTimes(
             keys=self._settings.key_revocation_ms / _MS_PER_SECOND * _FENCE_PART,
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -9,6 +9,7 @@
     selection,
     shares,
     targets,
+    warmth,
 )
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
@@ -18,6 +19,7 @@
 from carobladder.fleet.selection import *  # noqa: F403
 from carobladder.fleet.shares import *  # noqa: F403
 from carobladder.fleet.targets import *  # noqa: F403
+from carobladder.fleet.warmth import *  # noqa: F403
 
 __all__ = [
     *entries.__all__,
@@ -28,4 +30,5 @@
     *selection.__all__,
     *shares.__all__,
     *targets.__all__,
+    *warmth.__all__,
 ]
--- a/carobladder/fleet/exchanges.py
+++ b/carobladder/fleet/exchanges.py
@@ -74,8 +74,12 @@
         time_left_seconds: float,
         team: str,
         priority: int,
+        prompt_source: str,
     ) -> Fields:
-        """Return the headers that the fleet itself sets for a target."""
+        """Return the headers that the fleet itself sets for a target.
+
+        ``prompt_source`` is the address to copy the shared prompt from, or empty.
+        """
 
     def read_answer(self, status: int, fields: Fields) -> AnswerFacts:
         """Return what the headers of a target's answer say."""
--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -11,7 +11,7 @@
 _LONGEST_PAUSE_SECONDS = 4.0
 _AVERAGE_GAIN = 0.15
 # A load report says little about a target after this time.
-_REPORT_SECONDS = 1.5
+_REPORT_SECONDS = 2.5
 _START_LATENCY_SECONDS = 0.1
 
 
@@ -79,10 +79,13 @@
         self._load_at = now
         self._load_in_flight = self.in_flight
 
-    def estimate_load(self, now: float) -> float:
-        """Return the requests that the target is likely to hold for all callers."""
+    def estimate_load(self, now: float) -> float | None:
+        """Return the requests that the target is likely to hold for all callers.
+
+        Return None if the target has not stated its load recently.
+        """
         load = self._load
         if load is None or now - self._load_at > _REPORT_SECONDS:
-            return float(self.in_flight)
+            return None
         since = self.in_flight - self._load_in_flight
         return float(max(self.in_flight, load.total + since))
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -88,7 +88,7 @@
     def _choose_affine(
         self, usable: list[FleetTarget], affinity: int, now: float
     ) -> FleetTarget:
-        loads = {t.target_id: t.health.estimate_load(now) for t in usable}
+        loads = _estimate_loads(usable, now)
         mean = sum(loads.values()) / len(loads)
         limit = mean * self._load_factor + _LOAD_SLACK_REQUESTS
         ranked = sorted(
@@ -108,3 +108,23 @@
         failing = 1.0 + _ERROR_WEIGHT * health.error_share
         jitter = 1.0 + _JITTER * self._generator.random()
         return health.first_byte_seconds * crowding * failing * jitter
+
+
+def _estimate_loads(targets: list[FleetTarget], now: float) -> dict[str, float]:
+    """Return the likely load of each target; unknown ones get the mean of the known.
+
+    Without that a target that is seldom used would look empty and draw requests
+    away from the targets that keep their prompts.
+    """
+    known = {}
+    for target in targets:
+        load = target.health.estimate_load(now)
+        if load is not None:
+            known[target.target_id] = load
+    mean = sum(known.values()) / len(known) if known else 0.0
+    return {
+        target.target_id: known.get(
+            target.target_id, max(mean, float(target.health.in_flight))
+        )
+        for target in targets
+    }
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -18,6 +18,7 @@
     def __init__(self, entry: TargetEntry, now: float) -> None:
         self.entry = entry
         self.health = TargetHealth()
+        self.seen_at = now
         self.cold_until = now + entry.cold_seconds
 
     @property
@@ -120,13 +121,20 @@
         """Set the data centres that must receive no requests."""
         self._emptied = set(data_centres)
 
+    def list_registered(self, service: str) -> list[FleetTarget]:
+        """Return the targets of a service outside of emptied data centres."""
+        return [
+            target
+            for target in self._by_service.get(service, ())
+            if target.entry.data_centre not in self._emptied
+        ]
+
     def list_open(self, service: str) -> list[FleetTarget]:
         """Return the targets of a service that may receive new requests."""
         return [
             target
-            for target in self._by_service.get(service, ())
+            for target in self.list_registered(service)
             if not target.entry.draining
-            and target.entry.data_centre not in self._emptied
         ]
 
     def _remove(self, target_id: str) -> None:
--- /dev/null
+++ b/carobladder/fleet/warmth.py
@@ -0,0 +1,58 @@
+"""Which targets are likely to keep the shared prompt of a request."""
+
+from collections import OrderedDict
+
+from carobladder.fleet.health import Condition
+from carobladder.fleet.targets import FleetTarget, TargetTable
+from carobladder.placement.rendezvous import score_member
+
+__all__ = ["PromptWarmth"]
+
+_MAX_PROMPTS = 20_000
+# Targets kept for a prompt, newest last.
+_MAX_HOLDERS = 3
+# A target that joined less than this time ago is not yet where others send a prompt.
+_SETTLING_SECONDS = 8.0
+
+
+class PromptWarmth:
+    """Remember where prompts were sent, and name a target to copy one from.
+
+    Instances rank targets alike, so a prompt that this instance has not sent yet is
+    likely to be at the first target in the ranking that has been there for a while.
+    """
+
+    def __init__(self, table: TargetTable) -> None:
+        self._table = table
+        self._holders: OrderedDict[int, list[FleetTarget]] = OrderedDict()
+
+    def note_sent(self, affinity: int, target: FleetTarget) -> None:
+        """Take note that a request with this prompt went to the target."""
+        holders = self._holders.pop(affinity, [])
+        kept = [holder for holder in holders if holder is not target]
+        self._holders[affinity] = [*kept[1 - _MAX_HOLDERS :], target]
+        if len(self._holders) > _MAX_PROMPTS:
+            self._holders.popitem(last=False)
+
+    def find_source(
+        self, affinity: int, chosen: FleetTarget, now: float
+    ) -> FleetTarget | None:
+        """Return a target that is likely to keep a prompt that ``chosen`` lacks."""
+        holders = [h for h in self._holders.get(affinity, ()) if self._is_live(h, now)]
+        if chosen in holders:
+            return None
+        if holders:
+            return holders[-1]
+        settled = [
+            target
+            for target in self._table.list_registered(chosen.entry.service)
+            if now - target.seen_at >= _SETTLING_SECONDS and self._is_live(target, now)
+        ]
+        if not settled:
+            return None
+        first = max(settled, key=lambda t: score_member(affinity, t.target_id))
+        return None if first is chosen else first
+
+    def _is_live(self, target: FleetTarget, now: float) -> bool:
+        registered = self._table.find(target.target_id) is target
+        return registered and target.health.judge(now) is Condition.SOUND
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -21,6 +21,7 @@
     CallFacts,
     ExchangeCodec,
     FleetTarget,
+    PromptWarmth,
     Selection,
     TargetSelector,
 )
@@ -72,6 +73,7 @@
     client: HttpClient
     codec: ExchangeCodec
     selector: TargetSelector
+    warmth: PromptWarmth
     clock: Clock
     find_budget: Callable[[str], RetryBudget]
 
@@ -343,9 +345,20 @@
             self.remaining_seconds,
             self._call.team,
             self._call.priority,
+            self._find_prompt_source(target),
         )
         return (*kept, *own, *extra_headers)
 
+    def _find_prompt_source(self, target: FleetTarget) -> str:
+        """Return the address to copy the shared prompt from, or nothing."""
+        affinity = self._call.affinity
+        if affinity is None:
+            return ""
+        warmth, now = self._forwarder.warmth, self._forwarder.clock.monotonic()
+        source = warmth.find_source(affinity, target, now)
+        warmth.note_sent(affinity, target)
+        return source.entry.address if source else ""
+
     def _patience(self, target: FleetTarget) -> float:
         usual = target.health.first_byte_seconds * _PATIENCE_FACTOR
         return max(_PATIENCE_FLOOR_SECONDS, usual)
--- a/carobladder/platform/exchanges.py
+++ b/carobladder/platform/exchanges.py
@@ -17,6 +17,7 @@
     NOT_RUN_HEADER,
     PREFIX_HEADER,
     PRIORITY_HEADER,
+    PROMPT_SOURCE_HEADER,
     REQUEST_ID_HEADER,
     SIGNATURE_HEADER,
     SYSTEM_HEADERS,
@@ -60,8 +61,12 @@
         time_left_seconds: float,
         team: str,
         priority: int,
+        prompt_source: str,
     ) -> Fields:
-        """Return the headers that the fleet itself sets for a target."""
+        """Return the headers that the fleet itself sets for a target.
+
+        ``prompt_source`` is the address to copy the shared prompt from, or empty.
+        """
         time_left_ms = max(1, int(time_left_seconds * _MS_PER_SECOND))
         fields = [
             (EXPECTED_TARGET_HEADER, target_id),
@@ -70,6 +75,8 @@
         ]
         if team:
             fields.append((TEAM_HEADER, team))
+        if prompt_source:
+            fields.append((PROMPT_SOURCE_HEADER, prompt_source))
         return tuple(fields)
 
     def read_answer(self, status: int, fields: Fields) -> AnswerFacts:
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -12,6 +12,7 @@
     "OPERATOR_TOPIC",
     "PREFIX_HEADER",
     "PRIORITY_HEADER",
+    "PROMPT_SOURCE_HEADER",
     "READINESS_PATH",
     "REQUEST_ID_HEADER",
     "ROLLOUT_PREFIX",
@@ -40,6 +41,7 @@
 EXPECTED_TARGET_HEADER = "carobladder-expect-instance"
 TEAM_HEADER = "carobladder-tenant"
 PRIORITY_HEADER = "carobladder-request-priority"
+PROMPT_SOURCE_HEADER = "kv-fetch"
 SIGNATURE_HEADER = "carobladder-response-signature"
 NOT_RUN_HEADER = "carobladder-not-executed"
 LOAD_HEADER = "carobladder-server-load"
@@ -58,7 +60,7 @@
         "carobladder-pin-ms",
         "carobladder-kv-backup",
         "kv-from",
-        "kv-fetch",
+        PROMPT_SOURCE_HEADER,
         "wait-ms",
     }
 )
