--- /dev/null
+++ b/tests/fleet/test_health.py
@@ -0,0 +1,53 @@
+"""Tests of the trust in a target."""
+
+import unittest
+
+from carobladder.fleet import Condition, TargetHealth, TargetLoad
+
+
+class TargetHealthTest(unittest.TestCase):
+    """Guard against sending to dark targets and against giving up on sound ones."""
+
+    def test_pause_grows_and_ends_in_a_trial(self):
+        health = TargetHealth()
+        self.assertIs(health.judge(0.0), Condition.SOUND)
+        health.note_failure(0.0)
+        self.assertIs(health.judge(0.49), Condition.SUSPECT)
+        self.assertIs(health.judge(0.5), Condition.TRIAL)
+        health.note_failure(1.0)
+        self.assertIs(health.judge(1.99), Condition.SUSPECT)
+        for _ in range(20):
+            health.note_failure(10.0)
+        self.assertIs(health.judge(14.0), Condition.TRIAL)
+
+    def test_an_answer_ends_the_trial(self):
+        health = TargetHealth()
+        health.note_failure(0.0)
+        health.note_answer(failed=False)
+        self.assertIs(health.judge(0.1), Condition.SOUND)
+
+    def test_unreachable_target_stays_suspect(self):
+        health = TargetHealth()
+        health.note_failure(0.0)
+        health.note_probe(False, 0.6)
+        self.assertIs(health.judge(0.7), Condition.SUSPECT)
+        self.assertFalse(health.reachable)
+        health.note_probe(True, 2.0)
+        self.assertTrue(health.reachable)
+
+    def test_load_follows_own_requests_until_it_is_old(self):
+        health = TargetHealth(in_flight=2)
+        self.assertIsNone(health.estimate_load(0.0))
+        health.note_load(TargetLoad(5, 1, 128), 0.0)
+        self.assertEqual(health.estimate_load(0.1), 6.0)
+        health.in_flight = 5
+        self.assertEqual(health.estimate_load(0.1), 9.0)
+        health.in_flight = 0
+        self.assertEqual(health.estimate_load(0.1), 4.0)
+        self.assertIsNone(health.estimate_load(2.6))
+
+    def test_share_of_failed_answers(self):
+        health = TargetHealth()
+        for index in range(60):
+            health.note_answer(failed=index % 2 == 0)
+        self.assertAlmostEqual(health.error_share, 0.5, delta=0.1)
--- /dev/null
+++ b/tests/fleet/test_selection.py
@@ -0,0 +1,174 @@
+"""Tests of the choice of targets under load; nothing here needs a network."""
+
+import random
+import unittest
+from collections import Counter
+
+from carobladder.fleet import (
+    ColdPacer,
+    PromptWarmth,
+    Selection,
+    ShareLedger,
+    TargetLoad,
+    TargetSelector,
+)
+from tests.fleet.builders import ENGINES, build_entry, fill_table
+
+LOAD_MULTIPLE = 2.0
+
+
+def build_selector(table, held=frozenset(range(96))):
+    """Return a selector of an instance that holds the partitions."""
+    ledger = ShareLedger(96)
+    ledger.assign(held)
+    return TargetSelector(table, ColdPacer(ledger), LOAD_MULTIPLE, random.Random(5))
+
+
+def choose(selector, affinity=None, *, may_repeat=False, excluded=(), now=100.0):
+    """Return the id of the chosen target, or None."""
+    wanted = Selection(ENGINES, affinity, may_repeat, excluded)
+    target = selector.choose(wanted, now)
+    return target.target_id if target else None
+
+
+class TargetSelectorTest(unittest.TestCase):
+    """Guard against prompts that wander and against targets that are overrun."""
+
+    def setUp(self):
+        self.table, self.targets = fill_table(9)
+        self.selector = build_selector(self.table)
+
+    def test_a_prompt_keeps_its_target(self):
+        for affinity in range(20):
+            chosen = {choose(self.selector, affinity) for _ in range(5)}
+            self.assertEqual(len(chosen), 1)
+
+    def test_prompts_spread_over_the_targets(self):
+        chosen = Counter(choose(self.selector, key) for key in range(900))
+        self.assertEqual(len(chosen), 9)
+        self.assertLess(max(chosen.values()), 160)
+
+    def test_all_instances_choose_alike(self):
+        other_table, _ = fill_table(9)
+        other = build_selector(other_table)
+        for affinity in range(50):
+            self.assertEqual(choose(self.selector, affinity), choose(other, affinity))
+
+    def test_hot_prompt_flows_over_before_the_load_multiple(self):
+        """A quarter of all requests is about one prompt; each runs for a while."""
+        for target in self.targets:
+            target.health.note_load(TargetLoad(6, 0, 128), 100.0)
+        hot = choose(self.selector, 7)
+        for _ in range(60):
+            chosen = self.table.find(choose(self.selector, 7))
+            chosen.health.in_flight += 1
+        loads = {t.target_id: t.health.estimate_load(100.0) for t in self.targets}
+        mean = sum(loads.values()) / len(loads)
+        self.assertGreater(loads[hot], mean)
+        self.assertLessEqual(max(loads.values()), LOAD_MULTIPLE * mean + 3)
+
+    def test_target_without_a_load_report_is_not_taken_for_empty(self):
+        affinity = next(k for k in range(100) if choose(self.selector, k) == "i-1")
+        self.table.find("i-1").health.note_load(TargetLoad(7, 0, 128), 100.0)
+        self.assertEqual(choose(self.selector, affinity), "i-1")
+
+    def test_suspect_target_is_avoided_and_tried_only_with_what_may_repeat(self):
+        affinity = next(k for k in range(100) if choose(self.selector, k) == "i-1")
+        health = self.table.find("i-1").health
+        health.note_failure(100.0)
+        self.assertNotEqual(choose(self.selector, affinity), "i-1")
+        health.note_probe(True, 100.6)
+        later = 101.0
+        self.assertNotEqual(choose(self.selector, affinity, now=later), "i-1")
+        self.assertEqual(
+            choose(self.selector, affinity, may_repeat=True, now=later), "i-1"
+        )
+
+    def test_a_suspect_target_is_better_than_none(self):
+        for target in self.targets:
+            target.health.note_failure(100.0)
+        self.assertIsNotNone(choose(self.selector, 7))
+
+    def test_excluded_and_absent_targets(self):
+        everything = [target.target_id for target in self.targets]
+        self.assertIsNone(choose(self.selector, 7, excluded=everything))
+        for target_id in everything:
+            self.table.discard(target_id)
+        self.assertIsNone(choose(self.selector))
+
+    def test_cold_data_centre_that_returns_gets_no_more_than_its_rate(self):
+        """A third of the engines come back cold while all others are warm."""
+        for index in (1, 2, 3):
+            entry = build_entry(f"i-{index}", cold_seconds=5.0, born_ms=9)
+            self.table.apply(entry, 100.0)
+        selector = build_selector(self.table, frozenset(range(0, 96, 9)))
+        chosen = Counter(choose(selector, key, now=100.0) for key in range(400))
+        cold = sum(chosen[f"i-{index}"] for index in (1, 2, 3))
+        self.assertGreater(cold, 0)
+        self.assertLess(cold, 18)
+        self.assertEqual(sum(chosen.values()), 400)
+
+    def test_grey_target_gets_fewer_requests_without_a_prompt(self):
+        """One target of three fails half of its requests while it is reachable."""
+        table, targets = fill_table(3)
+        for _ in range(30):
+            targets[0].health.note_answer(failed=True)
+            targets[0].health.note_answer(failed=False)
+        selector = build_selector(table)
+        chosen = Counter(choose(selector) for _ in range(300))
+        self.assertLess(chosen["i-1"], 30)
+
+    def test_slow_target_gets_fewer_requests_without_a_prompt(self):
+        table, targets = fill_table(3)
+        for _ in range(40):
+            targets[0].health.note_first_byte(0.4, 0.0)
+            targets[1].health.note_first_byte(0.1, 0.0)
+            targets[2].health.note_first_byte(0.1, 0.0)
+        selector = build_selector(table)
+        chosen = Counter(choose(selector) for _ in range(300))
+        self.assertLess(chosen["i-1"], 30)
+        self.assertGreater(min(chosen["i-2"], chosen["i-3"]), 100)
+
+
+class PromptWarmthTest(unittest.TestCase):
+    """Guard against prompts that are read again though a target keeps them."""
+
+    def setUp(self):
+        self.table, self.targets = fill_table(4)
+        self.warmth = PromptWarmth(self.table)
+        self.selector = build_selector(self.table)
+        self.first = self.table.find(choose(self.selector, 7))
+        self.other = next(t for t in self.targets if t is not self.first)
+
+    def test_first_of_the_ranking_needs_no_source(self):
+        self.assertIsNone(self.warmth.find_source(7, self.first, 100.0))
+
+    def test_overflow_copies_from_the_first(self):
+        self.assertIs(self.warmth.find_source(7, self.other, 100.0), self.first)
+
+    def test_target_that_has_the_prompt_needs_no_source(self):
+        self.warmth.note_sent(7, self.other)
+        self.assertIsNone(self.warmth.find_source(7, self.other, 100.0))
+
+    def test_new_target_copies_from_the_one_before(self):
+        """After a scale-out a new target is the first in some rankings."""
+        added = self.table.apply(build_entry("i-9"), 100.0)
+        key = next(k for k in range(200) if choose(self.selector, k) == "i-9")
+        source = self.warmth.find_source(key, added, 101.0)
+        self.assertIsNotNone(source)
+        self.assertIsNot(source, added)
+
+    def test_draining_target_is_a_source_and_a_lost_one_is_not(self):
+        self.warmth.note_sent(7, self.first)
+        entry = build_entry(self.first.target_id, draining=True)
+        self.table.apply(entry, 100.0)
+        self.assertIs(self.warmth.find_source(7, self.other, 101.0), self.first)
+        self.first.health.note_failure(101.0)
+        self.assertIsNot(self.warmth.find_source(7, self.other, 101.1), self.first)
+        self.table.discard(self.first.target_id)
+        self.assertIsNot(self.warmth.find_source(7, self.other, 102.0), self.first)
+
+    def test_memory_is_bounded(self):
+        for key in range(20_500):
+            self.warmth.note_sent(key, self.first)
+        self.assertLessEqual(len(self.warmth._holders), 20_000)
--- /dev/null
+++ b/tests/fleet/test_targets.py
@@ -0,0 +1,72 @@
+"""Tests of the table of targets."""
+
+import unittest
+
+from carobladder.fleet import TargetTable
+from tests.fleet.builders import build_entry
+
+
+class TargetTableTest(unittest.TestCase):
+    """Guard against requests to targets that left, and against forgetting live ones."""
+
+    def setUp(self):
+        self.table = TargetTable()
+        self.target = self.table.apply(build_entry(), 0.0)
+
+    def list_open(self):
+        return [target.target_id for target in self.table.list_open("engine")]
+
+    def test_draining_target_is_closed_but_registered(self):
+        self.table.apply(build_entry(draining=True), 1.0)
+        self.assertEqual(self.list_open(), [])
+        self.assertEqual(len(self.table.list_registered("engine")), 1)
+
+    def test_update_keeps_what_was_seen(self):
+        self.target.health.note_failure(0.5)
+        self.assertIs(self.table.apply(build_entry(slots=4), 1.0), self.target)
+        self.assertEqual(self.target.health.failures, 1)
+
+    def test_restart_under_the_same_id_is_another_target(self):
+        self.target.health.note_failure(0.5)
+        restarted = self.table.apply(build_entry(born_ms=2), 1.0)
+        self.assertIsNot(restarted, self.target)
+        self.assertEqual(restarted.health.failures, 0)
+
+    def test_emptied_data_centre_and_its_return(self):
+        self.table.set_emptied("dc-1", True)
+        self.assertEqual(self.list_open(), [])
+        self.assertEqual(self.table.list_registered("engine"), [])
+        self.table.set_emptied("dc-1", False)
+        self.assertEqual(self.list_open(), ["i-1"])
+
+    def test_removed_entry_is_gone_at_once(self):
+        self.assertTrue(self.table.drop("i-1", 1.0))
+        self.assertEqual(self.list_open(), [])
+        self.assertFalse(self.table.drop("i-1", 1.0))
+
+    def test_entry_that_lapsed_during_an_outage_may_come_back(self):
+        self.table.note_store_return(10.0)
+        self.assertFalse(self.table.drop("i-1", 10.5))
+        self.assertEqual(self.list_open(), ["i-1"])
+        self.assertEqual(self.table.expire(11.0), [])
+        self.table.apply(build_entry(), 11.5)
+        self.assertEqual(self.table.expire(13.0), [])
+        self.assertEqual(self.list_open(), ["i-1"])
+
+    def test_lapsed_entry_that_is_missing_after_two_seconds_is_gone(self):
+        self.table.note_store_return(10.0)
+        self.table.drop("i-1", 10.5)
+        self.assertEqual(self.table.expire(11.99), [])
+        self.assertEqual(self.table.expire(12.0), ["i-1"])
+        self.assertEqual(self.list_open(), [])
+
+    def test_removal_after_the_return_is_not_held(self):
+        self.table.note_store_return(10.0)
+        self.assertTrue(self.table.drop("i-1", 12.1))
+
+    def test_cold_time_counts_from_the_entry(self):
+        target = self.table.apply(build_entry("i-2", cold_seconds=3.0), 5.0)
+        self.assertTrue(target.is_cold(7.9))
+        self.assertFalse(target.is_cold(8.0))
+        target.note_cold(1.0, 9.0)
+        self.assertTrue(target.is_cold(9.5))
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,184 @@
+"""Tests of the decoding of the platform's documents."""
+
+import json
+import unittest
+
+from carobladder.fleet import (
+    ConfigurationStated,
+    DataCentreEmptied,
+    RecordUnreadable,
+    RolloutOrdered,
+    TargetEntry,
+)
+from carobladder.platform.documents import (
+    decode_operator_record,
+    decode_target_entry,
+)
+from carobladder.routing import RouteKind, ServiceWeight
+
+SERVER = {
+    "service": "engine",
+    "address": "10.0.0.1:8080",
+    "zone": "dc-1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "sequence": 4,
+    "born": 1700000000000,
+    "stage": "both",
+}
+ROUTE = {
+    "name": "r",
+    "host": "Shop.Example",
+    "pathPrefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 12000,
+    "targetLatencyMs": 800,
+    "priority": 1,
+    "trafficSplit": [{"service": "x", "weight": 90}, {"service": "y", "weight": 10}],
+    "attempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "targetGapMs": 300,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "x",
+            "healthPath": "/health",
+            "maxConnections": 630,
+            "coldStartS": 3.0,
+            "coldPerS": 18.0,
+            "engine": {"slots": 128, "kvCapacity": 715601},
+        }
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def decode_server(**changes: object) -> TargetEntry | RecordUnreadable:
+    """Return the decoded entry of a server whose fields differ."""
+    document = {**SERVER, **changes}
+    present = {key: value for key, value in document.items() if value is not None}
+    return decode_target_entry("i-1", json.dumps(present).encode())
+
+
+class TargetEntryTest(unittest.TestCase):
+    """Guard against forged or torn entries that name a target to use."""
+
+    def test_entry(self):
+        self.assertEqual(
+            decode_server(),
+            TargetEntry(
+                target_id="i-1",
+                service="engine",
+                address="10.0.0.1:8080",
+                data_centre="dc-1",
+                version="v1",
+                slots=8,
+                draining=False,
+                cold_seconds=1.5,
+                born_ms=1700000000000,
+            ),
+        )
+
+    def test_draining(self):
+        entry = decode_server(state="draining")
+        self.assertTrue(isinstance(entry, TargetEntry) and entry.draining)
+
+    def test_forged_fields(self):
+        forged = (
+            {"service": None},
+            {"address": None},
+            {"zone": 3},
+            {"slots": "8"},
+            {"slots": -1},
+            {"state": "resting"},
+            {"address": "10.0.0.1"},
+            {"address": ":80"},
+            {"coldRemainingMs": -5},
+            {"born": "soon"},
+            {"sequence": None},
+        )
+        for changes in forged:
+            with self.subTest(changes=changes):
+                self.assertIsInstance(decode_server(**changes), RecordUnreadable)
+
+    def test_torn_bytes(self):
+        whole = json.dumps(SERVER).encode()
+        for data in (b"", whole[:20], whole[:-1], b"\xff\xfe\x00", b"[]", b"null"):
+            with self.subTest(data=data):
+                self.assertIsInstance(
+                    decode_target_entry("i-1", data), RecordUnreadable
+                )
+
+
+class OperatorRecordTest(unittest.TestCase):
+    """Guard against a configuration that loses or invents what a route allows."""
+
+    def decode(self, **changes: object):
+        document = json.dumps({**CONFIGURATION, **changes}).encode()
+        record = decode_operator_record("config", document)
+        self.assertIsInstance(record, ConfigurationStated)
+        return record.configuration
+
+    def test_route(self):
+        (route,) = self.decode().routes
+        self.assertEqual((route.host, route.path_prefix), ("shop.example", "/a/"))
+        self.assertEqual(route.kind, RouteKind.STREAMING)
+        self.assertEqual(
+            route.services, (ServiceWeight("x", 90), ServiceWeight("y", 10))
+        )
+        self.assertEqual((route.timeout_seconds, route.objective_seconds), (12.0, 0.8))
+        self.assertEqual((route.attempts, route.pause_seconds), (2, 0.3))
+        self.assertTrue(route.may_repeat)
+
+    def test_stream_that_cannot_be_resumed_may_not_repeat(self):
+        (route,) = self.decode(routes=[{**ROUTE, "resumable": False}]).routes
+        self.assertFalse(route.may_repeat)
+
+    def test_unknown_kind_may_not_repeat(self):
+        (route,) = self.decode(routes=[{**ROUTE, "kind": "newly"}]).routes
+        self.assertFalse(route.may_repeat)
+
+    def test_services_teams_and_limits(self):
+        configuration = self.decode()
+        (service,) = configuration.services
+        self.assertEqual((service.cold_per_second, service.batch_slots), (18.0, 128))
+        (team,) = configuration.teams
+        self.assertEqual((team.name, team.keys, team.priority), ("t", ("k1", "k2"), 1))
+        self.assertEqual(configuration.limits.idle_seconds, 15.0)
+
+    def test_broken_configuration_is_unreadable(self):
+        for data in (b"{", b'{"version": "x"}', b'{"routes": []}'):
+            record = decode_operator_record("config", data)
+            self.assertIsInstance(record, RecordUnreadable)
+
+    def test_evacuation_and_its_end(self):
+        self.assertEqual(
+            decode_operator_record("evacuate/dc-1", b"{}"),
+            DataCentreEmptied("dc-1", True),
+        )
+        self.assertEqual(
+            decode_operator_record("evacuate/dc-1", None),
+            DataCentreEmptied("dc-1", False),
+        )
+
+    def test_rollout_and_its_end(self):
+        data = b'{"service": "x", "target": "v2", "durationS": 12}'
+        self.assertEqual(
+            decode_operator_record("rollout/x", data), RolloutOrdered("x", "v2", 12.0)
+        )
+        self.assertEqual(
+            decode_operator_record("rollout/x", None), RolloutOrdered("x", "", 0.0)
+        )
