Answer a request that arrives as a drain closes its connection

Cause: a drain closes idle connections by a timer; bytes that had arrived in the same turn of the loop left the connection marked idle until its task ran. Change: a connection stops being idle when bytes arrive. Test: DrainRaceTest, which failed before.

--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -107,6 +107,8 @@
         """Buffer bytes until the task asks for the next event."""
         if self._discarding:
             return
+        # The task may run only after a drain has asked for idle connections.
+        self._idle = False
         self._http.receive_data(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > _AHEAD_BYTES and not self._reading_paused:
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -116,3 +116,34 @@
         self.assertEqual(answer.body, whole_stream(5))
         self.assertIn(("connection", "close"), answer.headers)
         self.assertEqual(self.gateway.count("open_connections"), 0)
+
+
+class DrainRaceTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a drain that closes a connection whose request has arrived."""
+
+    async def asyncSetUp(self):
+        self.engine = Engine()
+        server = await self.enterAsyncContext(self.engine.server())
+        self.gateway = await self.enterAsyncContext(Gateway(server.address))
+
+    async def test_request_that_arrives_with_the_close_is_answered(self):
+        serving = self.gateway.server._serving
+        host, _, port = self.gateway.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        while not serving.connections:
+            await asyncio.sleep(0)
+        (connection,) = serving.connections
+        await asyncio.sleep(0.01)
+        receive = connection.data_received
+
+        def receive_and_close(data: bytes) -> None:
+            """Close as a timer does that fires in the same turn of the loop."""
+            receive(data)
+            connection.close_if_idle()
+
+        connection._transport.get_protocol().data_received = receive_and_close
+        writer.write(GET % (b"/healthz", CLOSE))
+        async with asyncio.timeout(LONG_SECONDS):
+            answer = await reader.read()
+        writer.close()
+        self.assertIn(b" 200 ", answer)
