Read the store less often and skip late answers of other requests

A late answer of another request ended its connection, because the parser was read past the end of the first answer. Change: reads of targets wait longer and collect changes for part of the drain time; a silent connection is noticed by the kernel or by the other follower.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -178,8 +178,8 @@
 
         A server may send the late answer of an earlier request before the right one.
         """
-        while await self.read_data(max(0.0, limit_at - self._loop.time())):
-            pass
+        while not self.answer_complete:
+            await self.read_data(max(0.0, limit_at - self._loop.time()))
         rest, _ = self._http.trailing_data
         if self._http.their_state is not h11.DONE or self._request is None:
             raise self._broken("the answer of another request ended the connection")
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -1,5 +1,6 @@
 """Following of the newest records of a topic in the platform's store."""
 
+import asyncio
 import random
 from collections.abc import Callable, Iterable
 
@@ -14,15 +15,15 @@
 _LONGEST_BACKOFF_SECONDS = 0.6
 # A waiting read may miss records for this long before its answer.
 _WATCH_DELAY_SECONDS = 1.1
-# Collects the records of a series of changes into one more read.
-_COLLECT_SECONDS = 0.25
 
 
 class TopicFollower:
     """Hand each change of a topic's keys to a callback, in order.
 
-    After a loss of history all keys are read anew, and keys that are missing then
-    are handed on as dropped.
+    A read waits ``wait_seconds`` for records; after a change ``collect_seconds`` pass
+    before the next read, so that a series of changes costs few reads. After a loss
+    of history all keys are read anew, and keys that are missing then are handed on
+    as dropped.
     """
 
     def __init__(
@@ -31,6 +32,7 @@
         reader: TopicReader,
         clock: Clock,
         wait_seconds: float,
+        collect_seconds: float,
         on_record: Callable[[str, bytes | None], None],
         on_return: Callable[[float], None],
     ) -> None:
@@ -39,11 +41,18 @@
         self._reader = reader
         self._clock = clock
         self._wait_seconds = wait_seconds
+        self._collect_seconds = collect_seconds
         self._on_record = on_record
         self._on_return = on_return
         self._next: int | None = None
         self._offsets: dict[str, int] = {}
         self._failures = 0
+        self._reading: asyncio.Task[bool] | None = None
+
+    def read_again(self) -> None:
+        """Give up the read that waits, because its connection may be silent."""
+        if self._reading is not None:
+            self._reading.cancel()
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -51,7 +60,7 @@
             sent_at = self._clock.boottime()
             waited = 0.0 if self._next is None else self._wait_seconds
             try:
-                changed = await self._read()
+                changed = await self._read_interruptibly()
             except OffsetDroppedError as error:
                 log_event("store dropped its history", topic=self._name, why=str(error))
                 self._next = None
@@ -61,7 +70,19 @@
                 continue
             self._note_success(sent_at, 0.0 if changed else waited)
             if changed:
-                await self._clock.sleep(_COLLECT_SECONDS)
+                await self._clock.sleep(self._collect_seconds)
+
+    async def _read_interruptibly(self) -> bool:
+        """Read once; raises LogUnavailableError if ``read_again`` was called."""
+        self._reading = asyncio.ensure_future(self._read())
+        try:
+            await asyncio.wait({self._reading})
+            if self._reading.cancelled():
+                raise LogUnavailableError("the read was given up")
+            return self._reading.result()
+        finally:
+            self._reading.cancel()
+            self._reading = None
 
     async def _read(self) -> bool:
         """Read once and apply; tell whether there were records."""
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -41,14 +41,18 @@
 _STORE_TIMEOUT_SECONDS = 0.8
 _CONNECT_SECONDS = 0.4
 _STORE_SILENCE_SECONDS = 3.0
-# How long reads wait for records. The first bounds how old the proof may be that a
-# key was not revoked; the second how late a silent connection is noticed.
-_OPERATOR_WAIT_SECONDS = 1.6
-_TARGETS_WAIT_SECONDS = 4.0
-# Parts of the time in which a revoked key must be refused everywhere.
+# Parts of the time in which a revoked key must be refused everywhere: how long a
+# read of the operator's records waits, when callers are sent elsewhere, when "no such
+# key" is no longer stated, and when keys are no longer accepted.
+_OPERATOR_WAIT_PART = 0.48
+_READY_PART = 0.78
+_REFUSAL_PART = 0.75
 _FENCE_PART = 0.9
-_READY_PART = 0.75
-_REFUSAL_AGE_SECONDS = 3.0
+_OPERATOR_COLLECT_SECONDS = 0.2
+# The kernel notices a silent connection to the store sooner than this wait ends.
+_TARGETS_WAIT_SECONDS = 8.0
+# Part of the time in which requests to a draining target must end.
+_TARGETS_COLLECT_PART = 0.4
 # Part of the fleet's retry bounds that is used, since views of the shares differ.
 _BUDGET_PART = 0.7
 # The balancer notices a failing readiness within this time.
@@ -142,11 +146,12 @@
             "operator",
             KeyedTopic(self._store, OPERATOR_TOPIC),
             self._clock,
-            _OPERATOR_WAIT_SECONDS,
+            self._settings.key_revocation_ms / _MS_PER_SECOND * _OPERATOR_WAIT_PART,
+            _OPERATOR_COLLECT_SECONDS,
             lambda key, value: self._knowledge.apply(
                 decode_operator_record(key, value)
             ),
-            lambda away_seconds: None,
+            lambda away_seconds: self._entries.read_again(),
         )
 
     def _follow_targets(self) -> TopicFollower:
@@ -155,6 +160,7 @@
             KeyedTopic(self._store, TARGETS_TOPIC),
             self._clock,
             _TARGETS_WAIT_SECONDS,
+            self._settings.drain_notice_ms / _MS_PER_SECOND * _TARGETS_COLLECT_PART,
             self._take_target,
             self._knowledge.note_store_return,
         )
@@ -178,9 +184,10 @@
             self._clock,
             self._find_budget,
         )
+        revocation_seconds = self._settings.key_revocation_ms / _MS_PER_SECOND
         fence = FenceTimes(
-            keys=self._settings.key_revocation_ms / _MS_PER_SECOND * _FENCE_PART,
-            refusals=_REFUSAL_AGE_SECONDS,
+            keys=revocation_seconds * _FENCE_PART,
+            refusals=revocation_seconds * _REFUSAL_PART,
         )
         handler = ForwardHandler(
             forwarder,
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -24,6 +24,7 @@
             KeyedTopic(self.store.client, TOPIC),
             self.clock,
             1.6,
+            0.25,
             lambda key, value: self.seen.append((key, value)),
             self.returns.append,
         )
@@ -110,3 +111,24 @@
         self.store.lose_answers = 1
         await self.step(2)
         self.assertEqual(self.seen, [("a", b"1")])
+
+    async def test_a_waiting_read_can_be_given_up(self):
+        """A connection to the store may be silent without being closed."""
+        await self.step(1)
+        started = asyncio.Event()
+
+        async def hang(*args, **options):
+            started.set()
+            await asyncio.Event().wait()
+
+        fetch, self.store.fetch = self.store.fetch, hang
+        task = asyncio.create_task(self.follower.run())
+        await started.wait()
+        self.store.fetch = fetch
+        self.store.state.put(TOPIC, "a", b"1")
+        self.follower.read_again()
+        for _ in range(50):
+            await asyncio.sleep(0)
+            self.clock.advance_to_next()
+        task.cancel()
+        self.assertEqual(self.seen, [("a", b"1")])
--- /dev/null
+++ b/tests/forwarding/fixtures.py
@@ -0,0 +1,237 @@
+"""A forwarding instance with scripted targets, without a store."""
+
+import asyncio
+import random
+
+from carobladder.clients.http import HttpClient
+from carobladder.clock import SystemClock
+from carobladder.fleet import (
+    ColdPacer,
+    Freshness,
+    PromptWarmth,
+    ShareLedger,
+    TargetEntry,
+    TargetSelector,
+    TargetTable,
+)
+from carobladder.forwarding import FenceTimes, Forwarder, ForwardHandler
+from carobladder.gateway import GatewayServer, RequestLimits
+from carobladder.platform.exchanges import PlatformCodec
+from carobladder.retries import RetryBudget
+from carobladder.routing import (
+    Configuration,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    ServiceWeight,
+    TeamKeys,
+)
+from carobladder.telemetry import GatewayMetrics
+from tests.gateway.wires import ScriptedServer
+
+HOST = "shop.example"
+KEY = "key-1"
+LONG_SECONDS = 5.0
+
+
+def build_route(name: str, kind: RouteKind, **changes) -> Route:
+    """Return a route under /NAME/."""
+    values = {
+        "timeout_seconds": 2.0,
+        "objective_seconds": 0.3,
+        "services": (ServiceWeight("stock"),),
+        **changes,
+    }
+    return Route(name=name, host=HOST, path_prefix=f"/{name}/", kind=kind, **values)
+
+
+ROUTES = (
+    build_route("safe", RouteKind.SAFE, attempts=2),
+    build_route("unsafe", RouteKind.UNSAFE),
+    build_route("short", RouteKind.UNSAFE, timeout_seconds=0.2),
+    build_route("open", RouteKind.SAFE, public=True),
+    build_route("stream", RouteKind.STREAMING),
+    build_route("resumable", RouteKind.STREAMING, attempts=2, resumable=True),
+    build_route("lost", RouteKind.SAFE, services=(ServiceWeight("nobody"),)),
+)
+
+
+def answer(request: bytes, body: bytes, status: str = "200 OK", extra: str = ""):
+    """Return a signed answer to a request that was read."""
+    request_id = read_field(request, "carobladder-request-id")
+    head = (
+        f"HTTP/1.1 {status}\r\nCarobladder-Request-Id: {request_id}\r\n"
+        f"Carobladder-Response-Signature: sig\r\nContent-Length: {len(body)}\r\n"
+        f"{extra}\r\n"
+    )
+    return head.encode() + body
+
+
+def start_events(request: bytes) -> bytes:
+    """Return the head of an event stream."""
+    request_id = read_field(request, "carobladder-request-id")
+    return (
+        f"HTTP/1.1 200 OK\r\nCarobladder-Request-Id: {request_id}\r\n"
+        "Carobladder-Response-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def read_field(request: bytes, name: str) -> str:
+    """Return the value of a header, or nothing."""
+    for line in request.decode("latin-1").split("\r\n")[1:]:
+        field, _, value = line.partition(":")
+        if field.lower() == name:
+            return value.strip()
+    return ""
+
+
+class Target:
+    """Run a script for each request and keep the requests."""
+
+    def __init__(self, script) -> None:
+        self.requests: list[bytes] = []
+        self._script = script
+        self.server = ScriptedServer(self._serve)
+
+    async def _serve(self, reader, writer, number) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(read_field(head, "content-length") or 0)
+            request = head + await reader.readexactly(length)
+            self.requests.append(request)
+            await self._script(request, writer)
+            if writer.is_closing():
+                return
+
+
+class Instance:
+    """Forward requests to targets whose addresses are given."""
+
+    def __init__(self, *addresses: str) -> None:
+        self.clock = SystemClock()
+        self.table: RouteTable | None = RouteTable(
+            Configuration(
+                1,
+                ROUTES,
+                (Service("stock"), Service("nobody")),
+                (TeamKeys("team-1", (KEY,), 3),),
+            )
+        )
+        self.targets = TargetTable()
+        for index, address in enumerate(addresses):
+            self.targets.apply(build_target(f"i-{index}", address), 0.0)
+        self.freshness = Freshness()
+        self.freshness.note_read(self.clock.boottime())
+        self.budget = RetryBudget(0.2, 0.0, burst=10.0)
+        self.client = HttpClient(self.clock, connect_seconds=0.3)
+        codec = PlatformCodec()
+        generator = random.Random(3)
+        ledger = ShareLedger(96)
+        ledger.assign(frozenset(range(96)))
+        forwarder = Forwarder(
+            self.client,
+            codec,
+            TargetSelector(self.targets, ColdPacer(ledger), 2.0, generator),
+            PromptWarmth(self.targets),
+            self.clock,
+            lambda service: self.budget,
+        )
+        handler = ForwardHandler(
+            forwarder,
+            codec,
+            self.clock,
+            lambda: self.table,
+            self.freshness,
+            FenceTimes(keys=4.5, refusals=3.0),
+            generator,
+        )
+        self.server = GatewayServer(
+            handler,
+            RequestLimits(max_body_bytes=2000, read_seconds=0.3),
+            self.clock,
+            GatewayMetrics(),
+            generator,
+            labels_answers=False,
+        )
+
+    async def __aenter__(self) -> "Instance":
+        """Start listening."""
+        await self.server.start("127.0.0.1:0")
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop."""
+        await self.server.close()
+        self.client.close()
+
+    async def connect(self):
+        """Return the streams of a new connection."""
+        return await asyncio.open_connection("127.0.0.1", self.server.port)
+
+    async def exchange(self, data: bytes) -> bytes:
+        """Send bytes on a new connection and return all that comes back."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        try:
+            async with asyncio.timeout(LONG_SECONDS):
+                return await reader.read()
+        except ConnectionResetError:
+            return b""
+        finally:
+            writer.close()
+
+    async def call(self, path: str, body: bytes = b"", method: str = "POST", **fields):
+        """Send one request and return status, headers and body of the answer."""
+        raw = await self.exchange(build_request(path, body, method, **fields))
+        head, _, content = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+        status = int(lines[0].split()[1]) if lines[0] else 0
+        return status, headers, content
+
+
+def build_target(target_id: str, address: str) -> TargetEntry:
+    """Return the entry of a plain service's target."""
+    return TargetEntry(
+        target_id=target_id,
+        service="stock",
+        address=address,
+        data_centre="dc-1",
+        version="v1",
+        slots=6,
+        draining=False,
+        cold_seconds=0.0,
+        born_ms=1,
+    )
+
+
+def build_request(
+    path: str, body: bytes = b"", method: str = "POST", close: bool = True, **fields
+) -> bytes:
+    """Return the bytes of a request; None leaves a header out."""
+    headers = {
+        "Host": HOST,
+        "Carobladder-Request-Id": "ab12",
+        "Carobladder-Deadline": "1500",
+        "X-Api-Key": KEY,
+        **{name.replace("_", "-"): value for name, value in fields.items()},
+    }
+    if close:
+        headers["Connection"] = "close"
+    if body:
+        headers["Content-Length"] = str(len(body))
+    lines = [f"{name}: {value}" for name, value in headers.items() if value is not None]
+    head = f"{method} {path} HTTP/1.1\r\n" + "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode() + body
