--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/mypy
-	$(BIN)/python -m compileall -q carobladder standins demo benchmarks tests
+	$(BIN)/python -m checks.boundary
+	$(BIN)/python -m compileall -q carobladder checks standins demo benchmarks tests
 
 format: venv
 	$(BIN)/ruff format .
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -32,7 +32,7 @@
 from carobladder.retries import RetryBudget
 from carobladder.routing import CallerLimits
 from carobladder.settings.entry import EntrySettings, load_entry_settings
-from carobladder.telemetry import GatewayMetrics, log_event
+from carobladder.telemetry import ForwardMetrics, GatewayMetrics, log_event
 
 __all__ = ["Entry", "run_entry"]
 
@@ -70,7 +70,8 @@
         self._clock = clock
         self._draining = False
         generator = random.Random()
-        self._metrics = GatewayMetrics()
+        self._metrics = ForwardMetrics()
+        self._server_metrics = GatewayMetrics()
         self._ledger = ShareLedger(SHARE_PARTITIONS)
         self._pacer = ColdPacer(self._ledger)
         self._targets = TargetTable()
@@ -103,6 +104,7 @@
         self._prober = TargetProber(self._targets, self._client, clock)
         self._server = self._build_server(generator)
         self._status_servers = self._build_status_servers(generator)
+        self._add_gauges()
 
     @property
     def ready(self) -> bool:
@@ -183,6 +185,7 @@
             PromptWarmth(self._targets),
             self._clock,
             self._find_budget,
+            self._metrics,
         )
         revocation_seconds = self._settings.key_revocation_ms / _MS_PER_SECOND
         fence = FenceTimes(
@@ -197,16 +200,43 @@
             self._operator.freshness,
             fence,
             generator,
+            self._metrics,
         )
         return GatewayServer(
             handler,
             RequestLimits(),
             self._clock,
-            self._metrics,
+            self._server_metrics,
             generator,
             labels_answers=False,
         )
 
+    def _add_gauges(self) -> None:
+        add = self._metrics.add_gauge
+        clock, targets = self._clock, self._targets
+        add(
+            "configuration_version",
+            "Version in force",
+            lambda: (
+                self._knowledge.table.configuration.version
+                if self._knowledge.table
+                else 0
+            ),
+        )
+        add(
+            "operator_records_age_seconds",
+            "Age of the newest proof that all records of the operator are known",
+            lambda: self._operator.freshness.age(clock.boottime()),
+        )
+        add(
+            "target_entries_age_seconds",
+            "Age of the newest proof that all entries of targets are known",
+            lambda: self._entries.freshness.age(clock.boottime()),
+        )
+        add("targets", "Registered targets", lambda: len(targets))
+        add("fleet_share", "Held part of sums", lambda: self._ledger.share)
+        add("ready", "Whether callers may be sent here", lambda: float(self.ready))
+
     def _build_status_servers(
         self, generator: random.Random
     ) -> list[tuple[GatewayServer, str]]:
@@ -215,7 +245,11 @@
         return [
             (
                 GatewayServer(
-                    handler, RequestLimits(), self._clock, GatewayMetrics(), generator
+                    handler,
+                    RequestLimits(),
+                    self._clock,
+                    self._server_metrics,
+                    generator,
                 ),
                 address,
             )
--- a/carobladder/entry/status.py
+++ b/carobladder/entry/status.py
@@ -4,7 +4,7 @@
 
 from carobladder.exceptions import NotReadyError
 from carobladder.gateway.ports import Answer, Request, Responder
-from carobladder.telemetry import GatewayMetrics
+from carobladder.telemetry import ForwardMetrics
 
 __all__ = ["METRICS_PATH", "StatusHandler"]
 
@@ -15,7 +15,7 @@
 class StatusHandler:
     """Answer the metrics on their path and the readiness on any other."""
 
-    def __init__(self, metrics: GatewayMetrics, is_ready: Callable[[], bool]) -> None:
+    def __init__(self, metrics: ForwardMetrics, is_ready: Callable[[], bool]) -> None:
         self._metrics = metrics
         self._is_ready = is_ready
 
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -20,11 +20,13 @@
     "IdempotencyKeyError",
     "InternalFaultError",
     "InvalidResourceError",
+    "KnowledgeOutdatedError",
     "LogUnavailableError",
     "MalformedRequestError",
     "MethodNotAllowedError",
     "MissingResourceError",
     "NoCapacityError",
+    "NoTargetError",
     "NotReadyError",
     "OffsetDroppedError",
     "OffsetGapError",
@@ -40,6 +42,7 @@
     "TargetError",
     "TargetFailedError",
     "TargetRefusedError",
+    "TargetsBusyError",
     "UnknownModelError",
     "UnknownOutcomeError",
     "UnknownPathError",
@@ -216,6 +219,24 @@
     remedy = "retry after the time in the Retry-After header, on any instance"
 
 
+class KnowledgeOutdatedError(NotReadyError):
+    """Report that the store was not read recently enough to decide."""
+
+    code = "knowledge_outdated"
+
+
+class NoTargetError(NotReadyError):
+    """Report that no target of the service may receive the request."""
+
+    code = "no_target"
+
+
+class TargetsBusyError(NotReadyError):
+    """Report that each target asked has stated that it did not run the request."""
+
+    code = "targets_busy"
+
+
 class DeadlineExceededError(CallerError):
     """Report a request whose deadline passed before it was started."""
 
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -11,10 +11,11 @@
     AnswerTimeoutError,
     CallerError,
     ConnectionBrokenError,
-    NotReadyError,
+    NoTargetError,
     TargetError,
     TargetFailedError,
     TargetRefusedError,
+    TargetsBusyError,
 )
 from carobladder.fleet import (
     AnswerFacts,
@@ -27,7 +28,7 @@
 )
 from carobladder.retries import RetryBudget
 from carobladder.routing import Route, Service
-from carobladder.telemetry import log_event
+from carobladder.telemetry import ForwardMetrics, log_event
 
 __all__ = ["CallSession", "ForwardedCall", "Forwarder", "OpenCall"]
 
@@ -76,6 +77,7 @@
     warmth: PromptWarmth
     clock: Clock
     find_budget: Callable[[str], RetryBudget]
+    metrics: ForwardMetrics
 
     def start(self, call: ForwardedCall) -> "CallSession":
         """Begin a call; nothing is sent yet."""
@@ -195,6 +197,7 @@
         """Allow a further attempt, or raise the CallerError that ends the call."""
         self._tried.add(target.target_id)
         obstacle = self._find_obstacle(error.request_written, resumable)
+        self._forwarder.metrics.count_attempt(obstacle or "sent again")
         log_event(
             "attempt failed",
             request_id=self._call.facts.request_id,
@@ -368,8 +371,10 @@
             return AnswerTimeoutError(f"no answer in time: {reason}")
         if self.may_have_run:
             return TargetFailedError(f"the call failed at its target: {reason}")
-        seconds = _BUSY_RETRY_SECONDS if self._sends else _NO_TARGET_RETRY_SECONDS
-        return NotReadyError(f"the call was not run: {reason}", seconds)
+        message = f"the call was not run: {reason}"
+        if self._sends:
+            return TargetsBusyError(message, _BUSY_RETRY_SECONDS)
+        return NoTargetError(message, _NO_TARGET_RETRY_SECONDS)
 
 
 def _describe_refusal(opened: OpenCall) -> TargetRefusedError:
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -11,6 +11,7 @@
     AnswerTimeoutError,
     BadCredentialsError,
     CallerError,
+    KnowledgeOutdatedError,
     NotReadyError,
     UnknownPathError,
 )
@@ -33,7 +34,7 @@
 from carobladder.placement.keys import choose_version, hash_parts
 from carobladder.retries import EventTracker
 from carobladder.routing import Route, RouteTable, Service
-from carobladder.telemetry import log_event
+from carobladder.telemetry import ForwardMetrics, log_event
 
 __all__ = ["FenceTimes", "ForwardHandler"]
 
@@ -84,7 +85,9 @@
         freshness: Freshness,
         fence: FenceTimes,
         generator: random.Random,
+        metrics: ForwardMetrics,
     ) -> None:
+        self._metrics = metrics
         self._forwarder = forwarder
         self._codec = codec
         self._clock = clock
@@ -96,13 +99,18 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer the request with a target's answer or with a refusal."""
         facts = self._codec.read_call(request.fields)
+        call = None
         try:
             call = self._build_call(request, facts)
             await self._run(call, request, responder)
         except CallerError as error:
+            self._metrics.count_refusal(error.code)
             self._log_end(request, facts, error.status, error)
             if not responder.started:
                 await responder.send_answer(self._refuse(request, facts, error))
+        if call is not None:
+            seconds = self._clock.monotonic() - request.received
+            self._metrics.observe_request(call.route.name, call.team, seconds)
 
     def _build_call(self, request: Request, facts: CallFacts) -> ForwardedCall:
         """Return the call; raises CallerError if the request is not allowed."""
@@ -142,7 +150,9 @@
             return "", route.priority
         now = self._clock.boottime()
         if not self._freshness.is_within(self._fence.keys, now):
-            raise NotReadyError("the store was not read recently; keys may be revoked")
+            raise KnowledgeOutdatedError(
+                "the store was not read recently; keys may be revoked"
+            )
         team = table.find_team(facts.key or "")
         if team is None:
             raise self._doubt(BadCredentialsError("no team has this key"))
@@ -154,7 +164,9 @@
         now = self._clock.boottime()
         if self._freshness.is_within(self._fence.refusals, now):
             return error
-        return NotReadyError(f"{error.message}, but the store was not read recently")
+        return KnowledgeOutdatedError(
+            f"{error.message}, but the store was not read recently"
+        )
 
     def _choose_service(
         self, table: RouteTable, route: Route, affinity: int | None
@@ -225,7 +237,7 @@
         observer = StreamObserver(
             monotonic=self._clock.monotonic,
             received=request.received,
-            observe_first=_ignore_seconds,
+            observe_first=self._metrics.first_event_observer(call.route.name),
             observe_gap=session.note_event,
         )
         relay: StreamRelay[FleetTarget] = StreamRelay(
@@ -238,6 +250,8 @@
             shows_errors=False,
         )
         error = await relay.run()
+        if error is not None:
+            self._metrics.count_broken_stream(error.code)
         status = HTTPStatus.OK if error is None else error.status
         self._log_end(request, call.facts, status, error, target=relay.served_by)
 
@@ -302,7 +316,3 @@
 
 def _stream_fields(opened: StreamAttempt[FleetTarget]) -> Headers:
     return _keep_answer_fields(opened.answer.headers)
-
-
-def _ignore_seconds(seconds: float) -> None:
-    """Take no notice of a time."""
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -13,7 +13,6 @@
     "PREFIX_HEADER",
     "PRIORITY_HEADER",
     "PROMPT_SOURCE_HEADER",
-    "READINESS_PATH",
     "REQUEST_ID_HEADER",
     "ROLLOUT_PREFIX",
     "SIGNATURE_HEADER",
@@ -24,8 +23,6 @@
     "TOKENS_HEADER",
 ]
 
-READINESS_PATH = "/-/ready"
-
 OPERATOR_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
--- a/carobladder/telemetry/__init__.py
+++ b/carobladder/telemetry/__init__.py
@@ -1,7 +1,8 @@
 """Logs and metrics."""
 
-from carobladder.telemetry import logs, metrics
+from carobladder.telemetry import forwarding, logs, metrics
+from carobladder.telemetry.forwarding import *  # noqa: F403
 from carobladder.telemetry.logs import *  # noqa: F403
 from carobladder.telemetry.metrics import *  # noqa: F403
 
-__all__ = [*logs.__all__, *metrics.__all__]
+__all__ = [*forwarding.__all__, *logs.__all__, *metrics.__all__]
--- /dev/null
+++ b/tests/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of the source tree."""
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -27,7 +27,7 @@
     ServiceWeight,
     TeamKeys,
 )
-from carobladder.telemetry import GatewayMetrics
+from carobladder.telemetry import ForwardMetrics, GatewayMetrics
 from tests.gateway.wires import ScriptedServer
 
 HOST = "shop.example"
@@ -134,6 +134,7 @@
             self.targets.apply(build_target(f"i-{index}", address), 0.0)
         self.freshness = Freshness()
         self.freshness.note_read(self.clock.boottime())
+        self.metrics = ForwardMetrics()
         self.budget = RetryBudget(0.2, 0.0, burst=10.0)
         self.client = HttpClient(self.clock, connect_seconds=0.3)
         codec = PlatformCodec()
@@ -147,6 +148,7 @@
             PromptWarmth(self.targets),
             self.clock,
             lambda service: self.budget,
+            self.metrics,
         )
         handler = ForwardHandler(
             forwarder,
@@ -156,6 +158,7 @@
             self.freshness,
             FenceTimes(keys=4.5, refusals=3.0),
             generator,
+            self.metrics,
         )
         self.server = GatewayServer(
             handler,
