Log typed events in bounded volume and explain a request from them

Each decision on a request and each change of what an instance knows is an event with its inputs; 'carobladder explain ID FILE...' puts them in order. An output that nobody reads neither stops the instance nor its end: the first test of that failed, because the end of the log thread waited for room in its queue.

--- a/carobladder/cli.py
+++ b/carobladder/cli.py
@@ -23,6 +23,7 @@
     ReturnCommand,
 )
 from carobladder.exceptions import SettingsError
+from carobladder.explain.command import ExplainCommand
 from carobladder.replay.command import ReplayCommand
 from carobladder.settings import (
     InstanceSettings,
@@ -93,6 +94,7 @@
         | ReturnCommand
         | PlanCommand
         | ReplayCommand
+        | ExplainCommand
     ]
 
 
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -7,7 +7,12 @@
 from carobladder.clock import Clock
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import Freshness, KeyedRecord, TopicReader
-from carobladder.telemetry import log_event
+from carobladder.telemetry import (
+    StoreHistoryDropped,
+    StoreLost,
+    StoreRegained,
+    emit,
+)
 
 __all__ = ["TopicFollower"]
 
@@ -62,7 +67,7 @@
             try:
                 changed = await self._read_interruptibly()
             except OffsetDroppedError as error:
-                log_event("store dropped its history", topic=self._name, why=str(error))
+                emit(StoreHistoryDropped(self._name, error.oldest_offset))
                 self._next = None
                 continue
             except LogUnavailableError as error:
@@ -119,7 +124,7 @@
         """Take a read; one that waited in vain proves that nothing came meanwhile."""
         if self._failures:
             age = self.freshness.age(sent_at)
-            log_event("store regained", topic=self._name, away_seconds=round(age, 2))
+            emit(StoreRegained(self._name, round(age, 2)))
             self._failures = 0
             self._on_return(age)
         proved_seconds = max(0.0, waited_seconds - _WATCH_DELAY_SECONDS)
@@ -127,7 +132,8 @@
 
     async def _back_off(self, error: LogUnavailableError) -> None:
         if not self._failures:
-            log_event("store lost", topic=self._name, why=str(error))
+            age = self.freshness.age(self._clock.boottime())
+            emit(StoreLost(self._name, round(age, 2), str(error)))
         self._failures += 1
         pause = _FIRST_BACKOFF_SECONDS * 2.0 ** min(self._failures - 1, 8)
         pause = min(pause, _LONGEST_BACKOFF_SECONDS)
--- a/carobladder/entry/knowledge.py
+++ b/carobladder/entry/knowledge.py
@@ -15,7 +15,20 @@
     TargetTable,
 )
 from carobladder.routing import CallerLimits, RouteTable
-from carobladder.telemetry import log_event
+from carobladder.telemetry import (
+    ConfigurationIgnored,
+    ConfigurationInForce,
+    DataCentreClosed,
+    DataCentreOpened,
+    Event,
+    OperatorRecordUnreadable,
+    RolloutIgnored,
+    TargetChanged,
+    TargetEntryUnreadable,
+    TargetGone,
+    TargetSeen,
+    emit,
+)
 
 __all__ = ["Knowledge"]
 
@@ -51,60 +64,52 @@
         configuration = record.configuration
         before = self.table.configuration if self.table else None
         if before is not None and configuration.version < before.version:
-            log_event(
-                "older configuration ignored",
-                version=configuration.version,
-                in_force=before.version,
-            )
+            emit(ConfigurationIgnored(configuration.version, before.version))
             return
         self.table = RouteTable(configuration)
-        log_event(
-            "configuration in force",
-            version=configuration.version,
-            before=before.version if before else None,
-            routes=len(configuration.routes),
-            teams=len(configuration.teams),
+        emit(
+            ConfigurationInForce(
+                version=configuration.version,
+                before=before.version if before else None,
+                routes=len(configuration.routes),
+                services=len(configuration.services),
+                teams=len(configuration.teams),
+            )
         )
         self._on_limits(configuration.limits)
 
     @apply.register
     def _(self, record: DataCentreEmptied) -> None:
         self._targets.set_emptied(record.data_centre, record.emptied)
-        log_event(
-            "data centre emptied" if record.emptied else "data centre taken back",
-            data_centre=record.data_centre,
-        )
+        kind = DataCentreClosed if record.emptied else DataCentreOpened
+        emit(kind(record.data_centre))
 
     @apply.register
     def _(self, record: RolloutOrdered) -> None:
-        log_event("rollout ordered", service=record.service, version=record.version)
+        if record.version:
+            emit(RolloutIgnored(record.service, record.version))
 
     @apply.register
     def _(self, record: RecordUnreadable) -> None:
-        log_event("operator record unreadable", key=record.key, why=record.reason)
+        emit(OperatorRecordUnreadable(record.key, record.reason))
 
     def apply_entry(self, entry: TargetEntry | RecordUnreadable) -> None:
         """Take the entry of a target; an unreadable one names no target to use."""
         now = self._clock.monotonic()
         if isinstance(entry, RecordUnreadable):
             known = self._targets.discard(entry.key)
-            log_event(
-                "target entry unreadable",
-                target=entry.key,
-                known=known,
-                why=entry.reason,
-            )
+            emit(TargetEntryUnreadable(entry.key, known, entry.reason))
             return
-        before = self._targets.find(entry.target_id)
-        self._log_entry(before.entry if before else None, entry)
-        self._targets.apply(entry, now)
+        known_target = self._targets.find(entry.target_id)
+        before = known_target.entry if known_target else None
+        target = self._targets.apply(entry, now)
+        emit(_describe_entry(before if target is known_target else None, entry))
 
     def drop_target(self, target_id: str) -> None:
         """Take the removal of a target's entry."""
-        gone = self._targets.drop(target_id, self._clock.monotonic())
-        if gone:
+        if self._targets.drop(target_id, self._clock.monotonic()):
             self._pacer.forget(target_id)
-        log_event("target entry removed", target=target_id, gone=gone)
+            emit(TargetGone(target_id, "its entry was removed"))
 
     def note_store_return(self, away_seconds: float) -> None:
         """Allow lapsed entries to come back after an outage that can lapse them."""
@@ -115,11 +120,12 @@
         """Forget lapsed targets that did not come back in time."""
         for target_id in self._targets.expire(self._clock.monotonic()):
             self._pacer.forget(target_id)
-            log_event("target gone", target=target_id, why="entry did not come back")
+            emit(TargetGone(target_id, "its entry did not come back after an outage"))
+
 
-    def _log_entry(self, before: TargetEntry | None, entry: TargetEntry) -> None:
-        log_event(
-            "target entry changed" if before else "target seen",
+def _describe_entry(before: TargetEntry | None, entry: TargetEntry) -> Event:
+    if before is None:
+        return TargetSeen(
             target=entry.target_id,
             service=entry.service,
             address=entry.address,
@@ -128,3 +134,11 @@
             draining=entry.draining,
             cold_seconds=entry.cold_seconds,
         )
+    return TargetChanged(
+        target=entry.target_id,
+        service=entry.service,
+        draining=entry.draining,
+        draining_before=before.draining,
+        cold_seconds=entry.cold_seconds,
+        cold_seconds_before=before.cold_seconds,
+    )
--- a/carobladder/entry/prober.py
+++ b/carobladder/entry/prober.py
@@ -5,7 +5,7 @@
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
 from carobladder.fleet import Condition, FleetTarget, TargetTable
-from carobladder.telemetry import log_event
+from carobladder.telemetry import TargetChecked, emit
 
 __all__ = ["TargetProber"]
 
@@ -41,4 +41,4 @@
     async def _check(self, target: FleetTarget) -> None:
         reachable = await self._client.probe(target.entry.address)
         target.health.note_probe(reachable, self._clock.monotonic())
-        log_event("target checked", target=target.target_id, reachable=reachable)
+        emit(TargetChecked(target.target_id, reachable))
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -32,7 +32,19 @@
 from carobladder.retries import RetryBudget
 from carobladder.routing import CallerLimits
 from carobladder.settings.entry import EntrySettings, load_entry_settings
-from carobladder.telemetry import ForwardMetrics, GatewayMetrics, log_event
+from carobladder.telemetry import (
+    Draining,
+    FenceClosed,
+    FenceOpened,
+    ForwardMetrics,
+    GatewayMetrics,
+    InstanceStarted,
+    InstanceStopped,
+    SettingsNotReloaded,
+    SettingsReloaded,
+    emit,
+    emit_left_out,
+)
 
 __all__ = ["Entry", "run_entry"]
 
@@ -69,6 +81,7 @@
         self._settings = settings
         self._clock = clock
         self._draining = False
+        self._fence_closed_at: float | None = None
         generator = random.Random()
         self._metrics = ForwardMetrics()
         self._server_metrics = GatewayMetrics()
@@ -119,20 +132,25 @@
         await self._server.start(self._settings.listen)
         for server, address in self._status_servers:
             await server.start(address)
-        log_event("instance started", listen=self._settings.listen)
+        emit(InstanceStarted(self._settings.listen, self._settings.data_centre))
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(work) for work in self._list_tasks()]
             await stop.wait()
-            await self._drain()
+            finished = await self._drain()
             for task in tasks:
                 task.cancel()
         await self._shares.leave()
-        log_event("instance stopped")
+        emit(InstanceStopped(finished))
 
     def reload(self, settings: EntrySettings) -> None:
         """Take settings that may change while the instance runs."""
-        self._settings = settings
-        log_event("settings reloaded", instance=settings.instance)
+        before, self._settings = self._settings, settings
+        changed = [
+            name
+            for name in settings.__struct_fields__
+            if getattr(settings, name) != getattr(before, name)
+        ]
+        emit(SettingsReloaded(", ".join(changed) or "nothing"))
 
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         return [
@@ -285,22 +303,39 @@
         while True:
             await self._clock.sleep(_HOUSEKEEPING_SECONDS)
             self._knowledge.expire_targets()
+            self._watch_fence()
+            emit_left_out()
             if share != self._ledger.share:
                 share = self._ledger.share
                 slack = self._settings.retry_slack * _BUDGET_PART * share
                 for budget in self._budgets.values():
                     budget.set_burst(slack)
 
-    async def _drain(self) -> None:
-        """Finish accepted work; listening goes on until the balancer has noticed."""
+    def _watch_fence(self) -> None:
+        """Log when requests with a key begin or cease to be refused."""
+        now = self._clock.boottime()
+        freshness = self._operator.freshness
+        limit_seconds = self._settings.key_revocation_ms / _MS_PER_SECOND * _FENCE_PART
+        closed = freshness.proved and not freshness.is_within(limit_seconds, now)
+        if closed and self._fence_closed_at is None:
+            self._fence_closed_at = now
+            emit(FenceClosed(round(freshness.age(now), 2)))
+        elif not closed and self._fence_closed_at is not None:
+            emit(FenceOpened(round(now - self._fence_closed_at, 2)))
+            self._fence_closed_at = None
+
+    async def _drain(self) -> bool:
+        """Finish accepted work; tell whether all of it was finished.
+
+        Listening goes on until the balancer has noticed.
+        """
         self._draining = True
         self._server.begin_drain()
-        log_event("draining", notice_seconds=_NOTICE_SECONDS)
+        emit(Draining(_NOTICE_SECONDS))
         await self._clock.sleep(_NOTICE_SECONDS)
         grace_seconds = self._settings.shutdown_grace_ms / _MS_PER_SECOND
         limit_seconds = grace_seconds - _NOTICE_SECONDS - _END_SECONDS
-        finished = await self._server.finish_drain(limit_seconds)
-        log_event("drained", finished=finished)
+        return await self._server.finish_drain(limit_seconds)
 
 
 async def run_entry(path: Path) -> None:
@@ -319,4 +354,4 @@
     try:
         entry.reload(load_entry_settings(path))
     except SettingsError as error:
-        log_event("settings not reloaded", why=str(error))
+        emit(SettingsNotReloaded(str(error)))
--- a/carobladder/entry/shares.py
+++ b/carobladder/entry/shares.py
@@ -5,7 +5,7 @@
 from carobladder.clock import Clock
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import GroupStore, ShareLedger
-from carobladder.telemetry import log_event
+from carobladder.telemetry import ShareChanged, ShareNotRenewed, emit
 
 __all__ = ["SHARE_PARTITIONS", "ShareKeeper", "name_share_topics"]
 
@@ -49,7 +49,7 @@
             try:
                 await self._renew()
             except LogUnavailableError as error:
-                log_event("share not renewed", why=str(error))
+                emit(ShareNotRenewed(len(self._ledger.held), str(error)))
                 await self._clock.sleep(_RETRY_SECONDS)
                 continue
             await self._clock.sleep(_RENEWAL_SECONDS)
@@ -59,7 +59,7 @@
         try:
             await self._store.leave_group(_GROUP, self._member)
         except LogUnavailableError as error:
-            log_event("share not given back; it lapses", why=str(error))
+            emit(ShareNotRenewed(len(self._ledger.held), f"not given back: {error}"))
 
     async def _renew(self) -> None:
         membership = await self._store.join_group(
@@ -67,13 +67,10 @@
         )
         self._generation = membership.generation
         held = frozenset(self._number(topic, part) for topic, part in membership.parts)
+        before = len(self._ledger.held)
         if self._ledger.assign(held):
-            log_event(
-                "share changed",
-                held=len(held),
-                total=len(self._ledger.names),
-                generation=membership.generation,
-            )
+            total = len(self._ledger.names)
+            emit(ShareChanged(len(held), before, total, membership.generation))
 
     def _number(self, topic: str, part: int) -> int:
         return int(topic.removeprefix(_TOPIC_PREFIX)) * self._per_topic + part
--- /dev/null
+++ b/carobladder/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explanation of a request from the logs of instances."""
--- a/carobladder/fleet/exchanges.py
+++ b/carobladder/fleet/exchanges.py
@@ -68,6 +68,9 @@
     def keep_field(self, name: str) -> bool:
         """Tell whether a caller's header is handed on; ``name`` is lower case."""
 
+    def is_end_to_end(self, name: str) -> bool:
+        """Tell whether a caller cannot declare the header to end here."""
+
     def write_call(
         self,
         target_id: str,
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -28,7 +28,15 @@
 )
 from carobladder.retries import RetryBudget
 from carobladder.routing import Route, Service
-from carobladder.telemetry import ForwardMetrics, log_event
+from carobladder.telemetry import (
+    AnswerOfOtherRequestDropped,
+    AttemptFailed,
+    ForwardMetrics,
+    RequestPlaced,
+    TargetSuspected,
+    TargetTrusted,
+    emit,
+)
 
 __all__ = ["CallSession", "ForwardedCall", "Forwarder", "OpenCall"]
 
@@ -52,6 +60,7 @@
     """Describe a call independently of the target that runs it.
 
     ``limit_at`` is the monotonic time at which the call must have its answer.
+    ``version`` of the configuration and its age are those that the checks rested on.
     """
 
     route: Route
@@ -65,6 +74,8 @@
     body: bytes
     affinity: int | None
     limit_at: float
+    version: int
+    records_age_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,8 +123,10 @@
         health = self.target.health
         health.in_flight -= 1
         if failed:
-            health.note_failure(self.clock.monotonic())
+            suspect(self.target, "its answer broke off", self.clock.monotonic())
         elif self.first_byte_seconds is not None:
+            if health.failures:
+                emit(TargetTrusted(self.target.target_id, health.failures))
             health.note_answer(self.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR)
 
 
@@ -153,7 +166,7 @@
             try:
                 opened = await self._send(target, extra_headers)
             except TargetError as error:
-                target.health.note_failure(self._forwarder.clock.monotonic())
+                suspect(target, str(error), self._forwarder.clock.monotonic())
                 self.runs += error.request_written
                 self.note_failure(target, error)
                 continue
@@ -198,13 +211,15 @@
         self._tried.add(target.target_id)
         obstacle = self._find_obstacle(error.request_written, resumable)
         self._forwarder.metrics.count_attempt(obstacle or "sent again")
-        log_event(
-            "attempt failed",
-            request_id=self._call.facts.request_id,
-            target=target.target_id,
-            written=error.request_written,
-            error=str(error),
-            decision=obstacle or "send again",
+        emit(
+            AttemptFailed(
+                request_id=self._call.facts.request_id,
+                target=target.target_id,
+                sends=self._sends,
+                written=error.request_written,
+                why=str(error),
+                decision=obstacle or "send again",
+            )
         )
         if obstacle is not None:
             raise self._final_error(f"{error}; not sent again: {obstacle}")
@@ -248,7 +263,7 @@
                 may_repeat=False,
                 confirm=self._note_write,
             )
-            facts = await self._match_answer(answer, loop.time() + wait_seconds)
+            facts = await self._match_answer(target, answer, loop.time() + wait_seconds)
         except TargetError:
             self._pending = False
             target.health.in_flight -= 1
@@ -267,15 +282,17 @@
         self._pending = True
         return True
 
-    async def _match_answer(self, answer: AnswerStream, limit_at: float) -> AnswerFacts:
+    async def _match_answer(
+        self, target: FleetTarget, answer: AnswerStream, limit_at: float
+    ) -> AnswerFacts:
         """Return the facts of the answer that belongs to this request."""
         codec, request_id = self._forwarder.codec, self._call.facts.request_id
         facts = codec.read_answer(answer.status, answer.headers)
         while facts.request_id and facts.request_id != request_id:
-            log_event(
-                "answer of another request dropped",
-                request_id=request_id,
-                other=facts.request_id,
+            emit(
+                AnswerOfOtherRequestDropped(
+                    request_id, facts.request_id, target.target_id
+                )
             )
             await answer.skip_to_next(limit_at)
             facts = codec.read_answer(answer.status, answer.headers)
@@ -299,7 +316,8 @@
     def _note_silence(self, target: FleetTarget, sent_at: float) -> None:
         """Suspect a target that has sent nothing at all since this request."""
         if target.health.last_byte_at < sent_at:
-            target.health.note_failure(self._forwarder.clock.monotonic())
+            why = "it sent no byte for the time that is usual"
+            suspect(target, why, self._forwarder.clock.monotonic())
 
     def _find_obstacle(
         self, written: bool, resumable: bool, *, charge: bool = True
@@ -343,15 +361,37 @@
     def _build_fields(self, target: FleetTarget, extra_headers: Headers) -> Headers:
         replaced = {name.lower() for name, _ in extra_headers}
         kept = [field for field in self._call.fields if field[0] not in replaced]
+        source = self._find_prompt_source(target)
+        self._log_placement(target, source)
         own = self._forwarder.codec.write_call(
             target.target_id,
             self.remaining_seconds,
             self._call.team,
             self._call.priority,
-            self._find_prompt_source(target),
+            source,
         )
         return (*kept, *own, *extra_headers)
 
+    def _log_placement(self, target: FleetTarget, source: str) -> None:
+        call = self._call
+        now = self._forwarder.clock.monotonic()
+        emit(
+            RequestPlaced(
+                request_id=call.facts.request_id,
+                route=call.route.name,
+                team=call.team,
+                service=call.service.name,
+                target=target.target_id,
+                sends=self._sends,
+                left_seconds=round(self.remaining_seconds, 3),
+                load=target.health.estimate_load(now),
+                cold=target.is_cold(now),
+                prompt_source=source,
+                version=call.version,
+                records_age_seconds=round(call.records_age_seconds, 2),
+            )
+        )
+
     def _find_prompt_source(self, target: FleetTarget) -> str:
         """Return the address to copy the shared prompt from, or nothing."""
         affinity = self._call.affinity
@@ -377,6 +417,14 @@
         return NoTargetError(message, _NO_TARGET_RETRY_SECONDS)
 
 
+def suspect(target: FleetTarget, why: str, now: float) -> None:
+    """Leave a target alone for a pause and log the reason."""
+    health = target.health
+    health.note_failure(now)
+    pause_seconds = round(health.paused_until - now, 2)
+    emit(TargetSuspected(target.target_id, health.failures, pause_seconds, why))
+
+
 def _describe_refusal(opened: OpenCall) -> TargetRefusedError:
     status = opened.answer.status
     return TargetRefusedError(status, f"the target answered {status}")
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -11,6 +11,7 @@
     AnswerTimeoutError,
     BadCredentialsError,
     CallerError,
+    CallerGoneError,
     KnowledgeOutdatedError,
     NotReadyError,
     UnknownPathError,
@@ -23,8 +24,8 @@
     Forwarder,
     Headers,
 )
+from carobladder.forwarding.refusals import RefusalWriter
 from carobladder.gateway.ports import Answer, Request, Responder
-from carobladder.gateway.problems import encode_problem
 from carobladder.gateway.relay import (
     RelayTimes,
     StreamAttempt,
@@ -34,7 +35,14 @@
 from carobladder.placement.keys import choose_version, hash_parts
 from carobladder.retries import EventTracker
 from carobladder.routing import Route, RouteTable, Service
-from carobladder.telemetry import ForwardMetrics, log_event
+from carobladder.telemetry import (
+    CallerLeft,
+    ForwardMetrics,
+    RequestAnswered,
+    RequestRefused,
+    StreamBroken,
+    emit,
+)
 
 __all__ = ["FenceTimes", "ForwardHandler"]
 
@@ -54,9 +62,6 @@
         "content-length",
     }
 )
-_NOT_READY_RETRY_SECONDS = 0.3
-# A caller waits at most this part of its time for a retry.
-_RETRY_PART = 0.3
 _STREAM_GAP_SECONDS = 1.0
 _DEFAULT_TIMEOUT_SECONDS = 60.0
 
@@ -95,6 +100,7 @@
         self._freshness = freshness
         self._fence = fence
         self._generator = generator
+        self._refusals = RefusalWriter(generator)
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer the request with a target's answer or with a refusal."""
@@ -104,10 +110,12 @@
             call = self._build_call(request, facts)
             await self._run(call, request, responder)
         except CallerError as error:
-            self._metrics.count_refusal(error.code)
-            self._log_end(request, facts, error.status, error)
-            if not responder.started:
-                await responder.send_answer(self._refuse(request, facts, error))
+            await self._refuse(request, facts, error, responder)
+        except (asyncio.CancelledError, CallerGoneError):
+            seconds = round(self._clock.monotonic() - request.received, 4)
+            route = call.route.name if call else ""
+            emit(CallerLeft(facts.request_id, route, seconds))
+            raise
         if call is not None:
             seconds = self._clock.monotonic() - request.received
             self._metrics.observe_request(call.route.name, call.team, seconds)
@@ -140,6 +148,8 @@
             body=request.body,
             affinity=affinity,
             limit_at=request.received + seconds,
+            version=table.configuration.version,
+            records_age_seconds=self._freshness.age(self._clock.boottime()),
         )
 
     def _authenticate(
@@ -184,8 +194,10 @@
         return service
 
     def _keep_fields(self, request: Request) -> Headers:
-        named = request.headers.get("connection", "").lower().split(",")
-        dropped = _CONNECTION_FIELDS.union(name.strip() for name in named) - {"host"}
+        listed = request.headers.get("connection", "").lower().split(",")
+        named = {name.strip() for name in listed}
+        named -= {name for name in named if self._codec.is_end_to_end(name)}
+        dropped = _CONNECTION_FIELDS | named
         return tuple(
             (name, value)
             for name, value in request.fields
@@ -216,7 +228,7 @@
     ) -> None:
         opened, body = await session.fetch()
         answer = opened.answer
-        self._log_end(request, call.facts, answer.status, target=opened.target)
+        self._log_answer(call, request, answer.status, opened.target.target_id)
         await responder.send_answer(
             Answer(answer.status, _keep_answer_fields(answer.headers), body)
         )
@@ -251,51 +263,64 @@
         )
         error = await relay.run()
         if error is not None:
-            self._metrics.count_broken_stream(error.code)
-        status = HTTPStatus.OK if error is None else error.status
-        self._log_end(request, call.facts, status, error, target=relay.served_by)
-
-    def _refuse(self, request: Request, facts: CallFacts, error: CallerError) -> Answer:
-        headers = [
-            ("Content-Type", "application/json"),
-            *self._codec.write_answer(facts.request_id),
-        ]
-        if error.status in (
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            HTTPStatus.TOO_MANY_REQUESTS,
-        ):
-            seconds = self._spread_retry(request, facts, error)
-            headers.append(("Retry-After", f"{seconds:.3f}"))
-        return Answer(error.status, tuple(headers), encode_problem(error))
+            self._log_break(call, request, error)
+        elif relay.served_by is not None:
+            served_by = relay.served_by.target_id
+            self._log_answer(call, request, HTTPStatus.OK, served_by)
 
-    def _spread_retry(
-        self, request: Request, facts: CallFacts, error: CallerError
-    ) -> float:
-        """Return when to come back, spread so that callers do not come together."""
-        seconds = error.retry_after_seconds or _NOT_READY_RETRY_SECONDS
-        seconds *= 1.0 + self._generator.random()
-        if facts.time_left_seconds is not None:
-            passed = self._clock.monotonic() - request.received
-            left = max(0.0, facts.time_left_seconds - passed)
-            seconds = min(seconds, left * _RETRY_PART)
-        return seconds
+    def _log_break(
+        self, call: ForwardedCall, request: Request, error: CallerError
+    ) -> None:
+        self._metrics.count_broken_stream(error.code)
+        seconds = round(self._clock.monotonic() - request.received, 4)
+        emit(
+            StreamBroken(
+                call.facts.request_id,
+                call.route.name,
+                error.code,
+                error.message,
+                seconds,
+            )
+        )
 
-    def _log_end(
+    async def _refuse(
         self,
         request: Request,
         facts: CallFacts,
-        status: int,
-        error: CallerError | None = None,
-        target: FleetTarget | None = None,
+        error: CallerError,
+        responder: Responder,
     ) -> None:
-        log_event(
-            "request answered",
-            request_id=facts.request_id,
-            path=request.path,
-            status=int(status),
-            seconds=round(self._clock.monotonic() - request.received, 4),
-            target=target.target_id if target else "",
-            reason=error.message if error else "",
+        """Send the error; a stream that has begun is cut by the connection."""
+        self._metrics.count_refusal(error.code)
+        passed_seconds = self._clock.monotonic() - request.received
+        fields = self._codec.write_answer(facts.request_id)
+        refusal = self._refusals.write(error, facts, passed_seconds, fields)
+        table = self._find_table()
+        age_seconds = self._freshness.age(self._clock.boottime())
+        emit(
+            RequestRefused(
+                request_id=facts.request_id,
+                path=request.path,
+                status=error.status,
+                cause=error.code,
+                why=error.message,
+                seconds=round(passed_seconds, 4),
+                retry_seconds=refusal.retry_seconds,
+                version=table.configuration.version if table else None,
+                records_age_seconds=round(age_seconds, 2) if table else None,
+            )
+        )
+        if not responder.started:
+            await responder.send_answer(refusal.answer)
+
+    def _log_answer(
+        self, call: ForwardedCall, request: Request, status: int, target: str
+    ) -> None:
+        seconds = round(self._clock.monotonic() - request.received, 4)
+        emit(
+            RequestAnswered(
+                call.facts.request_id, call.route.name, status, target, seconds
+            )
         )
 
 
--- a/carobladder/platform/exchanges.py
+++ b/carobladder/platform/exchanges.py
@@ -11,6 +11,7 @@
 from carobladder.platform.names import (
     COLD_HEADER,
     DEADLINE_HEADER,
+    END_TO_END_HEADERS,
     EXPECTED_TARGET_HEADER,
     KEY_HEADER,
     LOAD_HEADER,
@@ -55,6 +56,10 @@
         """Tell whether a caller's header is handed on; ``name`` is lower case."""
         return name not in SYSTEM_HEADERS
 
+    def is_end_to_end(self, name: str) -> bool:
+        """Tell whether a caller cannot declare the header to end here."""
+        return name in END_TO_END_HEADERS
+
     def write_call(
         self,
         target_id: str,
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -4,6 +4,7 @@
     "COLD_HEADER",
     "CONFIGURATION_KEY",
     "DEADLINE_HEADER",
+    "END_TO_END_HEADERS",
     "EVACUATION_PREFIX",
     "EXPECTED_TARGET_HEADER",
     "KEY_HEADER",
@@ -61,3 +62,17 @@
         "wait-ms",
     }
 )
+
+# Say what a request is, so they reach the target even if a caller lists them in its
+# Connection header.
+END_TO_END_HEADERS = frozenset(
+    {
+        "host",
+        "content-type",
+        "last-event-id",
+        "carobladder-model",
+        REQUEST_ID_HEADER,
+        TOKENS_HEADER,
+        PREFIX_HEADER,
+    }
+)
--- a/carobladder/telemetry/__init__.py
+++ b/carobladder/telemetry/__init__.py
@@ -1,8 +1,9 @@
 """Logs and metrics."""
 
-from carobladder.telemetry import forwarding, logs, metrics
+from carobladder.telemetry import events, forwarding, logs, metrics
+from carobladder.telemetry.events import *  # noqa: F403
 from carobladder.telemetry.forwarding import *  # noqa: F403
 from carobladder.telemetry.logs import *  # noqa: F403
 from carobladder.telemetry.metrics import *  # noqa: F403
 
-__all__ = [*forwarding.__all__, *logs.__all__, *metrics.__all__]
+__all__ = [*events.__all__, *forwarding.__all__, *logs.__all__, *metrics.__all__]
--- a/carobladder/telemetry/logs.py
+++ b/carobladder/telemetry/logs.py
@@ -4,6 +4,7 @@
 import logging
 import queue
 import sys
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from logging.handlers import QueueHandler, QueueListener
@@ -12,12 +13,24 @@
 from pythonjsonlogger.core import BaseJsonFormatter
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["configure_json_logging", "configure_logging", "log_event"]
+from carobladder.telemetry.events import Event
+from carobladder.telemetry.limits import EventLimiter
+
+__all__ = [
+    "configure_json_logging",
+    "configure_logging",
+    "emit",
+    "emit_left_out",
+    "log_event",
+]
 
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
+_limiter = EventLimiter()
 _root = logging.getLogger("carobladder")
 # Lines that wait for a slow reader of standard output; later ones are dropped.
 _MAX_WAITING_LINES = 2000
+# Wait for that reader when the process ends.
+_END_SECONDS = 0.3
 
 
 class _KeyValueFormatter(BaseJsonFormatter):
@@ -51,6 +64,19 @@
     _root.propagate = False
 
 
+def emit(event: Event) -> None:
+    """Write an event unless its kind has used up its rate."""
+    now = time.monotonic()
+    if _limiter.admit(event, now):
+        _root.log(event.level, event.name(), extra=event.to_fields())
+
+
+def emit_left_out() -> None:
+    """Write how many limited events were left out since the last call."""
+    for name, count in _limiter.take_left_out().items():
+        log_event("events_left_out", logging.WARNING, kind=name, count=count)
+
+
 def log_event(event: str, level: int = logging.INFO, **fields: Any) -> None:
     """Write one event with its fields."""
     _root.log(level, event, extra=fields)
@@ -69,7 +95,20 @@
             return
         if self.dropped:
             dropped, self.dropped = self.dropped, 0
-            log_event("log lines left out", logging.WARNING, count=dropped)
+            log_event("lines_left_out", logging.WARNING, count=dropped)
+
+
+class _BoundedQueueListener(QueueListener):
+    """Write queued records; its end waits only a little for a slow reader."""
+
+    def stop(self) -> None:
+        try:
+            self.queue.put(self._sentinel, timeout=_END_SECONDS)
+        except queue.Full:
+            return
+        if self._thread is not None:
+            self._thread.join(_END_SECONDS)
+            self._thread = None
 
 
 @contextmanager
@@ -88,7 +127,7 @@
     output = logging.StreamHandler(sys.stdout)
     output.setFormatter(formatter)
     lines: queue.Queue[logging.LogRecord] = queue.Queue(_MAX_WAITING_LINES)
-    listener = QueueListener(lines, output)
+    listener = _BoundedQueueListener(lines, output)
     _root.handlers[:] = [_BoundedQueueHandler(lines)]
     _root.setLevel(level.upper())
     _root.propagate = False
