Keep prompts at engines that are only reading long ones

Several alarms for one silence also lengthened the pause. Ruled out: evicted prompts (capacity is ten times the shared parts) and shorter prefixes (copying them alone left 250,000 tokens read again).

--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -67,9 +67,15 @@
         self.first_byte_seconds += _AVERAGE_GAIN * (seconds - self.first_byte_seconds)
 
     def note_failure(self, now: float) -> None:
-        """Take a connection that failed, broke or stayed silent."""
-        self.failures += 1
+        """Take a connection that failed, broke or stayed silent.
+
+        Requests under way fail together, so only the first failure outside of a
+        pause starts one.
+        """
         self.reachable = False
+        if self.failures and now < self.paused_until:
+            return
+        self.failures += 1
         pause = _FIRST_PAUSE_SECONDS * 2.0 ** (self.failures - 1)
         self.paused_until = now + min(pause, _LONGEST_PAUSE_SECONDS)
 
--- a/carobladder/fleet/warmth.py
+++ b/carobladder/fleet/warmth.py
@@ -1,6 +1,7 @@
 """Which targets are likely to keep the shared prompt of a request."""
 
 from collections import OrderedDict
+from collections.abc import Sequence
 
 from carobladder.fleet.health import Condition
 from carobladder.fleet.targets import FleetTarget, TargetTable
@@ -26,23 +27,39 @@
         self._table = table
         self._holders: OrderedDict[int, list[FleetTarget]] = OrderedDict()
 
-    def note_sent(self, affinity: int, target: FleetTarget) -> None:
-        """Take note that a request with this prompt went to the target."""
-        holders = self._holders.pop(affinity, [])
-        kept = [holder for holder in holders if holder is not target]
-        self._holders[affinity] = [*kept[1 - _MAX_HOLDERS :], target]
-        if len(self._holders) > _MAX_PROMPTS:
+    def note_sent(self, prefixes: Sequence[int], target: FleetTarget) -> None:
+        """Take note that a request with these shared prefixes went to the target."""
+        for prefix in prefixes:
+            holders = self._holders.pop(prefix, [])
+            kept = [holder for holder in holders if holder is not target]
+            self._holders[prefix] = [*kept[1 - _MAX_HOLDERS :], target]
+        while len(self._holders) > _MAX_PROMPTS:
             self._holders.popitem(last=False)
 
     def find_source(
+        self, prefixes: Sequence[int], chosen: FleetTarget, now: float
+    ) -> FleetTarget | None:
+        """Return a target that is likely to keep more of a prompt than ``chosen``.
+
+        ``prefixes`` are the keys of the shared prefixes, the longest first.
+        """
+        for length, prefix in enumerate(prefixes):
+            holders = self._list_holders(prefix, now)
+            if chosen in holders:
+                return None
+            if holders:
+                return holders[-1]
+            if length == 0 and (first := self._find_first(prefix, chosen, now)):
+                return first
+        return None
+
+    def _list_holders(self, prefix: int, now: float) -> list[FleetTarget]:
+        return [h for h in self._holders.get(prefix, ()) if self._is_live(h, now)]
+
+    def _find_first(
         self, affinity: int, chosen: FleetTarget, now: float
     ) -> FleetTarget | None:
-        """Return a target that is likely to keep a prompt that ``chosen`` lacks."""
-        holders = [h for h in self._holders.get(affinity, ()) if self._is_live(h, now)]
-        if chosen in holders:
-            return None
-        if holders:
-            return holders[-1]
+        """Return where others are likely to have sent the prompt, if elsewhere."""
         settled = [
             target
             for target in self._table.list_registered(chosen.entry.service)
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -46,6 +46,8 @@
 # least the floor, is likely to be dark.
 _PATIENCE_FACTOR = 4.0
 _PATIENCE_FLOOR_SECONDS = 0.4
+# An engine that reads several long prompts at once sends nothing for as long.
+_PROMPT_PATIENCE_SECONDS = 1.0
 # Further sends of a request that no target has run yet.
 _MAX_UNRUN_SENDS = 3
 _BUSY_RETRY_SECONDS = 0.25
@@ -59,6 +61,7 @@
 class ForwardedCall:
     """Describe a call independently of the target that runs it.
 
+    ``prefixes`` are the keys of the prompt's shared prefixes, the longest first.
     ``limit_at`` is the monotonic time at which the call must have its answer.
     ``version`` of the configuration and its age are those that the checks rested on.
     """
@@ -72,11 +75,16 @@
     target: str
     fields: Headers
     body: bytes
-    affinity: int | None
+    prefixes: tuple[int, ...]
     limit_at: float
     version: int
     records_age_seconds: float
 
+    @property
+    def affinity(self) -> int | None:
+        """Return the key that ranks the targets, or None without a prompt."""
+        return self.prefixes[0] if self.prefixes else None
+
 
 @dataclass(frozen=True, slots=True)
 class Forwarder:
@@ -394,17 +402,17 @@
 
     def _find_prompt_source(self, target: FleetTarget) -> str:
         """Return the address to copy the shared prompt from, or nothing."""
-        affinity = self._call.affinity
-        if affinity is None:
-            return ""
+        prefixes = self._call.prefixes
         warmth, now = self._forwarder.warmth, self._forwarder.clock.monotonic()
-        source = warmth.find_source(affinity, target, now)
-        warmth.note_sent(affinity, target)
+        source = warmth.find_source(prefixes, target, now)
+        warmth.note_sent(prefixes, target)
         return source.entry.address if source else ""
 
     def _patience(self, target: FleetTarget) -> float:
         usual = target.health.first_byte_seconds * _PATIENCE_FACTOR
-        return max(_PATIENCE_FLOOR_SECONDS, usual)
+        reads_prompt = self._call.affinity is not None
+        floor = _PROMPT_PATIENCE_SECONDS if reads_prompt else _PATIENCE_FLOOR_SECONDS
+        return max(floor, usual)
 
     def _final_error(self, reason: str) -> CallerError:
         if self.may_have_run and self.remaining_seconds <= 0.0:
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -130,8 +130,8 @@
         if route is None:
             raise self._doubt(UnknownPathError(f"no route for {path}"))
         team, priority = self._authenticate(table, route, facts)
-        affinity = _find_affinity(facts)
-        service = self._choose_service(table, route, affinity)
+        prefixes = _hash_prefixes(facts)
+        service = self._choose_service(table, route, prefixes)
         time_left = facts.time_left_seconds
         seconds = route.timeout_seconds or _DEFAULT_TIMEOUT_SECONDS
         if time_left is not None:
@@ -146,7 +146,7 @@
             target=request.target,
             fields=self._keep_fields(request),
             body=request.body,
-            affinity=affinity,
+            prefixes=prefixes,
             limit_at=request.received + seconds,
             version=table.configuration.version,
             records_age_seconds=self._freshness.age(self._clock.boottime()),
@@ -179,14 +179,14 @@
         )
 
     def _choose_service(
-        self, table: RouteTable, route: Route, affinity: int | None
+        self, table: RouteTable, route: Route, prefixes: tuple[int, ...]
     ) -> Service:
         shares = {share.service: share.weight for share in route.services}
         total = sum(shares.values())
         name = route.services[0].service
         if len(shares) > 1 and total > 0:
             fractions = {key: weight / total for key, weight in shares.items()}
-            key = self._generator.getrandbits(64) if affinity is None else affinity
+            key = prefixes[0] if prefixes else self._generator.getrandbits(64)
             name = choose_version(key, fractions)
         service = table.find_service(name)
         if service is None:
@@ -324,15 +324,16 @@
         )
 
 
-def _find_affinity(facts: CallFacts) -> int | None:
-    """Return the key of the longest prompt prefix that other requests share.
+def _hash_prefixes(facts: CallFacts) -> tuple[int, ...]:
+    """Return the keys of the prompt's shared prefixes, the longest first.
 
-    The last part belongs to the request itself, so the part before it decides.
+    The last part belongs to the request itself; a prompt of one part is shared.
     """
-    if not facts.prompt:
-        return None
     shared = facts.prompt[:-1] or facts.prompt
-    return hash_parts("prompt", shared[-1].part_id)
+    names = [part.part_id for part in shared]
+    return tuple(
+        hash_parts("prompt", *names[:length]) for length in range(len(names), 0, -1)
+    )
 
 
 def _keep_answer_fields(headers: Headers) -> Headers:
--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -267,6 +267,30 @@
         self.assertLessEqual(self.count_requests(), 10 + 2 + 10 * 0.2)
 
 
+class PatienceTest(ForwardingTest):
+    """Guard against giving up an engine that only reads long prompts."""
+
+    async def test_engine_that_reads_long_prompts_is_not_suspected(self):
+        """Many first requests come at once and nothing is in the cache yet."""
+
+        async def read_first(request: bytes, writer) -> None:
+            await asyncio.sleep(0.6)
+            writer.write(start_events(request) + chunk(event(1)) + b"0\r\n\r\n")
+
+        instance = await self.start(read_first)
+        calls = [
+            instance.call(
+                "/resumable/x", b"a", Carobladder_Prompt_Prefix=f"aa:9,{number}:5"
+            )
+            for number in range(6)
+        ]
+        for status, _, _ in await asyncio.gather(*calls):
+            self.assertEqual(status, 200)
+        target = instance.targets.find("i-0")
+        self.assertEqual(target.health.failures, 0)
+        self.assertEqual(self.count_requests(), 6)
+
+
 class GarbledAnswerTest(ForwardingTest):
     """Guard against answers that belong to another request or are cut."""
 
