--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,8 @@
 
 docs: venv
 	$(BIN)/python -m carobladder.settings.reference > docs/settings.md
+	$(BIN)/python -m carobladder.settings.entry_reference > docs/entry-settings.md
+	$(BIN)/python -m carobladder.telemetry.reference > docs/logs.md
 
 moves: venv
 	$(BIN)/python -m benchmarks.moves --seeds 20
--- a/carobladder/cli.py
+++ b/carobladder/cli.py
@@ -4,6 +4,8 @@
 import os
 import sys
 from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
 
 import cappa
 import zmq
@@ -32,6 +34,7 @@
     describe_settings,
     load_settings,
 )
+from carobladder.settings.entry import describe_entry_settings
 
 __all__ = ["Carobladder", "main"]
 
@@ -60,6 +63,24 @@
         print("\n".join(describe_settings(_load_or_exit(self))))
 
 
+@cappa.command(
+    name="check-entry", help="Validate a settings file of the entry program."
+)
+@dataclass
+class CheckEntry:
+    """Validate a settings file of the entry program."""
+
+    file: Annotated[Path, cappa.Arg(help="Settings file in TOML.")]
+
+    def __call__(self) -> None:
+        """Print what was read, defaulted and ignored."""
+        try:
+            print("\n".join(describe_entry_settings(self.file)))
+        except SettingsError as error:
+            print(f"carobladder: {error}", file=sys.stderr)
+            raise cappa.Exit(code=USAGE_EXIT_STATUS) from error
+
+
 @cappa.command(name="keys", help="Print a new CURVE key pair for the fleet.")
 @dataclass
 class Keys:
@@ -83,6 +104,7 @@
     command: cappa.Subcommands[
         Serve
         | Check
+        | CheckEntry
         | Keys
         | ApplyCommand
         | GetCommand
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -13,6 +13,7 @@
 __all__ = [
     "SETTINGS_VARIABLE",
     "EntrySettings",
+    "describe_entry_settings",
     "find_entry_settings",
     "load_entry_settings",
 ]
@@ -67,13 +68,31 @@
 
     Raises SettingsError that names the key and the remedy.
     """
+    return _convert(path, _read_values(path))
+
+
+def describe_entry_settings(path: Path) -> list[str]:
+    """Return a line for each setting that was read, defaulted or ignored.
+
+    Raises SettingsError as ``load_entry_settings`` does.
+    """
+    values = _read_values(path)
+    settings = _convert(path, values)
+    lines = []
+    for name in settings.__struct_fields__:
+        origin = "read" if name in values else "default"
+        lines.append(f"{name} = {getattr(settings, name)!r} ({origin})")
+    unknown = sorted(set(values) - set(settings.__struct_fields__))
+    return [*lines, *(f"{name} (ignored, not a setting)" for name in unknown)]
+
+
+def _read_values(path: Path) -> dict[str, Any]:
     try:
-        values = tomllib.loads(path.read_text(encoding="utf-8"))
+        return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(f"cannot read {path}: {error.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path} is not TOML ({error}); correct the line") from None
-    return _convert(path, values)
 
 
 def _convert(path: Path, values: dict[str, Any]) -> EntrySettings:
--- /dev/null
+++ b/tests/settings/test_entry.py
@@ -0,0 +1,85 @@
+"""Tests of the settings file of the entry program."""
+
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from carobladder.exceptions import SettingsError
+from carobladder.settings.entry import (
+    EntrySettings,
+    describe_entry_settings,
+    find_entry_settings,
+    load_entry_settings,
+)
+from carobladder.settings.entry_reference import render_entry_settings
+from carobladder.telemetry.reference import render_events
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+REQUIRED = """
+instance = "front-1"
+data_centre = "dc-1"
+listen = "127.0.0.1:1"
+readiness_listen = "127.0.0.1:2"
+metrics_listen = "127.0.0.1:3"
+store_address = "127.0.0.1:4"
+"""
+
+
+class EntrySettingsTest(unittest.TestCase):
+    """Guard against a start with wrong settings and against unclear refusals."""
+
+    def setUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.path = Path(folder) / "settings.toml"
+
+    def load(self, text: str) -> EntrySettings:
+        self.path.write_text(text, encoding="utf-8")
+        return load_entry_settings(self.path)
+
+    def check_refused(self, text: str, *parts: str) -> None:
+        with self.assertRaises(SettingsError) as caught:
+            self.load(text)
+        for part in parts:
+            self.assertIn(part, str(caught.exception))
+        self.assertNotIn("\n", str(caught.exception))
+
+    def test_defaults_and_unknown_keys(self):
+        settings = self.load(REQUIRED + "newly = 3\nretry_ratio = 0.1\n")
+        self.assertEqual((settings.retry_ratio, settings.load_multiple), (0.1, 2.0))
+        lines = describe_entry_settings(self.path)
+        self.assertIn("retry_ratio = 0.1 (read)", lines)
+        self.assertIn("load_multiple = 2.0 (default)", lines)
+        self.assertIn("newly (ignored, not a setting)", lines)
+
+    def test_wrong_values_are_refused_in_one_line(self):
+        self.check_refused(REQUIRED.replace('"127.0.0.1:4"', '"store"'), "store_addr")
+        self.check_refused(REQUIRED + "retry_ratio = -1\n", "retry_ratio")
+        self.check_refused(REQUIRED + 'retry_ratio = "x"\n', "retry_ratio")
+        self.check_refused(REQUIRED.replace('instance = "front-1"', ""), "instance")
+        self.check_refused("listen = \n", "not TOML")
+
+    def test_missing_file_and_variable(self):
+        with self.assertRaises(SettingsError):
+            load_entry_settings(self.path)
+        with self.assertRaises(SettingsError):
+            find_entry_settings({})
+
+    def test_template_names_known_settings_only(self):
+        template = (ROOT / "deploy" / "settings.template").read_text(encoding="utf-8")
+        names = {line.partition(" =")[0] for line in template.splitlines() if line}
+        self.assertLessEqual(names, set(EntrySettings.__struct_fields__))
+
+    def test_deploy_file_names_the_template_and_the_program(self):
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        (role,) = deploy["roles"].values()
+        self.assertTrue((ROOT / role["template"]).exists())
+        self.assertEqual(role["run"], "python3 -m carobladder.entry")
+
+    def test_pages_are_generated_from_the_code(self):
+        for name, text in (
+            ("entry-settings.md", render_entry_settings()),
+            ("logs.md", render_events()),
+        ):
+            page = (ROOT / "docs" / name).read_text(encoding="utf-8")
+            self.assertEqual(page, text, f"run 'make docs' to renew docs/{name}")
