Close a connection after the answer that a drain found under way

Change: a draining connection closes after its answer; the notice time is 2.4 s, so that idle connections are closed before 3 s. Test: test_answer_that_began_before_the_drain_is_the_last, which failed before.

--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -71,8 +71,9 @@
 _OPERATOR_MISS_PART = 0.75
 # Part of the fleet's retry bounds that is used, since views of the shares differ.
 _BUDGET_PART = 0.7
-# The balancer notices a failing readiness within this time.
-_NOTICE_SECONDS = 2.8
+# The balancer notices a failing readiness within this time. Idle connections are
+# closed half a second later, so no request is taken that the end would cut.
+_NOTICE_SECONDS = 2.4
 # Left of the grace time for the end itself.
 _END_SECONDS = 0.6
 _HOUSEKEEPING_SECONDS = 0.25
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -213,13 +213,23 @@
         await self._handle(request, exchange)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
-            return True
+            if not self._ends_here():
+                return True
+            self._close()
+            return False
         if self._http.our_state is h11.MUST_CLOSE:
             self._close()
         else:
             self._discard_transport()
         return False
 
+    def _ends_here(self) -> bool:
+        """Tell whether a drain ends the connection after the present answer.
+
+        Its head may have been sent before the drain, without a close.
+        """
+        return self._serving.draining and not self._http.trailing_data[0]
+
     async def _handle(self, request: Request, exchange: "_Exchange") -> None:
         try:
             await self._serving.handler.handle(request, exchange)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -147,3 +147,35 @@
             answer = await reader.read()
         writer.close()
         self.assertIn(b" 200 ", answer)
+
+    async def test_answer_that_began_before_the_drain_is_the_last(self):
+        """Its head could not tell the caller to close; the next would be cut."""
+        host, _, port = self.gateway.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        request = GET % (b"/admin/v1/watch", b"Authorization: Bearer key\r\n")
+        started = asyncio.Event()
+        finish = asyncio.Event()
+
+        async def answer_slowly(request, responder) -> None:
+            await responder.start_stream(200, ())
+            started.set()
+            await finish.wait()
+            await responder.end_stream()
+
+        self.gateway.server._serving.handler = SlowHandler(answer_slowly)
+        writer.write(request)
+        await started.wait()
+        self.gateway.server.begin_drain()
+        finish.set()
+        async with asyncio.timeout(LONG_SECONDS):
+            answer = await reader.read()
+        writer.close()
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+        self.assertNotIn(b"onnection: close", answer)
+
+
+class SlowHandler:
+    """Answer by a function."""
+
+    def __init__(self, handle) -> None:
+        self.handle = handle
