--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -181,6 +181,8 @@
             if opened.facts.not_run:
                 opened.note_first_byte()
                 opened.close()
+                if opened.answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+                    target.note_misdirected()
                 self.note_failure(target, _describe_refusal(opened))
                 continue
             self.runs += 1
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -70,3 +70,9 @@
         self.assertFalse(target.is_cold(8.0))
         target.note_cold(1.0, 9.0)
         self.assertTrue(target.is_cold(9.5))
+
+    def test_target_whose_address_another_one_has_is_closed_until_its_next_entry(self):
+        self.target.note_misdirected()
+        self.assertEqual(self.list_open(), [])
+        self.table.apply(build_entry(slots=4), 1.0)
+        self.assertEqual(self.list_open(), ["i-1"])
--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -211,6 +211,15 @@
             status, _, _ = await instance.call("/unsafe/x", b"a")
             self.assertEqual(status, 200)
 
+    async def test_target_whose_address_another_one_has_is_not_asked_again(self):
+        """Each further request there would use up the retry budget."""
+        instance = await self.start(refuse("421 Other"), echo)
+        instance.budget.set_burst(1.0)
+        for _ in range(8):
+            status, _, _ = await instance.call("/unsafe/x", b"a")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(self.targets[0].requests), 1)
+
     async def test_all_targets_full_is_a_true_refusal(self):
         instance = await self.start(refuse("503 Full", NOT_RUN))
         status, headers, _ = await instance.call("/unsafe/x", b"a")
