--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -20,7 +20,7 @@
         self.health = TargetHealth()
         self.seen_at = now
         self.cold_until = now + entry.cold_seconds
-        self._misdirected = False
+        self.misdirected = False
 
     @property
     def target_id(self) -> str:
@@ -35,16 +35,16 @@
         """Take a newer entry of the same run."""
         self.entry = entry
         self.cold_until = now + entry.cold_seconds
-        self._misdirected = False
+        self.misdirected = False
 
     @property
     def takes_requests(self) -> bool:
         """Tell whether the target is neither leaving nor replaced by another one."""
-        return not (self.entry.draining or self._misdirected)
+        return not (self.entry.draining or self.misdirected)
 
     def note_misdirected(self) -> None:
         """Note that another target answers at the address; a new entry ends that."""
-        self._misdirected = True
+        self.misdirected = True
 
     def note_cold(self, seconds: float, now: float) -> None:
         """Take the cold time that the target itself stated in an answer."""
--- a/carobladder/fleet/warmth.py
+++ b/carobladder/fleet/warmth.py
@@ -72,4 +72,5 @@
 
     def _is_live(self, target: FleetTarget, now: float) -> bool:
         registered = self._table.find(target.target_id) is target
-        return registered and target.health.judge(now) is Condition.SOUND
+        sound = target.health.judge(now) is Condition.SOUND
+        return registered and sound and not target.misdirected
