Spread hot prompts over targets by their share of an instance's requests

Cause: on the grown deployments an instance sends less than one request in ten seconds to each engine, so it knows no load in time, and a prompt with a sixth of all requests would stay at one engine.

--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -7,6 +7,7 @@
 from carobladder.fleet.health import Condition
 from carobladder.fleet.shares import ColdPacer
 from carobladder.fleet.targets import FleetTarget, TargetTable
+from carobladder.placement.popularity import PromptPopularity
 from carobladder.placement.rendezvous import score_member
 from carobladder.routing import Service
 
@@ -49,6 +50,7 @@
         self._pacer = pacer
         self._load_factor = 1.0 + _LOAD_PART * (load_multiple - 1.0)
         self._generator = generator
+        self._popularity: dict[str, PromptPopularity] = {}
 
     def choose(self, wanted: Selection, now: float) -> FleetTarget | None:
         """Return the target for a request and note a send to a cold one, or None."""
@@ -58,7 +60,8 @@
         if wanted.affinity is None:
             chosen = min(usable, key=lambda target: self._score(target))
         else:
-            chosen = self._choose_affine(usable, wanted.affinity, now)
+            replicas = self._count_replicas(wanted, wanted.affinity, now)
+            chosen = self._choose_affine(usable, wanted.affinity, replicas, now)
         if chosen.is_cold(now):
             self._pacer.take(chosen.target_id, wanted.service.cold_per_second, now)
         return chosen
@@ -85,8 +88,17 @@
             return health.reachable and wanted.may_repeat and health.in_flight == 0
         return condition is Condition.SOUND
 
+    def _count_replicas(self, wanted: Selection, affinity: int, now: float) -> int:
+        """Count the request and return how many targets share its prompt."""
+        service = wanted.service.name
+        popularity = self._popularity.setdefault(service, PromptPopularity())
+        if not wanted.excluded:
+            popularity.note_request(affinity, now)
+        targets = len(self._table.list_open(service))
+        return popularity.count_replicas(affinity, targets, now)
+
     def _choose_affine(
-        self, usable: list[FleetTarget], affinity: int, now: float
+        self, usable: list[FleetTarget], affinity: int, replicas: int, now: float
     ) -> FleetTarget:
         loads = _estimate_loads(usable, now)
         mean = sum(loads.values()) / len(loads)
@@ -96,6 +108,9 @@
             key=lambda target: score_member(affinity, target.target_id),
             reverse=True,
         )
+        if replicas > 1:
+            self._generator.shuffle(first := ranked[:replicas])
+            ranked = first + ranked[replicas:]
         for target in ranked:
             if loads[target.target_id] <= limit:
                 return target
