Tell a few other instances the loads of targets by datagram

Change: each instance tells two others in 0.3 s the newest loads it knows, its own and those it heard; addresses lie in a topic of the store.

--- /dev/null
+++ b/carobladder/entry/loads.py
@@ -0,0 +1,106 @@
+"""Exchange of loads between instances by datagrams."""
+
+import asyncio
+import random
+from typing import cast
+
+from carobladder.clock import Clock
+from carobladder.exceptions import LogUnavailableError
+from carobladder.fleet import LoadSharing, TopicWriter, decode_loads, encode_loads
+from carobladder.telemetry import InstanceNotAnnounced, emit
+
+__all__ = ["LoadExchange"]
+
+_INTERVAL_SECONDS = 0.3
+# Instances told in each interval; what is told reaches all others within a few.
+_FAN_OUT = 2
+_ANNOUNCE_RETRY_SECONDS = 1.0
+
+
+class LoadExchange(asyncio.DatagramProtocol):
+    """Tell a few other instances the newest loads, and take theirs.
+
+    A lost datagram only delays what the next ones carry, and the number of
+    datagrams of an instance does not depend on the size of the fleet.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        sharing: LoadSharing,
+        topic: TopicWriter,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        self.malformed = 0
+        self._instance = instance
+        self._address = address
+        self._sharing = sharing
+        self._topic = topic
+        self._clock = clock
+        self._generator = generator
+        self._peers: dict[str, tuple[str, int]] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def run(self) -> None:
+        """Announce this instance and exchange loads until cancelled."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        try:
+            await self._announce()
+            while True:
+                await self._clock.sleep(_INTERVAL_SECONDS)
+                self._tell()
+        finally:
+            transport.close()
+
+    def take_record(self, instance: str, value: bytes | None) -> None:
+        """Take the address of an instance, or its end."""
+        host, separator, port = (
+            (value or b"").decode("utf-8", "replace").rpartition(":")
+        )
+        if instance == self._instance:
+            return
+        if separator and port.isdigit():
+            self._peers[instance] = (host, int(port))
+        else:
+            self._peers.pop(instance, None)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # The loop's own class does not derive from DatagramTransport in Python 3.11.
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        """Take the loads that another instance tells."""
+        try:
+            reports = decode_loads(data)
+        except ValueError:
+            self.malformed += 1
+            return
+        self._sharing.take(reports, self._clock.monotonic())
+
+    def error_received(self, error: Exception) -> None:
+        """Ignore that a peer is away; its record stays until it is replaced."""
+
+    def _tell(self) -> None:
+        reports = self._sharing.collect(self._clock.monotonic())
+        if not (reports and self._peers and self._transport):
+            return
+        data = encode_loads(reports)
+        peers = list(self._peers.values())
+        for peer in self._generator.sample(peers, min(_FAN_OUT, len(peers))):
+            self._transport.sendto(data, peer)
+
+    async def _announce(self) -> None:
+        while True:
+            try:
+                await self._topic.write(self._instance, self._address.encode())
+                return
+            except LogUnavailableError as error:
+                emit(InstanceNotAnnounced(str(error)))
+            await self._clock.sleep(_ANNOUNCE_RETRY_SECONDS)
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -11,12 +11,14 @@
 from carobladder.clock import Clock, SystemClock
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.knowledge import Knowledge
+from carobladder.entry.loads import LoadExchange
 from carobladder.entry.prober import TargetProber
 from carobladder.entry.shares import SHARE_PARTITIONS, ShareKeeper
 from carobladder.entry.status import StatusHandler
 from carobladder.exceptions import SettingsError
 from carobladder.fleet import (
     ColdPacer,
+    LoadSharing,
     PromptWarmth,
     ShareLedger,
     TargetSelector,
@@ -27,7 +29,7 @@
 from carobladder.gateway.server import GatewayServer
 from carobladder.platform.documents import decode_operator_record, decode_target_entry
 from carobladder.platform.exchanges import PlatformCodec
-from carobladder.platform.names import OPERATOR_TOPIC, TARGETS_TOPIC
+from carobladder.platform.names import INSTANCES_TOPIC, OPERATOR_TOPIC, TARGETS_TOPIC
 from carobladder.platform.store import KeyedTopic, PlatformStore
 from carobladder.retries import RetryBudget
 from carobladder.routing import CallerLimits
@@ -69,6 +71,8 @@
 # Part of the time in which a configuration must be in force, since a waiting read may
 # miss a record that is appended as it begins.
 _OPERATOR_MISS_PART = 0.75
+_INSTANCES_WAIT_SECONDS = 25.0
+_INSTANCES_COLLECT_SECONDS = 3.0
 # Part of the fleet's retry bounds that is used, since views of the shares differ.
 _BUDGET_PART = 0.7
 # The balancer notices a failing readiness within this time. Idle connections are
@@ -119,6 +123,24 @@
             settings.share_partitions,
             clock,
         )
+        self._loads = LoadExchange(
+            settings.instance,
+            settings.peer_listen,
+            LoadSharing(self._targets),
+            KeyedTopic(self._store, INSTANCES_TOPIC),
+            clock,
+            generator,
+        )
+        self._instances = TopicFollower(
+            "instances",
+            KeyedTopic(self._store, INSTANCES_TOPIC),
+            clock,
+            _INSTANCES_WAIT_SECONDS,
+            _INSTANCES_COLLECT_SECONDS,
+            None,
+            self._loads.take_record,
+            lambda away_seconds: None,
+        )
         self._prober = TargetProber(self._targets, self._client, clock)
         self._server = self._build_server(generator)
         self._status_servers = self._build_status_servers(generator)
@@ -163,6 +185,8 @@
             self._entries.run(),
             self._shares.run(),
             self._prober.run(),
+            self._instances.run(),
+            self._loads.run(),
             self._keep_house(),
         ]
 
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -5,6 +5,7 @@
     exchanges,
     freshness,
     health,
+    loads,
     records,
     selection,
     shares,
@@ -15,6 +16,7 @@
 from carobladder.fleet.exchanges import *  # noqa: F403
 from carobladder.fleet.freshness import *  # noqa: F403
 from carobladder.fleet.health import *  # noqa: F403
+from carobladder.fleet.loads import *  # noqa: F403
 from carobladder.fleet.records import *  # noqa: F403
 from carobladder.fleet.selection import *  # noqa: F403
 from carobladder.fleet.shares import *  # noqa: F403
@@ -26,6 +28,7 @@
     *exchanges.__all__,
     *freshness.__all__,
     *health.__all__,
+    *loads.__all__,
     *records.__all__,
     *selection.__all__,
     *shares.__all__,
--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -79,12 +79,20 @@
         pause = _FIRST_PAUSE_SECONDS * 2.0 ** (self.failures - 1)
         self.paused_until = now + min(pause, _LONGEST_PAUSE_SECONDS)
 
-    def note_load(self, load: TargetLoad, now: float) -> None:
-        """Take the load that the target states."""
+    def note_load(self, load: TargetLoad, stated_at: float) -> None:
+        """Take the load that the target stated, unless a newer one is known."""
+        if self._load is not None and stated_at <= self._load_at:
+            return
         self._load = load
-        self._load_at = now
+        self._load_at = stated_at
         self._load_in_flight = self.in_flight
 
+    def read_stated_load(self, now: float) -> tuple[int, float] | None:
+        """Return the newest stated load and its age in seconds, or None."""
+        if self._load is None:
+            return None
+        return self._load.total, max(0.0, now - self._load_at)
+
     def estimate_load(self, now: float) -> float | None:
         """Return the requests that the target is likely to hold for all callers.
 
--- a/carobladder/fleet/records.py
+++ b/carobladder/fleet/records.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-__all__ = ["GroupShares", "GroupStore", "KeyedPage", "KeyedRecord", "TopicReader"]
+__all__ = [
+    "GroupShares",
+    "GroupStore",
+    "KeyedPage",
+    "KeyedRecord",
+    "TopicReader",
+    "TopicWriter",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +48,13 @@
         """Return the newest record of each key and the offset to go on from."""
 
 
+class TopicWriter(Protocol):
+    """Write one topic."""
+
+    async def write(self, key: str, value: bytes) -> None:
+        """Write the newest value of a key; raises LogUnavailableError."""
+
+
 class GroupStore(Protocol):
     """Divide partitions among the members of a group."""
 
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -7,6 +7,7 @@
     "END_TO_END_HEADERS",
     "EVACUATION_PREFIX",
     "EXPECTED_TARGET_HEADER",
+    "INSTANCES_TOPIC",
     "KEY_HEADER",
     "LOAD_HEADER",
     "NOT_RUN_HEADER",
@@ -27,6 +28,8 @@
 OPERATOR_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
+# The fleet's own topic: the address of each instance for the others.
+INSTANCES_TOPIC = "keyed.instances"
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 ROLLOUT_PREFIX = "rollout/"
--- a/carobladder/platform/store.py
+++ b/carobladder/platform/store.py
@@ -15,7 +15,12 @@
     OffsetDroppedError,
 )
 from carobladder.fleet.records import GroupShares, KeyedPage, KeyedRecord
-from carobladder.platform.frames import decode_keyed, decode_page, frame
+from carobladder.platform.frames import (
+    decode_keyed,
+    decode_page,
+    encode_keyed,
+    frame,
+)
 
 __all__ = ["KeyedTopic", "PlatformStore"]
 
@@ -223,6 +228,10 @@
         known = tuple(record for record in decoded if record is not None)
         return KeyedPage(known, first + len(records))
 
+    async def write(self, key: str, value: bytes) -> None:
+        """Write the newest value of a key; an empty value drops the key."""
+        await self._store.append(self._topic, [encode_keyed(key, value)])
+
     async def read_newest(self) -> KeyedPage:
         """Return the newest record of each key and the offset to go on from.
 
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -40,6 +40,7 @@
     listen: Address
     readiness_listen: Address
     metrics_listen: Address
+    peer_listen: Address
     store_address: Address
     share_partitions: Count = 12
     entry_renewal_ms: Milliseconds = 1200.0
--- a/carobladder/telemetry/events.py
+++ b/carobladder/telemetry/events.py
@@ -16,6 +16,7 @@
     "Event",
     "FenceClosed",
     "FenceOpened",
+    "InstanceNotAnnounced",
     "InstanceStarted",
     "InstanceStopped",
     "OperatorRecordUnreadable",
@@ -86,6 +87,15 @@
     finished: bool
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceNotAnnounced(Event):
+    """Others do not learn this instance's address yet; loads are not exchanged."""
+
+    why: str
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsReloaded(Event):
     """The settings file was read again after a signal."""
--- a/tests/settings/test_entry.py
+++ b/tests/settings/test_entry.py
@@ -23,6 +23,7 @@
 readiness_listen = "127.0.0.1:2"
 metrics_listen = "127.0.0.1:3"
 store_address = "127.0.0.1:4"
+peer_listen = "127.0.0.1:5"
 """
 
 
