--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -15,8 +15,8 @@
 
 # A target takes affine requests up to this part of the way from the mean load to
 # the load that the operator bounds, because loads are known with a delay.
-_LOAD_PART = 0.7
-_LOAD_SLACK_REQUESTS = 2.5
+_LOAD_PART = 0.6
+_LOAD_SLACK_REQUESTS = 2.0
 # Weight of a target's share of failed answers against its latency.
 _ERROR_WEIGHT = 20.0
 # Spread of the scores, so that instances with equal views choose differently.
@@ -101,8 +101,7 @@
         self, usable: list[FleetTarget], affinity: int, replicas: int, now: float
     ) -> FleetTarget:
         loads = _estimate_loads(usable, now)
-        mean = sum(loads.values()) / len(loads)
-        limit = mean * self._load_factor + _LOAD_SLACK_REQUESTS
+        limit = self._limit_load(usable[0].entry.service, loads, now)
         ranked = sorted(
             usable,
             key=lambda target: score_member(affinity, target.target_id),
@@ -116,6 +115,20 @@
                 return target
         return min(ranked, key=lambda target: loads[target.target_id])
 
+    def _limit_load(self, service: str, loads: dict[str, float], now: float) -> float:
+        """Return the load from which on a target takes no more affine requests.
+
+        The mean is that of all targets of the service, also of those that may not
+        be used now and stand idle.
+        """
+        total = sum(loads.values())
+        registered = self._table.list_registered(service)
+        for target in registered:
+            if target.target_id not in loads:
+                total += target.health.estimate_load(now) or 0.0
+        mean = total / len(registered)
+        return mean * self._load_factor + _LOAD_SLACK_REQUESTS
+
     def _score(self, target: FleetTarget) -> float:
         health = target.health
         slots = max(1, target.entry.slots)
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -133,6 +133,10 @@
         self._emptied = set(data_centres)
 
     def list_registered(self, service: str) -> list[FleetTarget]:
+        """Return all targets of a service, also those that may not be used."""
+        return list(self._by_service.get(service, ()))
+
+    def list_reachable(self, service: str) -> list[FleetTarget]:
         """Return the targets of a service outside of emptied data centres."""
         return [
             target
@@ -143,7 +147,7 @@
     def list_open(self, service: str) -> list[FleetTarget]:
         """Return the targets of a service that may receive new requests."""
         return [
-            target for target in self.list_registered(service) if target.takes_requests
+            target for target in self.list_reachable(service) if target.takes_requests
         ]
 
     def _remove(self, target_id: str) -> None:
--- a/carobladder/fleet/warmth.py
+++ b/carobladder/fleet/warmth.py
@@ -62,7 +62,7 @@
         """Return where others are likely to have sent the prompt, if elsewhere."""
         settled = [
             target
-            for target in self._table.list_registered(chosen.entry.service)
+            for target in self._table.list_reachable(chosen.entry.service)
             if now - target.seen_at >= _SETTLING_SECONDS and self._is_live(target, now)
         ]
         if not settled:
--- a/tests/fleet/test_selection.py
+++ b/tests/fleet/test_selection.py
@@ -80,6 +80,21 @@
         self.assertGreater(loads[hot], mean)
         self.assertLessEqual(max(loads.values()), LOAD_MULTIPLE * mean + 3)
 
+    def test_emptied_data_centre_counts_in_the_mean(self):
+        """A third of the targets is idle; many prompts rank the same one first."""
+        for target in self.targets[:3]:
+            self.table.apply(build_entry(target.target_id, data_centre="dc-2"), 100.0)
+        self.table.set_emptied("dc-2", True)
+        for target in self.targets[3:]:
+            target.health.note_load(TargetLoad(6, 0, 128), 100.0)
+        first = choose(self.selector, 0)
+        keys = [k for k in range(2000) if choose(self.selector, k) == first]
+        for key in keys[:60]:
+            self.table.find(choose(self.selector, key)).health.in_flight += 1
+        loads = [t.health.estimate_load(100.0) or 0.0 for t in self.targets]
+        mean = sum(loads) / len(loads)
+        self.assertLessEqual(max(loads), LOAD_MULTIPLE * mean + 3)
+
     def test_target_without_a_load_report_is_not_taken_for_empty(self):
         affinity = next(k for k in range(100) if choose(self.selector, k) == "i-1")
         self.table.find("i-1").health.note_load(TargetLoad(7, 0, 128), 100.0)
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -19,7 +19,7 @@
     def test_draining_target_is_closed_but_registered(self):
         self.table.apply(build_entry(draining=True), 1.0)
         self.assertEqual(self.list_open(), [])
-        self.assertEqual(len(self.table.list_registered("engine")), 1)
+        self.assertEqual(len(self.table.list_reachable("engine")), 1)
 
     def test_update_keeps_what_was_seen(self):
         self.target.health.note_failure(0.5)
@@ -35,7 +35,8 @@
     def test_emptied_data_centre_and_its_return(self):
         self.table.set_emptied("dc-1", True)
         self.assertEqual(self.list_open(), [])
-        self.assertEqual(self.table.list_registered("engine"), [])
+        self.assertEqual(self.table.list_reachable("engine"), [])
+        self.assertEqual(len(self.table.list_registered("engine")), 1)
         self.table.set_emptied("dc-1", False)
         self.assertEqual(self.list_open(), ["i-1"])
 
