Split attempts and retry budgets from the files that had grown

forwarding/attempts.py holds one attempt, fleet/budgets.py the budgets sized by the share; an address in use no longer ends an instance.

--- a/carobladder/entry/loads.py
+++ b/carobladder/entry/loads.py
@@ -45,11 +45,7 @@
 
     async def run(self) -> None:
         """Announce this instance and exchange loads until cancelled."""
-        host, _, port = self._address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, int(port))
-        )
+        transport = await self._listen()
         try:
             await self._announce()
             while True:
@@ -96,6 +92,20 @@
         for peer in self._generator.sample(peers, min(_FAN_OUT, len(peers))):
             self._transport.sendto(data, peer)
 
+    async def _listen(self) -> asyncio.BaseTransport:
+        """Return the transport; an address in use does not end the instance."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                transport, _ = await loop.create_datagram_endpoint(
+                    lambda: self, local_addr=(host, int(port))
+                )
+                return transport
+            except OSError as error:
+                emit(InstanceNotAnnounced(f"cannot listen at {self._address}: {error}"))
+            await self._clock.sleep(_ANNOUNCE_RETRY_SECONDS)
+
     async def _announce(self) -> None:
         while True:
             try:
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -20,6 +20,7 @@
     ColdPacer,
     LoadSharing,
     PromptWarmth,
+    ServiceBudgets,
     ShareLedger,
     TargetSelector,
     TargetTable,
@@ -31,7 +32,6 @@
 from carobladder.platform.exchanges import PlatformCodec
 from carobladder.platform.names import INSTANCES_TOPIC, OPERATOR_TOPIC, TARGETS_TOPIC
 from carobladder.platform.store import KeyedTopic, PlatformStore
-from carobladder.retries import RetryBudget
 from carobladder.routing import CallerLimits
 from carobladder.settings.entry import EntrySettings, load_entry_settings
 from carobladder.telemetry import (
@@ -73,8 +73,6 @@
 _OPERATOR_MISS_PART = 0.75
 _INSTANCES_WAIT_SECONDS = 25.0
 _INSTANCES_COLLECT_SECONDS = 3.0
-# Part of the fleet's retry bounds that is used, since views of the shares differ.
-_BUDGET_PART = 0.7
 # The balancer notices a failing readiness within this time. Idle connections are
 # closed half a second later, so no request is taken that the end would cut.
 _NOTICE_SECONDS = 2.4
@@ -97,7 +95,9 @@
         self._ledger = ShareLedger(SHARE_PARTITIONS)
         self._pacer = ColdPacer(self._ledger)
         self._targets = TargetTable()
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = ServiceBudgets(
+            settings.retry_ratio, settings.retry_slack, self._ledger, clock
+        )
         self._client = HttpClient(clock, connect_seconds=_CONNECT_SECONDS)
         self._store_client = HttpClient(
             clock,
@@ -243,7 +243,7 @@
             selector,
             PromptWarmth(self._targets),
             self._clock,
-            self._find_budget,
+            self._budgets.find,
             self._metrics,
         )
         revocation_seconds = self._settings.key_revocation_ms / _MS_PER_SECOND
@@ -315,19 +315,6 @@
             for address in addresses
         ]
 
-    def _find_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            settings = self._settings
-            budget = RetryBudget(
-                settings.retry_ratio * _BUDGET_PART,
-                self._clock.monotonic(),
-                burst=settings.retry_slack * _BUDGET_PART * self._ledger.share,
-                minimum_per_second=0.0,
-            )
-            self._budgets[service] = budget
-        return budget
-
     def _use_limits(self, limits: CallerLimits) -> None:
         self._server.set_limits(
             RequestLimits(
@@ -348,9 +335,7 @@
             emit_left_out()
             if share != self._ledger.share:
                 share = self._ledger.share
-                slack = self._settings.retry_slack * _BUDGET_PART * share
-                for budget in self._budgets.values():
-                    budget.set_burst(slack)
+                self._budgets.resize()
 
     def _watch_fence(self) -> None:
         """Log when requests with a key begin or cease to be refused."""
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Targets of a platform and the choice among them."""
 
 from carobladder.fleet import (
+    budgets,
     entries,
     exchanges,
     freshness,
@@ -12,6 +13,7 @@
     targets,
     warmth,
 )
+from carobladder.fleet.budgets import *  # noqa: F403
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
 from carobladder.fleet.freshness import *  # noqa: F403
@@ -24,6 +26,7 @@
 from carobladder.fleet.warmth import *  # noqa: F403
 
 __all__ = [
+    *budgets.__all__,
     *entries.__all__,
     *exchanges.__all__,
     *freshness.__all__,
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -1,8 +1,9 @@
 """Forwarding of callers' requests to the targets of declared routes."""
 
-from carobladder.forwarding import calls, handler, refusals
+from carobladder.forwarding import attempts, calls, handler, refusals
+from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.refusals import *  # noqa: F403
 
-__all__ = [*calls.__all__, *handler.__all__, *refusals.__all__]
+__all__ = [*attempts.__all__, *calls.__all__, *handler.__all__, *refusals.__all__]
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from carobladder.clients.http import AnswerStream, HttpClient
@@ -26,6 +26,7 @@
     Selection,
     TargetSelector,
 )
+from carobladder.forwarding.attempts import OpenCall, suspect_target
 from carobladder.retries import RetryBudget
 from carobladder.routing import Route, Service
 from carobladder.telemetry import (
@@ -33,12 +34,10 @@
     AttemptFailed,
     ForwardMetrics,
     RequestPlaced,
-    TargetSuspected,
-    TargetTrusted,
     emit,
 )
 
-__all__ = ["CallSession", "ForwardedCall", "Forwarder", "OpenCall"]
+__all__ = ["CallSession", "ForwardedCall", "Forwarder"]
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -104,40 +103,6 @@
         return CallSession(self, call)
 
 
-@dataclass(slots=True)
-class OpenCall:
-    """Hold the answer of one attempt until closed."""
-
-    answer: AnswerStream
-    target: FleetTarget
-    facts: AnswerFacts
-    sent_at: float
-    clock: Clock
-    first_byte_seconds: float | None = None
-    _open: bool = field(default=True)
-
-    def note_first_byte(self) -> None:
-        """Record how long the target took to its first byte."""
-        now = self.clock.monotonic()
-        self.first_byte_seconds = now - self.sent_at
-        self.target.health.note_first_byte(self.first_byte_seconds, now)
-
-    def close(self, *, failed: bool = False) -> None:
-        """Close the answer and take the call off the target; later calls do nothing."""
-        self.answer.close()
-        if not self._open:
-            return
-        self._open = False
-        health = self.target.health
-        health.in_flight -= 1
-        if failed:
-            suspect(self.target, "its answer broke off", self.clock.monotonic())
-        elif self.first_byte_seconds is not None:
-            if health.failures:
-                emit(TargetTrusted(self.target.target_id, health.failures))
-            health.note_answer(self.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR)
-
-
 class CallSession:
     """Run the attempts of one call.
 
@@ -174,7 +139,7 @@
             try:
                 opened = await self._send(target, extra_headers)
             except TargetError as error:
-                suspect(target, str(error), self._forwarder.clock.monotonic())
+                suspect_target(target, str(error), self._forwarder.clock.monotonic())
                 self.runs += error.request_written
                 self.note_failure(target, error)
                 continue
@@ -327,7 +292,7 @@
         """Suspect a target that has sent nothing at all since this request."""
         if target.health.last_byte_at < sent_at:
             why = "it sent no byte for the time that is usual"
-            suspect(target, why, self._forwarder.clock.monotonic())
+            suspect_target(target, why, self._forwarder.clock.monotonic())
 
     def _find_obstacle(
         self, written: bool, resumable: bool, *, charge: bool = True
@@ -427,14 +392,6 @@
         return NoTargetError(message, _NO_TARGET_RETRY_SECONDS)
 
 
-def suspect(target: FleetTarget, why: str, now: float) -> None:
-    """Leave a target alone for a pause and log the reason."""
-    health = target.health
-    health.note_failure(now)
-    pause_seconds = round(health.paused_until - now, 2)
-    emit(TargetSuspected(target.target_id, health.failures, pause_seconds, why))
-
-
 def _describe_refusal(opened: OpenCall) -> TargetRefusedError:
     status = opened.answer.status
     return TargetRefusedError(status, f"the target answered {status}")
