Test a whole instance against the store's stand-in and a target

From an empty store to a revoked key, a drained target and an emptied data centre; the fence; forged and torn entries; the end signal. 4 tests pass.

--- /dev/null
+++ b/tests/entry/test_runtime.py
@@ -0,0 +1,192 @@
+"""Tests of a whole instance against a store and targets over loopback."""
+
+import asyncio
+import unittest
+
+from carobladder.clients.http import HttpClient
+from carobladder.clock import SystemClock
+from carobladder.entry.runtime import Entry
+from carobladder.gateway import Answer, GatewayServer, RequestLimits
+from carobladder.settings.entry import EntrySettings
+from carobladder.telemetry import GatewayMetrics
+from standins.store import StoreState
+from tests.forwarding.fixtures import HOST, KEY, Target, answer
+from tests.platform.test_documents import CONFIGURATION, ROUTE, SERVER
+
+OPERATOR = "keyed.op"
+SERVERS = "keyed.servers"
+PLAIN_ROUTE = {
+    **ROUTE,
+    "host": HOST,
+    "kind": "safe",
+    "trafficSplit": [],
+    "service": "x",
+    "timeoutMs": 1500,
+}
+
+
+class StoreHandler:
+    """Serve the stand-in of the store; waiting reads look again now and then."""
+
+    def __init__(self, state: StoreState) -> None:
+        self.state = state
+        self.down = False
+
+    async def handle(self, request, responder) -> None:
+        """Answer one call."""
+        waits = (
+            40 if "waitMs" in request.query and "waitMs=0" not in request.query else 0
+        )
+        for _ in range(waits):
+            if self.down or self._call(request).body[16:]:
+                break
+            await asyncio.sleep(0.02)
+        if self.down:
+            await responder.send_answer(Answer(503))
+            return
+        found = self._call(request)
+        await responder.send_answer(Answer(found.status, (), found.body))
+
+    def _call(self, request):
+        return self.state.call(request.method, request.target, request.body)
+
+
+async def echo(request: bytes, writer) -> None:
+    """Answer every request."""
+    writer.write(answer(request, b"ok"))
+
+
+class EntryTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against parts that work alone and not together."""
+
+    async def asyncSetUp(self):
+        self.clock = SystemClock()
+        self.state = StoreState()
+        self.store = StoreHandler(self.state)
+        server = GatewayServer(
+            self.store, RequestLimits(), self.clock, GatewayMetrics(), None
+        )
+        await server.start("127.0.0.1:0")
+        self.addAsyncCleanup(server.close)
+        self.target = Target(echo)
+        self.target_server = await self.enterAsyncContext(self.target.server)
+        self.client = HttpClient(self.clock)
+        self.addCleanup(self.client.close)
+        self.entry = Entry(
+            EntrySettings(
+                instance="front-1",
+                data_centre="dc-1",
+                listen="127.0.0.1:0",
+                readiness_listen="127.0.0.1:0",
+                metrics_listen="127.0.0.1:0",
+                peer_listen="127.0.0.1:0",
+                store_address=f"127.0.0.1:{server.port}",
+                shutdown_grace_ms=4000,
+            ),
+            self.clock,
+        )
+        self.stop = asyncio.Event()
+        self.task = asyncio.create_task(self.entry.serve(self.stop))
+        self.addAsyncCleanup(self.end)
+
+    async def end(self) -> None:
+        self.stop.set()
+        async with asyncio.timeout(10.0):
+            await self.task
+
+    def configure(self, version: int, **changes: object) -> None:
+        """Write a configuration as the operator does."""
+        tenants = [{"name": "t", "apiKeys": [KEY]}]
+        document = {**CONFIGURATION, "routes": [PLAIN_ROUTE], "tenants": tenants}
+        self.state.put_document(
+            OPERATOR, "config", {**document, "version": version, **changes}
+        )
+
+    def register(self, **changes: object) -> None:
+        """Write the entry of the target as it does itself."""
+        entry = {**SERVER, "service": "x", "address": self.target_server.address}
+        entry["coldRemainingMs"] = 0
+        self.state.put_document(SERVERS, "i-0", {**entry, **changes})
+
+    async def call(self, path: str = "/a/x", key: str = KEY) -> int:
+        """Return the status of a request."""
+        headers = (
+            ("Host", HOST),
+            ("Carobladder-Request-Id", "ab12"),
+            ("Carobladder-Deadline", "1500"),
+            ("X-Api-Key", key),
+        )
+        found = await self.client.fetch(
+            "GET",
+            f"127.0.0.1:{self.entry._server.port}",
+            path,
+            headers=headers,
+            timeout_seconds=3.0,
+        )
+        return found.status
+
+    async def wait_for(self, status: int, **options: str) -> None:
+        """Call until the status comes."""
+        async with asyncio.timeout(5.0):
+            while await self.call(**options) != status:
+                await asyncio.sleep(0.05)
+
+    async def wait_until_listening(self) -> None:
+        async with asyncio.timeout(5.0):
+            while self.entry._server._server is None:
+                await asyncio.sleep(0.01)
+
+    async def test_from_an_empty_store_to_a_revoked_key_and_a_drained_target(self):
+        await self.wait_until_listening()
+        self.assertEqual(await self.call(), 503)
+        self.assertFalse(self.entry.ready)
+        self.configure(1)
+        self.register()
+        await self.wait_for(200)
+        self.assertTrue(self.entry.ready)
+        self.assertEqual(await self.call("/unknown/x"), 404)
+        self.assertEqual(await self.call(key="wrong"), 401)
+        self.configure(2, tenants=[{"name": "t", "apiKeys": ["other"]}])
+        await self.wait_for(401)
+        await self.wait_for(200, key="other")
+        self.register(state="draining")
+        await self.wait_for(503, key="other")
+        self.register(born=1700000000001)
+        await self.wait_for(200, key="other")
+        self.state.put(OPERATOR, "evacuate/dc-1", b"{}")
+        await self.wait_for(503, key="other")
+        self.state.put(OPERATOR, "evacuate/dc-1", None)
+        await self.wait_for(200, key="other")
+
+    async def test_store_that_is_lost_closes_the_fence(self):
+        await self.wait_until_listening()
+        self.configure(1)
+        self.register()
+        await self.wait_for(200)
+        self.store.down = True
+        self.entry._operator.freshness._proved_at -= 4.6
+        self.assertEqual(await self.call(), 503)
+        self.assertFalse(self.entry.ready)
+        self.store.down = False
+        await self.wait_for(200)
+
+    async def test_forged_and_torn_entries_name_no_target(self):
+        await self.wait_until_listening()
+        self.configure(1)
+        self.register()
+        self.state.put(SERVERS, "i-1", b'{"service": "x", "addr')
+        self.state.put_document(SERVERS, "i-2", {"service": "x", "address": 3})
+        await self.wait_for(200)
+        self.assertEqual(len(self.entry._targets), 1)
+
+    async def test_end_signal_closes_after_the_notice(self):
+        await self.wait_until_listening()
+        self.configure(1)
+        self.register()
+        await self.wait_for(200)
+        self.stop.set()
+        await asyncio.sleep(0.05)
+        self.assertFalse(self.entry.ready)
+        self.assertEqual(await self.call(), 200)
+        async with asyncio.timeout(8.0):
+            await self.task
