Let prompts leave a loaded engine sooner

Ruled out: a hot prompt (over by 17 s), the mean (idle engines are in it). A copy of a prompt costs a fifth of reading it again.

--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -15,8 +15,8 @@
 
 # A target takes affine requests up to this part of the way from the mean load to
 # the load that the operator bounds, because loads are known with a delay.
-_LOAD_PART = 0.6
-_LOAD_SLACK_REQUESTS = 2.0
+_LOAD_PART = 0.4
+_LOAD_SLACK_REQUESTS = 1.0
 # Weight of a target's share of failed answers against its latency.
 _ERROR_WEIGHT = 20.0
 # Spread of the scores, so that instances with equal views choose differently.
