Do not send all overflow to the one target that looks idlest

Test: test_instances_with_one_view_do_not_all_choose_the_idlest_target, which failed before (60 of 60 at one target).

--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -13,10 +13,12 @@
 
 __all__ = ["Selection", "TargetSelector"]
 
-# A target takes affine requests up to this part of the way from the mean load to
-# the load that the operator bounds, because loads are known with a delay.
-_LOAD_PART = 0.4
-_LOAD_SLACK_REQUESTS = 1.0
+# A target takes affine requests up to this part of the way from the mean load of the
+# usable targets to the load multiple, because loads are known with a delay.
+_LOAD_PART = 0.6
+_LOAD_SLACK_REQUESTS = 2.0
+# Beyond the load multiple of the mean of all targets, idle ones included.
+_BOUND_SLACK_REQUESTS = 1.0
 # Weight of a target's share of failed answers against its latency.
 _ERROR_WEIGHT = 20.0
 # Spread of the scores, so that instances with equal views choose differently.
@@ -48,6 +50,7 @@
     ) -> None:
         self._table = table
         self._pacer = pacer
+        self._load_multiple = load_multiple
         self._load_factor = 1.0 + _LOAD_PART * (load_multiple - 1.0)
         self._generator = generator
         self._popularity: dict[str, PromptPopularity] = {}
@@ -113,21 +116,37 @@
         for target in ranked:
             if loads[target.target_id] <= limit:
                 return target
-        return min(ranked, key=lambda target: loads[target.target_id])
+        return self._choose_of_two(usable, loads)
 
     def _limit_load(self, service: str, loads: dict[str, float], now: float) -> float:
         """Return the load from which on a target takes no more affine requests.
 
-        The mean is that of all targets of the service, also of those that may not
-        be used now and stand idle.
+        The bound counts all targets of the service, also those that may not be used
+        now and stand idle, which can leave little room above the usable ones' mean.
         """
-        total = sum(loads.values())
+        usable_total = sum(loads.values())
+        total = usable_total
         registered = self._table.list_registered(service)
         for target in registered:
             if target.target_id not in loads:
                 total += target.health.estimate_load(now) or 0.0
+        usable_mean = usable_total / len(loads)
         mean = total / len(registered)
-        return mean * self._load_factor + _LOAD_SLACK_REQUESTS
+        return min(
+            usable_mean * self._load_factor + _LOAD_SLACK_REQUESTS,
+            mean * self._load_multiple + _BOUND_SLACK_REQUESTS,
+        )
+
+    def _choose_of_two(
+        self, usable: list[FleetTarget], loads: dict[str, float]
+    ) -> FleetTarget:
+        """Return the less loaded of two random targets.
+
+        Instances know about the same loads, so all of them would send to the one
+        that is least loaded.
+        """
+        pair = self._generator.sample(usable, min(2, len(usable)))
+        return min(pair, key=lambda target: loads[target.target_id])
 
     def _score(self, target: FleetTarget) -> float:
         health = target.health
--- a/tests/fleet/test_selection.py
+++ b/tests/fleet/test_selection.py
@@ -95,6 +95,22 @@
         mean = sum(loads) / len(loads)
         self.assertLessEqual(max(loads), LOAD_MULTIPLE * mean + 3)
 
+    def test_instances_with_one_view_do_not_all_choose_the_idlest_target(self):
+        """All targets are over the limit since a third of them stands idle."""
+        for target in self.targets[:3]:
+            self.table.apply(build_entry(target.target_id, data_centre="dc-2"), 100.0)
+        self.table.set_emptied("dc-2", True)
+        for index, target in enumerate(self.targets[3:]):
+            target.health.note_load(TargetLoad(40 + index, 0, 128), 100.0)
+        chosen = Counter()
+        for seed in range(60):
+            ledger = ShareLedger(96)
+            selector = TargetSelector(
+                self.table, ColdPacer(ledger), 1.2, random.Random(seed)
+            )
+            chosen[choose(selector, seed)] += 1
+        self.assertLess(max(chosen.values()), 30)
+
     def test_target_without_a_load_report_is_not_taken_for_empty(self):
         affinity = next(k for k in range(100) if choose(self.selector, k) == "i-1")
         self.table.find("i-1").health.note_load(TargetLoad(7, 0, 128), 100.0)
