--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -17,8 +17,8 @@
 # usable targets to the load multiple, because loads are known with a delay.
 _LOAD_PART = 0.6
 _LOAD_SLACK_REQUESTS = 2.0
-# Beyond the load multiple of the mean of all targets, idle ones included.
-_BOUND_SLACK_REQUESTS = 1.0
+# Requests beyond the load multiple of the mean of all targets, idle ones included.
+_BOUND_SLACK_REQUESTS = 0.0
 # Weight of a target's share of failed answers against its latency.
 _ERROR_WEIGHT = 20.0
 # Spread of the scores, so that instances with equal views choose differently.
