--- a/carobladder/entry/__main__.py
+++ b/carobladder/entry/__main__.py
@@ -1,6 +1,7 @@
 """Start an instance on the settings file that the environment names."""
 
 import asyncio
+import os
 import sys
 
 from carobladder.entry.runtime import run_entry
@@ -25,4 +26,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    # Ends without a flush of standard output, which would wait for a reader that
+    # has stopped; each line was flushed when it was written.
+    os._exit(main())
