Build labelled metrics in one place and remove what nothing reads

Cause: both metrics modules built histograms and counters by the same code, and two accessors of the target table and a topic's name had no reader. Change: telemetry/builders.py serves both; the unused names are gone. Behaviour is as before.

--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -1,7 +1,5 @@
 """Targets that the instance may use."""
 
-from collections.abc import Iterable
-
 from carobladder.fleet.entries import TargetEntry
 from carobladder.fleet.health import TargetHealth
 
@@ -64,11 +62,6 @@
     def __len__(self) -> int:
         return len(self._targets)
 
-    @property
-    def emptied_data_centres(self) -> frozenset[str]:
-        """Return the data centres that must receive no requests."""
-        return frozenset(self._emptied)
-
     def find(self, target_id: str) -> FleetTarget | None:
         """Return the target of this id, or None."""
         return self._targets.get(target_id)
@@ -128,10 +121,6 @@
         else:
             self._emptied.discard(data_centre)
 
-    def replace_emptied(self, data_centres: Iterable[str]) -> None:
-        """Set the data centres that must receive no requests."""
-        self._emptied = set(data_centres)
-
     def list_registered(self, service: str) -> list[FleetTarget]:
         """Return all targets of a service, also those that may not be used."""
         return list(self._by_service.get(service, ()))
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -18,7 +18,6 @@
     "REQUEST_ID_HEADER",
     "ROLLOUT_PREFIX",
     "SIGNATURE_HEADER",
-    "STATUS_TOPIC",
     "SYSTEM_HEADERS",
     "TARGETS_TOPIC",
     "TEAM_HEADER",
@@ -27,7 +26,6 @@
 
 OPERATOR_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
-STATUS_TOPIC = "keyed.status"
 # The fleet's own topic: the address of each instance for the others.
 INSTANCES_TOPIC = "keyed.instances"
 CONFIGURATION_KEY = "config"
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -5,6 +5,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
+from carobladder.telemetry.builders import build_counter, build_histogram
+
 __all__ = ["ForwardMetrics"]
 
 _LABEL_LIMIT = 50
@@ -78,18 +80,7 @@
         gauge.set_function(read)
 
     def _histogram(self, name: str, label: str) -> Histogram:
-        return Histogram(
-            f"carobladder_{name}",
-            f"{name.replace('_', ' ').capitalize()} by {label}",
-            [label],
-            buckets=_SECONDS_BUCKETS,
-            registry=self.registry,
-        )
+        return build_histogram(self.registry, name, label, _SECONDS_BUCKETS)
 
     def _counter(self, name: str, label: str) -> Counter:
-        return Counter(
-            f"carobladder_{name}",
-            f"{name.replace('_', ' ').capitalize()} by {label}",
-            [label],
-            registry=self.registry,
-        )
+        return build_counter(self.registry, name, label)
--- a/carobladder/telemetry/metrics.py
+++ b/carobladder/telemetry/metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
 
 from carobladder.targets import RequestClass
+from carobladder.telemetry.builders import build_counter, build_histogram
 
 __all__ = ["GatewayMetrics"]
 
@@ -151,21 +152,10 @@
     def _histogram(
         self, name: str, label: str, buckets: tuple[float, ...]
     ) -> Histogram:
-        return Histogram(
-            f"carobladder_{name}",
-            f"{name.replace('_', ' ').capitalize()} by {label}",
-            [label],
-            buckets=buckets,
-            registry=self.registry,
-        )
+        return build_histogram(self.registry, name, label, buckets)
 
     def _counter(self, name: str, label: str) -> Counter:
-        return Counter(
-            f"carobladder_{name}",
-            f"{name.replace('_', ' ').capitalize()} by {label}",
-            [label],
-            registry=self.registry,
-        )
+        return build_counter(self.registry, name, label)
 
     def _label_team(self, team: str) -> str:
         if team in self._teams:
