Keep the operators' log of serve in the platform's store

Two clients stood for what lasts: one for a log protocol of our own, one for the platform's store, each with a stand-in. The own protocol is removed; StoreLog implements the log's interface over the one client, and the stand-in process serves the stand-in of the store.

The moved tests found a fault of the store's client: an append answered 200 with an unreadable body was reported as surely not done. Other statuses below 500 and 507 count as refusals now, 500 and 502 do not.

Ruled out for now: the list of instances and the claims.

--- a/carobladder/admin/api.py
+++ b/carobladder/admin/api.py
@@ -11,7 +11,7 @@
 from carobladder.admin.roles import Actor, Roles, is_visible_to_team
 from carobladder.admin.streams import StreamFormat, stream_watch
 from carobladder.admin.submission import ChangeSubmitter
-from carobladder.clients.log import LogClient
+from carobladder.clients.log import Log
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     CallerError,
@@ -76,7 +76,7 @@
         catalog: Catalog,
         directory: ConfiguredDirectory,
         history: WatchHistory,
-        log: LogClient,
+        log: Log,
         clock: Clock,
         admin_key: str,
         *,
--- a/carobladder/admin/submission.py
+++ b/carobladder/admin/submission.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from carobladder.clients.log import LogClient
+from carobladder.clients.log import Log
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     ChangeUnknownError,
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        log: LogClient,
+        log: Log,
         catalog: Catalog,
         history: WatchHistory,
         clock: Clock,
--- a/carobladder/instance/assembly.py
+++ b/carobladder/instance/assembly.py
@@ -10,7 +10,7 @@
 from carobladder.clients.engines import EngineClient, TargetProber
 from carobladder.clients.http import HttpClient
 from carobladder.clients.instances import InstanceListClient
-from carobladder.clients.log import LogClient
+from carobladder.clients.log import Log
 from carobladder.clock import Clock
 from carobladder.gateway import (
     ChatHandler,
@@ -39,6 +39,7 @@
     Timing,
 )
 from carobladder.placement import PlacementPolicy, TokenSigner
+from carobladder.platform.store import PlatformStore, StoreLog
 from carobladder.resources import (
     Catalog,
     ConfigReader,
@@ -57,13 +58,14 @@
 # An instance counts as informed while its last read is recent, so a long poll must
 # return well within that time also without news.
 _CONFIG_POLL_SECONDS = 1.0
+_LOG_TIMEOUT_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """Hold the parts that keep and change the configuration."""
 
-    log: LogClient
+    log: Log
     catalog: Catalog
     directory: ConfiguredDirectory
     history: WatchHistory
@@ -113,7 +115,8 @@
     settings: InstanceSettings, clock: Clock, client: HttpClient
 ) -> Configuration:
     """Return the parts that keep the configuration."""
-    log = LogClient(client, _address_of(settings.log_url))
+    store = PlatformStore(client, _address_of(settings.log_url), _LOG_TIMEOUT_SECONDS)
+    log = StoreLog(store)
     catalog = Catalog()
     directory = ConfiguredDirectory(catalog, clock)
     history = WatchHistory()
--- a/carobladder/instance/movedriver.py
+++ b/carobladder/instance/movedriver.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from carobladder.clients.engines import EngineClient, OrderOutcome
-from carobladder.clients.log import LogClient
+from carobladder.clients.log import Log
 from carobladder.clock import Clock
 from carobladder.exceptions import CarobladderError
 from carobladder.instance.movecapacity import CapacitySurvey
@@ -102,7 +102,7 @@
         self,
         fleet: FleetView,
         catalog: Catalog,
-        log: LogClient,
+        log: Log,
         watch: MoveWatch,
         survey: TargetSurvey,
         engines: EngineClient,
--- a/carobladder/instance/moverecords.py
+++ b/carobladder/instance/moverecords.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from carobladder.clients.log import LogClient
+from carobladder.clients.log import Log
 from carobladder.clock import Clock
 from carobladder.exceptions import LogUnavailableError
 from carobladder.resources import (
@@ -22,7 +22,7 @@
     def __init__(
         self,
         catalog: Catalog,
-        log: LogClient,
+        log: Log,
         clock: Clock,
         resend_seconds: float,
         refused_seconds: float,
--- a/carobladder/platform/frames.py
+++ b/carobladder/platform/frames.py
@@ -1,10 +1,11 @@
 """Binary framing of the records of the platform's store."""
 
 import struct
+from dataclasses import dataclass
 
 from carobladder.fleet.records import KeyedRecord
 
-__all__ = ["decode_keyed", "decode_page", "encode_keyed", "frame"]
+__all__ = ["Page", "decode_keyed", "decode_page", "encode_keyed", "frame"]
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -21,14 +22,23 @@
     return bytes([len(name)]) + name + value
 
 
-def decode_page(data: bytes) -> tuple[int, int, list[bytes]]:
-    """Return the end, the oldest retained offset and the records of an answer.
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Carry records, the end of their partition and the oldest retained offset."""
+
+    end: int
+    oldest: int
+    records: list[bytes]
+
+
+def decode_page(data: bytes) -> Page:
+    """Return the page that an answer to a read carries.
 
     Raises ValueError if the bytes end inside a record.
     """
     try:
         end, oldest = _OFFSETS.unpack_from(data)
-        return end, oldest, _split(data, _OFFSETS.size)
+        return Page(end, oldest, _split(data, _OFFSETS.size))
     except struct.error as error:
         raise ValueError(f"answer of the store is cut: {error}") from None
 
--- a/carobladder/platform/store.py
+++ b/carobladder/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's store."""
 
 import base64
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TypeVar
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from carobladder.clients.log import Batch, LogRecord
 from carobladder.clients.ports import HttpAnswer, HttpFetcher
 from carobladder.exceptions import (
     ConnectionBrokenError,
@@ -17,13 +18,14 @@
 )
 from carobladder.fleet.records import GroupShares, KeyedPage, KeyedRecord
 from carobladder.platform.frames import (
+    Page,
     decode_keyed,
     decode_page,
     encode_keyed,
     frame,
 )
 
-__all__ = ["KeyedTopic", "PlatformStore"]
+__all__ = ["KeyedTopic", "PlatformStore", "StoreLog"]
 
 _APPEND_PATH = "/-/log-append"
 _READ_PATH = "/-/log-read"
@@ -33,8 +35,8 @@
 _Document = TypeVar("_Document")
 _JSON = (("Content-Type", "application/json"),)
 _MS_PER_SECOND = 1000
-# A keyed topic has a single partition.
-_KEYED_PART = 0
+# Keyed topics and logs have a single partition.
+_ONLY_PART = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,9 +87,9 @@
         self._address = address
         self._timeout_seconds = timeout_seconds
 
-    async def read_records(
+    async def read_page(
         self, topic: str, part: int, first: int, wait_seconds: float
-    ) -> list[bytes]:
+    ) -> Page:
         """Return records from an offset on; waits if there are none yet.
 
         Raises OffsetDroppedError if records from this offset on were dropped.
@@ -103,14 +105,13 @@
             raise OffsetDroppedError(_decode(answer.body, _Dropped).first)
         _require_ok(answer)
         try:
-            _, _, records = decode_page(answer.body)
+            return decode_page(answer.body)
         except ValueError as error:
             raise LogUnavailableError(str(error)) from None
-        return records
 
     async def read_newest(self, topic: str, after: str = "") -> _NewestPage:
         """Return the newest records of the keys of a topic that follow ``after``."""
-        query: dict[str, str | int] = {"topic": topic, "part": _KEYED_PART}
+        query: dict[str, str | int] = {"topic": topic, "part": _ONLY_PART}
         if after:
             query["after"] = after
         answer = await self._call("GET", _NEWEST_PATH, query)
@@ -127,7 +128,7 @@
         topic: str,
         records: list[bytes],
         *,
-        part: int = _KEYED_PART,
+        part: int = _ONLY_PART,
         expected_end: int | None = None,
     ) -> int | None:
         """Append the records and return the offset of the first.
@@ -196,21 +197,49 @@
 
 def _require_ok(answer: HttpAnswer) -> None:
     if answer.status != HTTPStatus.OK:
-        refused = answer.status in (
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            HTTPStatus.TOO_MANY_REQUESTS,
-        )
         raise LogUnavailableError(
             f"store answered {answer.status}: {answer.body[:200]!r}",
-            may_have_taken_effect=not refused,
+            may_have_taken_effect=not _is_refusal(answer.status),
         )
 
 
+def _is_refusal(status: int) -> bool:
+    # These are the store's own answers; other 5xx may come after the work was done.
+    return status < HTTPStatus.INTERNAL_SERVER_ERROR or status in (
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.INSUFFICIENT_STORAGE,
+    )
+
+
 def _decode(data: bytes, kind: type[_Document]) -> _Document:
     try:
         return msgspec.json.decode(data, type=kind)
     except msgspec.MsgspecError as error:
-        raise LogUnavailableError(f"store answer cannot be read: {error}") from None
+        raise LogUnavailableError(
+            f"store answer cannot be read: {error}", may_have_taken_effect=True
+        ) from None
+
+
+class StoreLog:
+    """Append to and read from topics of a single partition, as a log."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    async def append(self, stream: str, records: Sequence[bytes]) -> int:
+        """Append records, all or none, and return the offset of the first."""
+        first = await self._store.append(stream, list(records))
+        if first is None:
+            raise LogUnavailableError("store refused an append without a condition")
+        return first
+
+    async def read(self, stream: str, offset: int, wait_seconds: float = 0.0) -> Batch:
+        """Return records from an offset on, waiting for the first if there is none."""
+        page = await self._store.read_page(stream, _ONLY_PART, offset, wait_seconds)
+        records = tuple(
+            LogRecord(offset + index, data) for index, data in enumerate(page.records)
+        )
+        return Batch(records, offset + len(records), page.oldest)
 
 
 class KeyedTopic:
@@ -222,9 +251,8 @@
 
     async def read_records(self, first: int, wait_seconds: float) -> KeyedPage:
         """Return records from an offset on; waits if there are none yet."""
-        records = await self._store.read_records(
-            self._topic, _KEYED_PART, first, wait_seconds
-        )
+        page = await self._store.read_page(self._topic, _ONLY_PART, first, wait_seconds)
+        records = page.records
         decoded = [decode_keyed(first + i, record) for i, record in enumerate(records)]
         known = tuple(record for record in decoded if record is not None)
         return KeyedPage(known, first + len(records))
--- a/carobladder/resources/reader.py
+++ b/carobladder/resources/reader.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
-from carobladder.clients.log import Batch, LogClient
+from carobladder.clients.log import Batch, Log
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     CarobladderError,
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        log: LogClient,
+        log: Log,
         catalog: Catalog,
         history: WatchHistory,
         clock: Clock,
--- a/standins/http.py
+++ b/standins/http.py
@@ -77,12 +77,16 @@
         if self.lose_answer:
             self.abort()
             return
-        data = json.dumps(body).encode()
-        length = ("Content-Length", str(len(data)))
         kind = ("Content-Type", "application/json")
-        await self._start(status, (kind, length, *headers))
-        await self._connection.write(h11.Data(data=data))
-        await self.end()
+        await self._send_whole(status, json.dumps(body).encode(), (kind, *headers))
+
+    async def answer_bytes(self, status: int, data: bytes) -> None:
+        """Send a whole answer of bytes, or close the connection if it is to be lost."""
+        if self.lose_answer:
+            self.abort()
+            return
+        kind = ("Content-Type", "application/octet-stream")
+        await self._send_whole(status, data, (kind,))
 
     async def start_events(self) -> None:
         """Send the head of a stream of server-sent events."""
@@ -104,6 +108,14 @@
         """Close the connection without finishing the answer."""
         self._connection.close()
 
+    async def _send_whole(
+        self, status: int, data: bytes, headers: tuple[tuple[str, str], ...]
+    ) -> None:
+        length = ("Content-Length", str(len(data)))
+        await self._start(status, (length, *headers))
+        await self._connection.write(h11.Data(data=data))
+        await self.end()
+
     async def _start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         extra = self._connection.app.answer_headers()
         head = h11.Response(status_code=status, headers=[*headers, *extra])
