Keep loads level while few targets of a service are usable

A target over the bound got no requests, so nobody heard how its load fell for 2.5 s, and the three others were overrun meanwhile.

Change: the requests of others at a target are taken to end when it has not stated its load for 0.2 s; instances tell loads each 0.1 s in a fleet of up to ten (0.3 s from 30 on, at most 3.6 KB/s); while the bound is below 1.4 times the usable mean, prompts go only to targets below that mean.

Two tests of told loads compare what was told instead of the estimate, which now falls with its age.

--- a/carobladder/entry/loads.py
+++ b/carobladder/entry/loads.py
@@ -17,7 +17,11 @@
 
 __all__ = ["LoadExchange"]
 
-_INTERVAL_SECONDS = 0.3
+# An instance of a small fleet sends much to each target, so that loads change within
+# fractions of a second; in a large one a longer interval bounds the bytes.
+_SHORTEST_INTERVAL_SECONDS = 0.1
+_LONGEST_INTERVAL_SECONDS = 0.3
+_INTERVAL_SECONDS_FOR_PEER = 0.01
 # Instances told in each interval; what is told reaches all others within a few.
 _FAN_OUT = 2
 _ANNOUNCE_RETRY_SECONDS = 1.0
@@ -55,7 +59,7 @@
         try:
             await self._announce()
             while True:
-                await self._clock.sleep(_INTERVAL_SECONDS)
+                await self._clock.sleep(self._choose_interval())
                 self._tell()
         finally:
             transport.close()
@@ -88,6 +92,12 @@
     def error_received(self, error: Exception) -> None:
         """Ignore that a peer is away; its record stays until it is replaced."""
 
+    def _choose_interval(self) -> float:
+        wanted_seconds = len(self._peers) * _INTERVAL_SECONDS_FOR_PEER
+        return min(
+            _LONGEST_INTERVAL_SECONDS, max(_SHORTEST_INTERVAL_SECONDS, wanted_seconds)
+        )
+
     def _tell(self) -> None:
         reports = self._sharing.collect(self._clock.monotonic())
         if not (reports and self._peers and self._transport):
--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -13,6 +13,10 @@
 # A load report says little about a target after this time.
 _REPORT_SECONDS = 2.5
 _START_LATENCY_SECONDS = 0.1
+# A target over the limit gets no requests, so nobody hears how its load falls. After
+# a time without a report the requests of other instances are taken to end.
+_STEADY_SECONDS = 0.2
+_LOAD_HALF_LIFE_SECONDS = 0.5
 
 
 class Condition(StrEnum):
@@ -99,7 +103,11 @@
         Return None if the target has not stated its load recently.
         """
         load = self._load
-        if load is None or now - self._load_at > _REPORT_SECONDS:
+        if load is None:
             return None
-        since = self.in_flight - self._load_in_flight
-        return float(max(self.in_flight, load.total + since))
+        age = now - self._load_at
+        if age > _REPORT_SECONDS:
+            return None
+        others = max(0, load.total - self._load_in_flight)
+        left = 0.5 ** (max(0.0, age - _STEADY_SECONDS) / _LOAD_HALF_LIFE_SECONDS)
+        return self.in_flight + others * left
--- a/carobladder/fleet/loads.py
+++ b/carobladder/fleet/loads.py
@@ -14,8 +14,8 @@
 _TELL_SECONDS = 1.5
 _MAX_AGE_SECONDS = 5.0
 _MAX_LOAD = 100_000
-# Keeps a message within one packet.
-_MAX_REPORTS = 40
+# With the longest interval between messages an instance sends 3.6 KB/s.
+_MAX_REPORTS = 30
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -18,8 +18,9 @@
 # usable targets to the load multiple, because loads are known with a delay.
 _LOAD_PART = 0.6
 _LOAD_SLACK_REQUESTS = 2.0
-# Requests beyond the load multiple of the mean of all targets, idle ones included.
-_BOUND_SLACK_REQUESTS = 0.0
+# Below this multiple of the usable targets' mean the bound leaves little room, since
+# loads are known with a delay. Prompts then go only to targets below the mean.
+_TIGHT_FACTOR = 1.4
 # Weight of a target's share of failed answers against its latency.
 _ERROR_WEIGHT = 20.0
 # Spread of the scores, so that instances with equal views choose differently.
@@ -141,10 +142,10 @@
                 total += target.health.estimate_load(now) or 0.0
         usable_mean = usable_total / len(loads)
         mean = total / len(registered)
-        return min(
-            usable_mean * self._load_factor + _LOAD_SLACK_REQUESTS,
-            mean * self._load_multiple + _BOUND_SLACK_REQUESTS,
-        )
+        bound = mean * self._load_multiple
+        if bound < usable_mean * _TIGHT_FACTOR:
+            return min(bound, usable_mean)
+        return min(usable_mean * self._load_factor + _LOAD_SLACK_REQUESTS, bound)
 
     def _choose_of_two(
         self, usable: list[FleetTarget], loads: dict[str, float]
--- a/tests/fleet/test_health.py
+++ b/tests/fleet/test_health.py
@@ -53,6 +53,14 @@
         self.assertEqual(health.estimate_load(0.1), 4.0)
         self.assertIsNone(health.estimate_load(2.6))
 
+    def test_load_of_others_is_taken_to_end_without_reports(self):
+        """A target over the limit gets no requests, so nobody hears from it."""
+        health = TargetHealth(in_flight=1)
+        health.note_load(TargetLoad(17, 0, 128), 0.0)
+        self.assertEqual(health.estimate_load(0.2), 17.0)
+        self.assertLess(health.estimate_load(1.2), 6.0)
+        self.assertGreaterEqual(health.estimate_load(2.4), 1.0)
+
     def test_share_of_failed_answers(self):
         health = TargetHealth()
         for index in range(60):
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -48,9 +48,11 @@
         sharing = LoadSharing(table)
         targets[0].health.note_load(TargetLoad(3, 1, 8), 10.0)
         sharing.take([LoadReport("i-1", 9, 1.0), LoadReport("i-9", 1, 0.0)], 10.5)
-        self.assertEqual(targets[0].health.estimate_load(10.5), 4.0)
+        self.assertEqual(targets[0].health.read_stated_load(10.5), (4, 0.5))
         sharing.take([LoadReport("i-1", 9, 0.2)], 10.5)
-        self.assertEqual(targets[0].health.estimate_load(10.5), 9.0)
+        load, age_seconds = targets[0].health.read_stated_load(10.5)
+        self.assertEqual(load, 9)
+        self.assertAlmostEqual(age_seconds, 0.2)
 
     def test_old_reports_are_not_told_on(self):
         table, targets = fill_table(2)
@@ -72,5 +74,6 @@
                 for peer in generator.sample(sharings, 2):
                     if generator.random() > 0.1:
                         peer.take(decode_loads(message), now)
-        known = [t[0].health.estimate_load(1.5) for _, t in tables]
-        self.assertGreater(sum(load == 12.0 for load in known), 60)
+        known = [t[0].health.read_stated_load(1.5) for _, t in tables]
+        self.assertGreater(sum(load is not None for load in known), 60)
+        self.assertEqual({load[0] for load in known if load}, {12})
