--- a/carobladder/explain/command.py
+++ b/carobladder/explain/command.py
@@ -55,6 +55,7 @@
             {
                 "time": step.line.time,
                 "instance": step.line.instance,
+                "incarnation": step.line.incarnation,
                 "event": step.line.event,
                 "belief": step.belief,
                 **step.line.fields,
--- a/carobladder/explain/story.py
+++ b/carobladder/explain/story.py
@@ -74,25 +74,25 @@
 
 def _find_beliefs(own: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
     """Return the newest event of each matter before the request's own events."""
-    last_own: dict[str, int] = {}
-    targets: dict[str, set[str]] = {}
+    last_own: dict[tuple[str, int], int] = {}
+    targets: dict[tuple[str, int], set[str]] = {}
     for line in own:
-        last_own[line.instance] = max(last_own.get(line.instance, -1), line.order)
+        last_own[line.run] = max(last_own.get(line.run, -1), line.order)
         target = line.fields.get("target")
         if target:
-            targets.setdefault(line.instance, set()).add(str(target))
-    newest: dict[tuple[str, str], LogLine] = {}
+            targets.setdefault(line.run, set()).add(str(target))
+    newest: dict[tuple[tuple[str, int], str], LogLine] = {}
     for line in lines:
-        limit = last_own.get(line.instance)
+        limit = last_own.get(line.run)
         if limit is None or line.order >= limit:
             continue
         matter = _KNOWLEDGE_EVENTS.get(line.event)
         target = str(line.fields.get("target", ""))
-        known = targets.get(line.instance, ())
+        known = targets.get(line.run, ())
         if line.event in _TARGET_EVENTS and target in known:
             matter = f"target {target}"
         if matter is not None:
-            newest[line.instance, matter] = line
+            newest[line.run, matter] = line
     return list(newest.values())
 
 
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -54,6 +54,24 @@
             ],
         )
 
+    def test_beliefs_of_an_earlier_run_of_the_instance_are_left_out(self):
+        texts = [
+            write("a", 1, "store_lost", incarnation=1, why="down"),
+            write("a", 2, "target_suspected", incarnation=1, target="i-1"),
+            write("a", 3, "instance_started", incarnation=2),
+            write(
+                "a", 4, "request_placed", incarnation=2, request_id="r1", target="i-1"
+            ),
+            write("a", 5, "target_suspected", incarnation=2, target="i-1"),
+        ]
+        story = self.explain("r1", texts)
+        self.assertEqual(
+            self.events(story),
+            [("instance_started", True), ("request_placed", False)],
+        )
+        self.assertNotIn("incarnation", render_table(story))
+        self.assertIn('"incarnation":2', render_json(story))
+
     def test_cause_is_that_of_the_last_event(self):
         texts = [text for text in LINES if '"instance": "a"' in text]
         self.assertEqual(
