Ask the last target of a service again after its failed answer

Now the same target is asked again if nobody else is left, within attempts and budget, and the last failed answer passes unchanged. Tests first; a target that broke off is still not asked again.

The sends of a call are a module of their own (forwarding/sends.py); the session keeps the decisions. Estimated loads are logged with one digit.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -24,7 +24,7 @@
     TargetTable,
     VersionMoves,
 )
-from carobladder.forwarding import Forwarder, ForwardHandler
+from carobladder.forwarding import Forwarder, ForwardHandler, TargetSender
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.platform.documents import (
@@ -261,15 +261,15 @@
         budgets: ServiceBudgets,
     ) -> GatewayServer:
         codec = PlatformCodec()
-        forwarder = Forwarder(
+        sender = TargetSender(
             self._client,
             codec,
-            selector,
             PromptWarmth(self._targets),
             self._tallies,
             self._clock,
-            budgets.find,
-            self._metrics,
+        )
+        forwarder = Forwarder(
+            sender, selector, self._clock, budgets.find, self._metrics
         )
         handler = ForwardHandler(
             forwarder,
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -1,9 +1,16 @@
 """Forwarding of callers' requests to the targets of declared routes."""
 
-from carobladder.forwarding import attempts, calls, handler, refusals
+from carobladder.forwarding import attempts, calls, handler, refusals, sends
 from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.refusals import *  # noqa: F403
+from carobladder.forwarding.sends import *  # noqa: F403
 
-__all__ = [*attempts.__all__, *calls.__all__, *handler.__all__, *refusals.__all__]
+__all__ = [
+    *attempts.__all__,
+    *calls.__all__,
+    *handler.__all__,
+    *refusals.__all__,
+    *sends.__all__,
+]
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -1,16 +1,13 @@
 """Attempts of one call on the targets of a service."""
 
-import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
-from carobladder.clients.http import AnswerStream, HttpClient
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     AnswerTimeoutError,
     CallerError,
-    ConnectionBrokenError,
     NoTargetError,
     TargetError,
     TargetFailedError,
@@ -18,36 +15,23 @@
     TargetsBusyError,
 )
 from carobladder.fleet import (
-    AnswerFacts,
-    AnswerTallies,
-    CallFacts,
-    ExchangeCodec,
     FleetTarget,
-    PromptWarmth,
     Selection,
     TargetSelector,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
+from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.retries import RetryBudget
-from carobladder.routing import Route, Service
 from carobladder.telemetry import (
-    AnswerOfOtherRequestDropped,
     AttemptFailed,
     ForwardMetrics,
-    RequestPlaced,
     emit,
 )
 
-__all__ = ["CallSession", "ForwardedCall", "Forwarder"]
+__all__ = ["CallSession", "Forwarder"]
 
 Headers = tuple[tuple[str, str], ...]
 
-# A target that has not begun to answer after this multiple of its usual time, and at
-# least the floor, is likely to be dark.
-_PATIENCE_FACTOR = 4.0
-_PATIENCE_FLOOR_SECONDS = 0.4
-# An engine that reads several long prompts at once sends nothing for as long.
-_PROMPT_PATIENCE_SECONDS = 1.0
 # Further sends of a request that no target has run yet.
 _MAX_UNRUN_SENDS = 3
 _BUSY_RETRY_SECONDS = 0.25
@@ -57,44 +41,12 @@
 _PROMISES = frozenset({408, 421, 429, 503})
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardedCall:
-    """Describe a call independently of the target that runs it.
-
-    ``prefixes`` are the keys of the prompt's shared prefixes, the longest first.
-    ``limit_at`` is the monotonic time at which the call must have its answer.
-    ``version`` of the configuration and its age are those that the checks rested on.
-    """
-
-    route: Route
-    service: Service
-    facts: CallFacts
-    team: str
-    priority: int
-    method: str
-    target: str
-    fields: Headers
-    body: bytes
-    prefixes: tuple[int, ...]
-    limit_at: float
-    version: int
-    records_age_seconds: float
-
-    @property
-    def affinity(self) -> int | None:
-        """Return the key that ranks the targets, or None without a prompt."""
-        return self.prefixes[0] if self.prefixes else None
-
-
 @dataclass(frozen=True, slots=True)
 class Forwarder:
     """Hold what the calls of an instance share."""
 
-    client: HttpClient
-    codec: ExchangeCodec
+    sender: TargetSender
     selector: TargetSelector
-    warmth: PromptWarmth
-    tallies: AnswerTallies
     clock: Clock
     find_budget: Callable[[str], RetryBudget]
     metrics: ForwardMetrics
@@ -120,6 +72,8 @@
         self._pending = False
         self._relayed_from: FleetTarget | None = None
         self._tried: set[str] = set()
+        # Those of the tried targets that answered with a failure of their own.
+        self._answered: set[str] = set()
 
     @property
     def may_have_run(self) -> bool:
@@ -215,109 +169,32 @@
             return True
         opened.note_first_byte()
         opened.close()
+        if not untrue:
+            self._answered.add(opened.target.target_id)
         self.note_failure(opened.target, error, resumable=True)
         return False
 
     async def _send(self, target: FleetTarget, extra_headers: Headers) -> OpenCall:
-        forwarder, call = self._forwarder, self._call
-        sent_at = forwarder.clock.monotonic()
-        loop = asyncio.get_running_loop()
+        call, sender = self._call, self._forwarder.sender
         self._sends += 1
-        target.health.in_flight += 1
-        patience = self._patience(target)
-        alarm = loop.call_later(patience, self._note_silence, target, sent_at)
         wait_seconds = self.remaining_seconds
         if call.route.may_repeat and self.runs + 1 < call.route.attempts:
-            wait_seconds = min(wait_seconds, patience)
+            wait_seconds = min(wait_seconds, sender.choose_patience(call, target))
         try:
-            answer = await forwarder.client.open(
-                call.method,
-                target.entry.address,
-                call.target,
-                headers=self._build_fields(target, extra_headers),
-                body=call.body,
-                timeout_seconds=wait_seconds,
-                may_repeat=False,
-                confirm=self._note_write,
+            opened = await sender.send(
+                call, target, extra_headers, self._sends, wait_seconds, self._note_write
             )
-            facts = await self._match_answer(target, answer, loop.time() + wait_seconds)
-        except TargetError as error:
+        except TargetError:
             self._pending = False
-            target.health.in_flight -= 1
-            seconds = forwarder.clock.monotonic() - sent_at
-            if error.request_written and seconds >= patience:
-                self._tally(target, seconds, failed=False)
             raise
-        except BaseException:
-            target.health.in_flight -= 1
-            raise
-        finally:
-            alarm.cancel()
         self._pending = False
-        self._note_facts(target, facts)
-        return OpenCall(
-            answer, target, facts, sent_at, forwarder.clock, self._tally_answer
-        )
-
-    def _tally_answer(self, opened: OpenCall, broken: bool) -> None:
-        seconds = opened.first_byte_seconds
-        if opened.facts.not_run or seconds is None:
-            return
-        failed = broken or opened.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        self._tally(opened.target, seconds, failed=failed)
-
-    def _tally(self, target: FleetTarget, seconds: float, *, failed: bool) -> None:
-        """Count an answer, or its absence, for the comparison of versions."""
-        self._forwarder.tallies.note_answer(
-            target,
-            self._call.route,
-            failed=failed,
-            first_byte_seconds=seconds,
-            now=self._forwarder.clock.monotonic(),
-        )
+        return opened
 
     def _note_write(self) -> bool:
         """Note that the request is about to be written."""
         self._pending = True
         return True
 
-    async def _match_answer(
-        self, target: FleetTarget, answer: AnswerStream, limit_at: float
-    ) -> AnswerFacts:
-        """Return the facts of the answer that belongs to this request."""
-        codec, request_id = self._forwarder.codec, self._call.facts.request_id
-        facts = codec.read_answer(answer.status, answer.headers)
-        while facts.request_id and facts.request_id != request_id:
-            emit(
-                AnswerOfOtherRequestDropped(
-                    request_id, facts.request_id, target.target_id
-                )
-            )
-            await answer.skip_to_next(limit_at)
-            facts = codec.read_answer(answer.status, answer.headers)
-        if answer.status < HTTPStatus.MULTIPLE_CHOICES and not (
-            facts.signed and facts.request_id
-        ):
-            answer.close()
-            raise ConnectionBrokenError(
-                "the target's answer lacks its signature; it was dropped",
-                request_written=True,
-            )
-        return facts
-
-    def _note_facts(self, target: FleetTarget, facts: AnswerFacts) -> None:
-        now = self._forwarder.clock.monotonic()
-        if facts.load is not None:
-            target.health.note_load(facts.load, now)
-        if facts.cold_seconds is not None:
-            target.note_cold(facts.cold_seconds, now)
-
-    def _note_silence(self, target: FleetTarget, sent_at: float) -> None:
-        """Suspect a target that has sent nothing at all since this request."""
-        if target.health.last_byte_at < sent_at:
-            why = "it sent no byte for the time that is usual"
-            suspect_target(target, why, self._forwarder.clock.monotonic())
-
     def _find_obstacle(
         self, written: bool, resumable: bool, *, charge: bool = True
     ) -> str | None:
@@ -352,59 +229,16 @@
             excluded=self._tried,
         )
         now = self._forwarder.clock.monotonic()
-        target = self._forwarder.selector.choose(wanted, now)
+        selector = self._forwarder.selector
+        target = selector.choose(wanted, now)
+        if target is None and self._answered:
+            # Nobody else is left; another answer of the same target may succeed.
+            excluded = self._tried - self._answered
+            target = selector.choose(replace(wanted, excluded=excluded), now)
         if target is None:
             raise self._final_error(f"no target of {call.service.name} is left")
         return target
 
-    def _build_fields(self, target: FleetTarget, extra_headers: Headers) -> Headers:
-        replaced = {name.lower() for name, _ in extra_headers}
-        kept = [field for field in self._call.fields if field[0] not in replaced]
-        source = self._find_prompt_source(target)
-        self._log_placement(target, source)
-        own = self._forwarder.codec.write_call(
-            target.target_id,
-            self.remaining_seconds,
-            self._call.team,
-            self._call.priority,
-            source,
-        )
-        return (*kept, *own, *extra_headers)
-
-    def _log_placement(self, target: FleetTarget, source: str) -> None:
-        call = self._call
-        now = self._forwarder.clock.monotonic()
-        emit(
-            RequestPlaced(
-                request_id=call.facts.request_id,
-                route=call.route.name,
-                team=call.team,
-                service=call.service.name,
-                target=target.target_id,
-                sends=self._sends,
-                left_seconds=round(self.remaining_seconds, 3),
-                load=target.health.estimate_load(now),
-                cold=target.is_cold(now),
-                prompt_source=source,
-                version=call.version,
-                records_age_seconds=round(call.records_age_seconds, 2),
-            )
-        )
-
-    def _find_prompt_source(self, target: FleetTarget) -> str:
-        """Return the address to copy the shared prompt from, or nothing."""
-        prefixes = self._call.prefixes
-        warmth, now = self._forwarder.warmth, self._forwarder.clock.monotonic()
-        source = warmth.find_source(prefixes, target, now)
-        warmth.note_sent(prefixes, target)
-        return source.entry.address if source else ""
-
-    def _patience(self, target: FleetTarget) -> float:
-        usual = target.health.first_byte_seconds * _PATIENCE_FACTOR
-        reads_prompt = self._call.affinity is not None
-        floor = _PROMPT_PATIENCE_SECONDS if reads_prompt else _PATIENCE_FLOOR_SECONDS
-        return max(floor, usual)
-
     def _final_error(self, reason: str) -> CallerError:
         if self.may_have_run and self.remaining_seconds <= 0.0:
             return AnswerTimeoutError(f"no answer in time: {reason}")
--- /dev/null
+++ b/carobladder/forwarding/sends.py
@@ -0,0 +1,258 @@
+"""One send of a call to a target, up to the head of its answer."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from carobladder.clients.http import AnswerStream, HttpClient
+from carobladder.clock import Clock
+from carobladder.exceptions import ConnectionBrokenError, TargetError
+from carobladder.fleet import (
+    AnswerFacts,
+    AnswerTallies,
+    CallFacts,
+    ExchangeCodec,
+    FleetTarget,
+    PromptWarmth,
+)
+from carobladder.forwarding.attempts import OpenCall, suspect_target
+from carobladder.routing import Route, Service
+from carobladder.telemetry import (
+    AnswerOfOtherRequestDropped,
+    RequestPlaced,
+    emit,
+)
+
+__all__ = ["ForwardedCall", "TargetSender"]
+
+Headers = tuple[tuple[str, str], ...]
+
+# A target that has not begun to answer after this multiple of its usual time, and at
+# least the floor, is likely to be dark.
+_PATIENCE_FACTOR = 4.0
+_PATIENCE_FLOOR_SECONDS = 0.4
+# An engine that reads several long prompts at once sends nothing for as long.
+_PROMPT_PATIENCE_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedCall:
+    """Describe a call independently of the target that runs it.
+
+    ``prefixes`` are the keys of the prompt's shared prefixes, the longest first.
+    ``limit_at`` is the monotonic time at which the call must have its answer.
+    ``version`` of the configuration and its age are those that the checks rested on.
+    """
+
+    route: Route
+    service: Service
+    facts: CallFacts
+    team: str
+    priority: int
+    method: str
+    target: str
+    fields: Headers
+    body: bytes
+    prefixes: tuple[int, ...]
+    limit_at: float
+    version: int
+    records_age_seconds: float
+
+    @property
+    def affinity(self) -> int | None:
+        """Return the key that ranks the targets, or None without a prompt."""
+        return self.prefixes[0] if self.prefixes else None
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSender:
+    """Send calls to targets and note what each send tells of its target."""
+
+    client: HttpClient
+    codec: ExchangeCodec
+    warmth: PromptWarmth
+    tallies: AnswerTallies
+    clock: Clock
+
+    async def send(
+        self,
+        call: ForwardedCall,
+        target: FleetTarget,
+        extra_headers: Headers,
+        sends: int,
+        wait_seconds: float,
+        note_write: Callable[[], bool],
+    ) -> OpenCall:
+        """Return the answer once its headers arrived; raises TargetError.
+
+        ``sends`` counts the sends of the call, this one included. ``note_write`` is
+        called when the request is about to be written.
+        """
+        sent_at = self.clock.monotonic()
+        loop = asyncio.get_running_loop()
+        target.health.in_flight += 1
+        patience = self.choose_patience(call, target)
+        alarm = loop.call_later(patience, self._note_silence, target, sent_at)
+        try:
+            answer = await self.client.open(
+                call.method,
+                target.entry.address,
+                call.target,
+                headers=self._build_fields(call, target, extra_headers, sends),
+                body=call.body,
+                timeout_seconds=wait_seconds,
+                may_repeat=False,
+                confirm=note_write,
+            )
+            limit_at = loop.time() + wait_seconds
+            facts = await self._match_answer(call, target, answer, limit_at)
+        except TargetError as error:
+            target.health.in_flight -= 1
+            seconds = self.clock.monotonic() - sent_at
+            if error.request_written and seconds >= patience:
+                self._tally(call, target, seconds, failed=False)
+            raise
+        except BaseException:
+            target.health.in_flight -= 1
+            raise
+        finally:
+            alarm.cancel()
+        self._note_facts(target, facts)
+        return OpenCall(
+            answer,
+            target,
+            facts,
+            sent_at,
+            self.clock,
+            lambda opened, broken: self._tally_answer(call, opened, broken),
+        )
+
+    def choose_patience(self, call: ForwardedCall, target: FleetTarget) -> float:
+        """Return the seconds after which a silent target is likely to be dark."""
+        usual = target.health.first_byte_seconds * _PATIENCE_FACTOR
+        reads_prompt = call.affinity is not None
+        floor = _PROMPT_PATIENCE_SECONDS if reads_prompt else _PATIENCE_FLOOR_SECONDS
+        return max(floor, usual)
+
+    async def _match_answer(
+        self,
+        call: ForwardedCall,
+        target: FleetTarget,
+        answer: AnswerStream,
+        limit_at: float,
+    ) -> AnswerFacts:
+        """Return the facts of the answer that belongs to this request."""
+        codec, request_id = self.codec, call.facts.request_id
+        facts = codec.read_answer(answer.status, answer.headers)
+        while facts.request_id and facts.request_id != request_id:
+            emit(
+                AnswerOfOtherRequestDropped(
+                    request_id, facts.request_id, target.target_id
+                )
+            )
+            await answer.skip_to_next(limit_at)
+            facts = codec.read_answer(answer.status, answer.headers)
+        if answer.status < HTTPStatus.MULTIPLE_CHOICES and not (
+            facts.signed and facts.request_id
+        ):
+            answer.close()
+            raise ConnectionBrokenError(
+                "the target's answer lacks its signature; it was dropped",
+                request_written=True,
+            )
+        return facts
+
+    def _note_facts(self, target: FleetTarget, facts: AnswerFacts) -> None:
+        now = self.clock.monotonic()
+        if facts.load is not None:
+            target.health.note_load(facts.load, now)
+        if facts.cold_seconds is not None:
+            target.note_cold(facts.cold_seconds, now)
+
+    def _note_silence(self, target: FleetTarget, sent_at: float) -> None:
+        """Suspect a target that has sent nothing at all since this request."""
+        if target.health.last_byte_at < sent_at:
+            why = "it sent no byte for the time that is usual"
+            suspect_target(target, why, self.clock.monotonic())
+
+    def _build_fields(
+        self,
+        call: ForwardedCall,
+        target: FleetTarget,
+        extra_headers: Headers,
+        sends: int,
+    ) -> Headers:
+        replaced = {name.lower() for name, _ in extra_headers}
+        kept = [field for field in call.fields if field[0] not in replaced]
+        source = self._find_prompt_source(call, target)
+        self._log_placement(call, target, source, sends)
+        own = self.codec.write_call(
+            target.target_id,
+            self._left_seconds(call),
+            call.team,
+            call.priority,
+            source,
+        )
+        return (*kept, *own, *extra_headers)
+
+    def _log_placement(
+        self, call: ForwardedCall, target: FleetTarget, source: str, sends: int
+    ) -> None:
+        now = self.clock.monotonic()
+        emit(
+            RequestPlaced(
+                request_id=call.facts.request_id,
+                route=call.route.name,
+                team=call.team,
+                service=call.service.name,
+                target=target.target_id,
+                sends=sends,
+                left_seconds=round(self._left_seconds(call), 3),
+                load=_round(target.health.estimate_load(now)),
+                cold=target.is_cold(now),
+                prompt_source=source,
+                version=call.version,
+                records_age_seconds=round(call.records_age_seconds, 2),
+            )
+        )
+
+    def _find_prompt_source(self, call: ForwardedCall, target: FleetTarget) -> str:
+        """Return the address to copy the shared prompt from, or nothing."""
+        prefixes, now = call.prefixes, self.clock.monotonic()
+        source = self.warmth.find_source(prefixes, target, now)
+        self.warmth.note_sent(prefixes, target)
+        return source.entry.address if source else ""
+
+    def _left_seconds(self, call: ForwardedCall) -> float:
+        return max(0.0, call.limit_at - self.clock.monotonic())
+
+    def _tally_answer(
+        self, call: ForwardedCall, opened: OpenCall, broken: bool
+    ) -> None:
+        seconds = opened.first_byte_seconds
+        if opened.facts.not_run or seconds is None:
+            return
+        failed = broken or opened.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        self._tally(call, opened.target, seconds, failed=failed)
+
+    def _tally(
+        self,
+        call: ForwardedCall,
+        target: FleetTarget,
+        seconds: float,
+        *,
+        failed: bool,
+    ) -> None:
+        """Count an answer, or its absence, for the comparison of versions."""
+        self.tallies.note_answer(
+            target,
+            call.route,
+            failed=failed,
+            first_byte_seconds=seconds,
+            now=self.clock.monotonic(),
+        )
+
+
+def _round(load: float | None) -> float | None:
+    return None if load is None else round(load, 1)
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -16,7 +16,7 @@
     TargetTable,
     VersionMoves,
 )
-from carobladder.forwarding import FenceTimes, Forwarder, ForwardHandler
+from carobladder.forwarding import FenceTimes, Forwarder, ForwardHandler, TargetSender
 from carobladder.gateway import GatewayServer, RequestLimits
 from carobladder.platform.exchanges import PlatformCodec
 from carobladder.retries import RetryBudget
@@ -144,15 +144,18 @@
         ledger = ShareLedger(96)
         ledger.assign(frozenset(range(96)))
         moves = VersionMoves(0.1)
-        forwarder = Forwarder(
+        sender = TargetSender(
             self.client,
             codec,
-            TargetSelector(self.targets, ColdPacer(ledger), moves, 2.0, generator),
             PromptWarmth(self.targets),
             AnswerTallies(moves, self.targets, incarnation=1),
             self.clock,
-            lambda service: self.budget,
-            self.metrics,
+        )
+        selector = TargetSelector(
+            self.targets, ColdPacer(ledger), moves, 2.0, generator
+        )
+        forwarder = Forwarder(
+            sender, selector, self.clock, lambda service: self.budget, self.metrics
         )
         handler = ForwardHandler(
             forwarder,
--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -199,6 +199,30 @@
             status, _, _ = await instance.call("/safe/x")
             self.assertEqual(status, 200)
 
+    async def test_safe_call_asks_the_only_target_again_after_its_failure(self):
+        """A failed answer of the last target of a service ended calls with a 502."""
+        answers = iter([refuse("500 Oops"), echo])
+
+        async def fail_once(request: bytes, writer) -> None:
+            await next(answers)(request, writer)
+
+        instance = await self.start(fail_once)
+        status, _, _ = await instance.call("/safe/x")
+        self.assertEqual(status, 200)
+
+    async def test_last_failure_of_the_only_target_passes_unchanged(self):
+        instance = await self.start(refuse("500 Oops"))
+        status, headers, _ = await instance.call("/safe/x")
+        self.assertEqual(status, 500)
+        self.assertEqual(headers["carobladder-response-signature"], "sig")
+        self.assertEqual(self.count_requests(), 2)
+
+    async def test_only_target_that_broke_off_is_not_asked_again(self):
+        instance = await self.start(reset)
+        status, _, _ = await instance.call("/safe/x")
+        self.assertEqual(status, 502)
+        self.assertEqual(self.count_requests(), 1)
+
     async def test_targets_own_mark_allows_another_target(self):
         instance = await self.start(refuse("503 Full", NOT_RUN), echo)
         for _ in range(6):
