Level loads only where less room is left than twice the root of the mean

The fixed factor of 1.4 also took hold where loads are small and the three requests that operators tolerate leave room. The bound counts them now.

--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -1,5 +1,6 @@
 """Choice of the target of a request."""
 
+import math
 import random
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -18,9 +19,11 @@
 # usable targets to the load multiple, because loads are known with a delay.
 _LOAD_PART = 0.6
 _LOAD_SLACK_REQUESTS = 2.0
-# Below this multiple of the usable targets' mean the bound leaves little room, since
-# loads are known with a delay. Prompts then go only to targets below the mean.
-_TIGHT_FACTOR = 1.4
+# Requests beyond the load multiple that a target may hold.
+_TOLERATED_REQUESTS = 3.0
+# Loads are known with a delay, in which they change by about the root of their mean.
+# With less room than this many roots, prompts go only to targets below the mean.
+_TIGHT_DEVIATIONS = 2.0
 # Weight of a target's share of failed answers against its latency.
 _ERROR_WEIGHT = 20.0
 # Spread of the scores, so that instances with equal views choose differently.
@@ -143,7 +146,8 @@
         usable_mean = usable_total / len(loads)
         mean = total / len(registered)
         bound = mean * self._load_multiple
-        if bound < usable_mean * _TIGHT_FACTOR:
+        room = bound + _TOLERATED_REQUESTS - usable_mean
+        if room < _TIGHT_DEVIATIONS * math.sqrt(usable_mean):
             return min(bound, usable_mean)
         return min(usable_mean * self._load_factor + _LOAD_SLACK_REQUESTS, bound)
 
