Tell other instances how far the store was read

A waiting read may miss a record that is appended as it begins. Now datagrams carry how far the sender has read; about six instances confirm, and so does each one that hears nobody or hears of a record that it lacks.

Not done: sharing proofs of freshness between instances by a question and an answer, which would save most of the operator's reads.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -10,6 +10,7 @@
 from carobladder.entry.knowledge import Knowledge
 from carobladder.entry.loads import LoadExchange
 from carobladder.entry.prober import TargetProber
+from carobladder.entry.progress import PeerProgress
 from carobladder.entry.shares import SHARE_PARTITIONS, ShareKeeper
 from carobladder.entry.versions import VersionMover
 from carobladder.fleet import (
@@ -54,17 +55,16 @@
 _STORE_SILENCE_SECONDS = 3.0
 # Part of the time in which a revoked key must be refused everywhere.
 _OPERATOR_WAIT_PART = 0.48
-# Part of the time in which a configuration must be in force, since a waiting read may
-# miss a record that is appended as it begins.
-_OPERATOR_MISS_PART = 0.75
+# Part of the time in which a configuration must be in force.
+_OPERATOR_CONFIRM_PART = 0.5
 _OPERATOR_COLLECT_SECONDS = 0.2
 # The kernel notices a silent connection to the store sooner than this wait ends.
 _TARGETS_WAIT_SECONDS = 8.0
 # Parts of the time in which requests to a draining target must end.
-_TARGETS_COLLECT_PART = 0.4
+_TARGETS_COLLECT_PART = 0.55
 _TARGETS_CONFIRM_PART = 0.25
 _INSTANCES_WAIT_SECONDS = 25.0
-_INSTANCES_COLLECT_SECONDS = 3.0
+_INSTANCES_COLLECT_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,9 +142,10 @@
             settings.entry_renewal_ms / _MS_PER_SECOND,
             mover.take_order,
         )
-        entries = self._follow_targets(knowledge)
-        operator = self._follow_operator(knowledge, entries)
         loads = self._build_loads()
+        entries = self._follow_targets(knowledge, loads)
+        operator = self._follow_operator(knowledge, entries, loads)
+        loads.tell_progress_of((operator, entries))
         server = self._build_server(knowledge, operator, selector, budgets)
         knowledge.on_limits = lambda limits: _use_limits(server, limits)
         return EntryParts(
@@ -201,28 +202,30 @@
         )
 
     def _follow_operator(
-        self, knowledge: Knowledge, entries: TopicFollower
+        self, knowledge: Knowledge, entries: TopicFollower, loads: LoadExchange
     ) -> TopicFollower:
+        configuration_seconds = self._settings.configuration_ms / _MS_PER_SECOND
         return TopicFollower(
             "operator",
             KeyedTopic(self._store, OPERATOR_TOPIC),
             self._clock,
-            self._choose_operator_wait(),
+            self._revocation_seconds * _OPERATOR_WAIT_PART,
             _OPERATOR_COLLECT_SECONDS,
-            None,
+            self._hear_of_peers(configuration_seconds * _OPERATOR_CONFIRM_PART, loads),
             lambda record: knowledge.apply(decode_operator_record(record)),
             lambda away_seconds: entries.read_again(),
         )
 
-    def _choose_operator_wait(self) -> float:
-        """Return the wait after which a missed record is still known in time."""
-        configuration_seconds = self._settings.configuration_ms / _MS_PER_SECOND
-        return min(
-            self._revocation_seconds * _OPERATOR_WAIT_PART,
-            configuration_seconds * _OPERATOR_MISS_PART,
+    def _hear_of_peers(
+        self, confirm_seconds: float, loads: LoadExchange
+    ) -> PeerProgress:
+        return PeerProgress(
+            self._clock, self._generator, confirm_seconds, loads.count_peers
         )
 
-    def _follow_targets(self, knowledge: Knowledge) -> TopicFollower:
+    def _follow_targets(
+        self, knowledge: Knowledge, loads: LoadExchange
+    ) -> TopicFollower:
         def take(record: KeyedRecord) -> None:
             if record.value is None:
                 knowledge.drop_target(record.key)
@@ -236,7 +239,7 @@
             self._clock,
             _TARGETS_WAIT_SECONDS,
             drain_seconds * _TARGETS_COLLECT_PART,
-            drain_seconds * _TARGETS_CONFIRM_PART,
+            self._hear_of_peers(drain_seconds * _TARGETS_CONFIRM_PART, loads),
             take,
             knowledge.note_store_return,
         )
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from carobladder.clock import Clock
+from carobladder.entry.progress import PeerProgress
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import Freshness, KeyedPage, KeyedRecord, TopicReader
 from carobladder.telemetry import (
@@ -21,6 +22,7 @@
 _LONGEST_BACKOFF_SECONDS = 0.6
 # A waiting read may miss records for this long before its answer.
 _WATCH_DELAY_SECONDS = 1.1
+_COLLECT_SPREAD = (0.75, 1.0)
 # Of a key that was dropped by a record which the store no longer holds.
 _UNKNOWN_OFFSET = -1
 
@@ -28,11 +30,12 @@
 class TopicFollower:
     """Hand each change of a topic's keys to a callback, in order.
 
-    A read waits ``wait_seconds`` for records; after a change ``collect_seconds`` pass
-    before the next read, so that a series of changes costs few reads. A read may miss
-    a record that is appended as it begins; with ``confirm_seconds`` a second read that
-    does not wait follows after that time. After a loss of history all keys are read
-    anew, and keys that are missing then are handed on as dropped.
+    A read waits ``wait_seconds`` for records; after a change about
+    ``collect_seconds`` pass before the next read, so that a series of changes costs
+    few reads. A read may miss a record that is appended as it begins; with
+    ``progress`` a second read that does not wait follows if that is likely. After a
+    loss of history all keys are read anew, and keys that are missing then are handed
+    on as dropped.
     """
 
     def __init__(
@@ -42,7 +45,7 @@
         clock: Clock,
         wait_seconds: float,
         collect_seconds: float,
-        confirm_seconds: float | None,
+        progress: PeerProgress | None,
         on_record: Callable[[KeyedRecord], None],
         on_return: Callable[[float], None],
     ) -> None:
@@ -52,7 +55,7 @@
         self._clock = clock
         self._wait_seconds = wait_seconds
         self._collect_seconds = collect_seconds
-        self._confirm_seconds = confirm_seconds
+        self._progress = progress
         self._on_record = on_record
         self._on_return = on_return
         self._next: int | None = None
@@ -65,6 +68,11 @@
         """Return the offset after the last known record, or None before any read."""
         return self._next
 
+    def note_peer_end(self, end: int) -> None:
+        """Take the offset after the last record that another instance knows."""
+        if self._progress is not None:
+            self._progress.note_end(end)
+
     def read_again(self) -> None:
         """Give up the read that waits, because its connection may be silent."""
         if self._reading is not None:
@@ -80,13 +88,17 @@
             except OffsetDroppedError as error:
                 emit(StoreHistoryDropped(self._name, error.oldest_offset))
                 self._next = None
+                if self._progress is not None:
+                    self._progress.forget()
                 continue
             except LogUnavailableError as error:
                 await self._back_off(error)
                 continue
             self._note_success(sent_at, 0.0 if changed else waited)
             if changed:
-                await self._clock.sleep(self._collect_seconds)
+                # Instances that read in step would all miss the same record.
+                spread = random.uniform(*_COLLECT_SPREAD)
+                await self._clock.sleep(self._collect_seconds * spread)
 
     async def _read_interruptibly(self) -> bool:
         """Read once; raises LogUnavailableError if ``read_again`` was called."""
@@ -119,9 +131,9 @@
         waiting = asyncio.ensure_future(
             self._reader.read_records(first, self._wait_seconds)
         )
-        if self._confirm_seconds is None:
+        if self._progress is None:
             return await waiting
-        confirming = asyncio.ensure_future(self._confirm(first, self._confirm_seconds))
+        confirming = asyncio.ensure_future(self._confirm(first, self._progress))
         try:
             await asyncio.wait({waiting, confirming}, return_when=_FIRST_COMPLETED)
             if not waiting.done():
@@ -133,8 +145,8 @@
             waiting.cancel()
             confirming.cancel()
 
-    async def _confirm(self, first: int, seconds: float) -> KeyedPage:
-        await self._clock.sleep(seconds)
+    async def _confirm(self, first: int, progress: PeerProgress) -> KeyedPage:
+        await progress.wait_for_doubt(first)
         return await self._reader.read_records(first, 0.0)
 
     def _apply_newest(self, records: Iterable[KeyedRecord]) -> None:
--- a/carobladder/entry/loads.py
+++ b/carobladder/entry/loads.py
@@ -1,17 +1,19 @@
-"""Exchange of loads between instances by datagrams."""
+"""Exchange of what instances know by datagrams."""
 
 import asyncio
 import random
+from collections.abc import Sequence
 from typing import cast
 
 from carobladder.clock import Clock
+from carobladder.entry.followers import TopicFollower
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
     KeyedRecord,
     LoadSharing,
     TopicWriter,
-    decode_loads,
-    encode_loads,
+    decode_message,
+    encode_message,
 )
 from carobladder.telemetry import InstanceNotAnnounced, emit
 
@@ -28,7 +30,7 @@
 
 
 class LoadExchange(asyncio.DatagramProtocol):
-    """Tell a few other instances the newest loads, and take theirs.
+    """Tell a few other instances the newest loads and how far topics were read.
 
     A lost datagram only delays what the next ones carry, and the number of
     datagrams of an instance does not depend on the size of the fleet.
@@ -52,6 +54,15 @@
         self._generator = generator
         self._peers: dict[str, tuple[str, int]] = {}
         self._transport: asyncio.DatagramTransport | None = None
+        self._followers: Sequence[TopicFollower] = ()
+
+    def tell_progress_of(self, followers: Sequence[TopicFollower]) -> None:
+        """Tell and take how far these are; all instances name them in one order."""
+        self._followers = followers
+
+    def count_peers(self) -> int:
+        """Return the number of other instances."""
+        return len(self._peers)
 
     async def run(self) -> None:
         """Announce this instance and exchange loads until cancelled."""
@@ -83,11 +94,13 @@
     def datagram_received(self, data: bytes, address: object) -> None:
         """Take the loads that another instance tells."""
         try:
-            reports = decode_loads(data)
+            message = decode_message(data)
         except ValueError:
             self.malformed += 1
             return
-        self._sharing.take(reports, self._clock.monotonic())
+        self._sharing.take(message.reports, self._clock.monotonic())
+        for follower, end in zip(self._followers, message.ends, strict=False):
+            follower.note_peer_end(end)
 
     def error_received(self, error: Exception) -> None:
         """Ignore that a peer is away; its record stays until it is replaced."""
@@ -99,10 +112,11 @@
         )
 
     def _tell(self) -> None:
-        reports = self._sharing.collect(self._clock.monotonic())
-        if not (reports and self._peers and self._transport):
+        if not (self._peers and self._transport):
             return
-        data = encode_loads(reports)
+        reports = self._sharing.collect(self._clock.monotonic())
+        ends = [follower.next_offset or 0 for follower in self._followers]
+        data = encode_message(reports, ends)
         peers = list(self._peers.values())
         for peer in self._generator.sample(peers, min(_FAN_OUT, len(peers))):
             self._transport.sendto(data, peer)
--- a/carobladder/fleet/loads.py
+++ b/carobladder/fleet/loads.py
@@ -1,4 +1,4 @@
-"""Loads of targets that instances tell each other."""
+"""What instances tell each other: loads of targets and how far they have read."""
 
 from collections.abc import Iterable
 
@@ -7,9 +7,15 @@
 from carobladder.fleet.exchanges import TargetLoad
 from carobladder.fleet.targets import TargetTable
 
-__all__ = ["LoadMessage", "LoadReport", "LoadSharing", "decode_loads", "encode_loads"]
+__all__ = [
+    "LoadReport",
+    "LoadSharing",
+    "PeerMessage",
+    "decode_message",
+    "encode_message",
+]
 
-_PROTOCOL_VERSION = 1
+_PROTOCOL_VERSION = 2
 # Older reports are not told on; a load changes within about a second.
 _TELL_SECONDS = 1.5
 _MAX_AGE_SECONDS = 5.0
@@ -26,30 +32,36 @@
     age_seconds: float
 
 
-class LoadMessage(msgspec.Struct, array_like=True, frozen=True):
-    """Carry reports from one instance to another."""
+class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
+    """Carry from one instance to another what it knows.
+
+    ``ends`` are the offsets after the last records that it has read of the followed
+    topics, in their order; 0 if it has read none.
+    """
 
     version: int
     reports: list[LoadReport]
+    ends: list[int]
 
 
-_decoder = msgspec.msgpack.Decoder(LoadMessage)
+_decoder = msgspec.msgpack.Decoder(PeerMessage)
 
 
-def encode_loads(reports: list[LoadReport]) -> bytes:
+def encode_message(reports: list[LoadReport], ends: list[int]) -> bytes:
     """Return the message for other instances."""
-    return msgspec.msgpack.encode(LoadMessage(_PROTOCOL_VERSION, reports))
+    return msgspec.msgpack.encode(PeerMessage(_PROTOCOL_VERSION, reports, ends))
 
 
-def decode_loads(data: bytes) -> list[LoadReport]:
-    """Return the usable reports of a message; raises ValueError for another one."""
+def decode_message(data: bytes) -> PeerMessage:
+    """Return a message with its usable reports; raises ValueError for another one."""
     try:
         message = _decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ValueError(f"not a message about loads: {error}") from None
+        raise ValueError(f"not a message of an instance: {error}") from None
     if message.version != _PROTOCOL_VERSION:
         raise ValueError(f"unknown version {message.version}")
-    return [report for report in message.reports if _is_usable(report)]
+    reports = [report for report in message.reports if _is_usable(report)]
+    return PeerMessage(message.version, reports, message.ends)
 
 
 class LoadSharing:
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -1,10 +1,12 @@
 """Tests of following a topic through faults of the store."""
 
 import asyncio
+import random
 import unittest
 
 from carobladder.clock import VirtualClock
 from carobladder.entry.followers import TopicFollower
+from carobladder.entry.progress import PeerProgress
 from carobladder.platform.store import KeyedTopic
 from tests.platform.fake_store import FakeStore
 
@@ -152,7 +154,7 @@
             clock,
             8.0,
             0.8,
-            0.5,
+            PeerProgress(clock, random.Random(1), 0.5, lambda: 0),
             lambda record: seen.append((record.key, record.value)),
             lambda age: None,
         )
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -9,8 +9,8 @@
     LoadReport,
     LoadSharing,
     TargetLoad,
-    decode_loads,
-    encode_loads,
+    decode_message,
+    encode_message,
 )
 from tests.fleet.builders import fill_table
 
@@ -20,13 +20,14 @@
 
     def test_round_trip(self):
         reports = [LoadReport("i-1", 7, 0.25)]
-        self.assertEqual(decode_loads(encode_loads(reports)), reports)
+        message = decode_message(encode_message(reports, [4, 0]))
+        self.assertEqual((message.reports, message.ends), (reports, [4, 0]))
 
     def test_other_bytes_and_versions(self):
-        other = msgspec.msgpack.encode([2, []])
-        for data in (b"", b"\xff\x00", b"text", other, encode_loads([])[:-1]):
+        other = msgspec.msgpack.encode([1, [], []])
+        for data in (b"", b"\xff\x00", b"text", other, encode_message([], [])[:-1]):
             with self.subTest(data=data), self.assertRaises(ValueError):
-                decode_loads(data)
+                decode_message(data)
 
     def test_unusable_reports_are_dropped(self):
         reports = [
@@ -36,7 +37,7 @@
             LoadReport("i-4", 1, 60.0),
             LoadReport("i-5", 1, 0.1),
         ]
-        kept = decode_loads(encode_loads(reports))
+        kept = decode_message(encode_message(reports, [])).reports
         self.assertEqual([report.target_id for report in kept], ["i-5"])
 
 
@@ -69,11 +70,13 @@
         tables[0][1][0].health.note_load(TargetLoad(12, 0, 64), 0.0)
         for turn in range(1, 6):
             now = turn * 0.3
-            messages = [encode_loads(sharing.collect(now)) for sharing in sharings]
+            messages = [
+                encode_message(sharing.collect(now), []) for sharing in sharings
+            ]
             for message in messages:
                 for peer in generator.sample(sharings, 2):
                     if generator.random() > 0.1:
-                        peer.take(decode_loads(message), now)
+                        peer.take(decode_message(message).reports, now)
         known = [t[0].health.read_stated_load(1.5) for _, t in tables]
         self.assertGreater(sum(load is not None for load in known), 60)
         self.assertEqual({load[0] for load in known if load}, {12})
