Let a heavy request that waited long go first; mend a fault of the simulation

Quick requests of teams within their share go first by class, so in a saturated pool they took each freed slot before four were free.

The work now leaves the list before slots are taken.

--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -108,7 +108,7 @@
         now = self._clock.monotonic()
         wanted = 0
         unit = 0
-        for waiting in self._queue.iterate():
+        for waiting in self._queue.iterate(now):
             if target_id in self._list_asked(waiting, now):
                 unit = unit or waiting.weight
                 wanted += waiting.weight
@@ -120,7 +120,7 @@
             return
         now = self._clock.monotonic()
         reserved: set[str] = set()
-        waitings = self._queue.iterate()
+        waitings = self._queue.iterate(now)
         while self._book.has_free(now, reserved):
             waiting = next(waitings, None)
             if waiting is None:
@@ -332,7 +332,7 @@
     def _ask_owners(self) -> None:
         now = self._clock.monotonic()
         asked: dict[str, None] = {}
-        for waiting in islice(self._queue.iterate(), MAX_ASKING):
+        for waiting in islice(self._queue.iterate(now), MAX_ASKING):
             if waiting.is_ask_due(now):
                 asked.update(dict.fromkeys(self._list_asked(waiting, now)))
         if asked:
--- a/carobladder/limits/queues.py
+++ b/carobladder/limits/queues.py
@@ -11,6 +11,8 @@
 __all__ = ["FairQueue", "Waiting"]
 
 RATE_WINDOW_SECONDS = 10.0
+# A request of a team within its share that waited longer goes first.
+AGED_SECONDS = 0.5
 # Doubled with each ask of the same request; owners answer later without being asked.
 FIRST_ASK_PAUSE_SECONDS = 0.02
 _order = itertools.count()
@@ -80,9 +82,11 @@
         self._size -= 1
         self._add_weight(waiting, -waiting.weight)
 
-    def iterate(self) -> Iterator[Waiting]:
+    def iterate(self, now: float) -> Iterator[Waiting]:
         """Yield requests in the order of service.
 
+        A heavy request that has waited long goes first, else lighter requests of
+        higher classes take each slot before enough of a target are free for it.
         Teams within their share of the pool go before teams above it, since a
         surge in a high class would otherwise starve other teams' lower classes.
         Then follow class priority, the smallest in-flight weight over team weight
@@ -90,6 +94,10 @@
         it as started before asking for the next.
         """
         seen: set[Waiting] = set()
+        aged = self._find_aged(now)
+        if aged is not None:
+            seen.add(aged)
+            yield aged
         for above in (False, True):
             for request_class in sorted(self._lanes, key=CLASS_PRIORITY.__getitem__):
                 for waiting in self._iterate_class(request_class, above):
@@ -97,6 +105,17 @@
                         seen.add(waiting)
                         yield waiting
 
+    def _find_aged(self, now: float) -> Waiting | None:
+        """Return the oldest request of a team within its share if it waited long."""
+        heads = [
+            queue[0]
+            for lane in self._lanes.values()
+            for queue in lane.values()
+            if now - queue[0].queued >= AGED_SECONDS
+            and not self.is_above_share(queue[0].request)
+        ]
+        return min(heads, key=lambda waiting: waiting.order, default=None)
+
     def _iterate_class(
         self, request_class: RequestClass, above: bool
     ) -> Iterator[Waiting]:
--- a/tests/peers/simulation.py
+++ b/tests/peers/simulation.py
@@ -136,11 +136,17 @@
     def start_waiting(self) -> None:
         """Start waiting work that has slots; the write may come after a pause."""
         for work in list(self.waiting):
+            if work not in self.waiting:
+                continue
+            # A fault that strikes as the slots are taken may start waiting work too.
+            place = self.waiting.index(work)
+            del self.waiting[place]
             permit = self.coordinator.book.try_acquire(
                 work.target_id, work.weight, self.clock()
             )
-            if permit is not None:
-                self.waiting.remove(work)
+            if permit is None:
+                self.waiting.insert(place, work)
+            else:
                 work.permit = permit
                 if self.fleet.random.random() < self.fleet.write_pause_share:
                     pause = self.fleet.random.uniform(*self.fleet.write_pause_range)
