Serve the only version of a service whatever a move says; name things plainly

An instance that starts after a move has ended knows the order before the step. With all registered targets of the ordered version it refused 92 of 100 requests until it had read the step, and longer if the store was away.

Renamed: the latency baseline, the tail bound, the wait of a read that is behind.

--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -146,7 +146,7 @@
             confirming.cancel()
 
     async def _confirm(self, first: int, progress: PeerProgress) -> KeyedPage:
-        await progress.wait_for_doubt(first)
+        await progress.wait_until_behind(first)
         return await self._reader.read_records(first, 0.0)
 
     def _apply_newest(self, records: Iterable[KeyedRecord]) -> None:
--- a/carobladder/entry/progress.py
+++ b/carobladder/entry/progress.py
@@ -46,17 +46,19 @@
         """Forget what was told, because the topic may have lost its history."""
         self._end = 0
 
-    async def wait_for_doubt(self, next_offset: int) -> None:
+    async def wait_until_behind(self, next_offset: int) -> None:
         """Return once a record from this offset on was probably missed."""
         began = self._clock.monotonic()
-        if not await self._hear_of(next_offset, self._confirm_seconds):
+        if not await self._wait_for_end_after(next_offset, self._confirm_seconds):
             heard = self._heard_at > began
-            if not heard or self._draw():
+            if not heard or self._is_drawn():
                 return
-            await self._hear_of(next_offset, None)
+            await self._wait_for_end_after(next_offset, None)
         await self._clock.sleep(_CATCH_UP_SECONDS)
 
-    async def _hear_of(self, next_offset: int, seconds: float | None) -> bool:
+    async def _wait_for_end_after(
+        self, next_offset: int, seconds: float | None
+    ) -> bool:
         """Wait until a later end was told; tell whether that was within the time."""
         if seconds is None:
             await self._listen(next_offset)
@@ -75,6 +77,6 @@
             self._told.clear()
             await self._told.wait()
 
-    def _draw(self) -> bool:
+    def _is_drawn(self) -> bool:
         share = _CONFIRMING_INSTANCES / (self._count_peers() + 1)
         return self._generator.random() < share
--- a/carobladder/fleet/evidence.py
+++ b/carobladder/fleet/evidence.py
@@ -6,7 +6,7 @@
 
 from carobladder.moves.evidence import Counts, EvidenceBook, FaultKind
 
-__all__ = ["ANY_ROUTE", "NEW_ARM", "OLD_ARM", "AnswerYardstick", "VersionComparison"]
+__all__ = ["ANY_ROUTE", "NEW_ARM", "OLD_ARM", "LatencyBaseline", "VersionComparison"]
 
 NEW_ARM = "new"
 OLD_ARM = "old"
@@ -33,7 +33,7 @@
 _KINDS = (FaultKind.ERROR, FaultKind.SLOW_FIRST)
 
 
-class AnswerYardstick:
+class LatencyBaseline:
     """Tell slow answers from usual ones, by the other versions' times on a route."""
 
     def __init__(self) -> None:
@@ -95,7 +95,7 @@
         for kind in _KINDS:
             expected = max(_share_of(old, kind), _share_of(arms.old, kind))
             expected = min(expected * _TOLERATED_RATIO, 1.0)
-            score = _surprise(new.faults(kind), new.requests, expected)
+            score = _tail_exponent(new.faults(kind), new.requests, expected)
             if not self.reason and score >= _THRESHOLD:
                 self.reason = (
                     f"{new.faults(kind)} of {new.requests} answers on {route} are "
@@ -122,7 +122,7 @@
     return max(_LEAST_FAULT_SHARE, counts.faults(kind) / counts.requests)
 
 
-def _surprise(faults: int, requests: int, expected: float) -> float:
+def _tail_exponent(faults: int, requests: int, expected: float) -> float:
     """Return how unlikely the faults are: minus the logarithm of a tail bound."""
     if faults < _LEAST_FAULTS or expected >= 1.0:
         return 0.0
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -88,7 +88,10 @@
             if target.target_id not in wanted.excluded
             and self._bears_one(target, wanted.service, now)
         ]
-        versioned = self._moves.choose_version(wanted.service.name, open_targets)
+        service = wanted.service.name
+        versioned = self._moves.choose_version(
+            service, open_targets, self._table.list_registered(service)
+        )
         sound = [t for t in versioned if self._is_trusted(t, wanted, now)]
         return sound or versioned
 
--- a/carobladder/fleet/tallies.py
+++ b/carobladder/fleet/tallies.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from carobladder.fleet.evidence import NEW_ARM, OLD_ARM, AnswerYardstick
+from carobladder.fleet.evidence import NEW_ARM, OLD_ARM, LatencyBaseline
 from carobladder.fleet.targets import FleetTarget, TargetTable
 from carobladder.fleet.versions import VersionMove, VersionMoves
 from carobladder.moves.evidence import Counts, EvidenceKey, EvidenceReport
@@ -88,7 +88,7 @@
         self._table = table
         self._incarnation = incarnation
         self._sequence = 0
-        self._yardstick = AnswerYardstick()
+        self._baseline = LatencyBaseline()
         self._counts: dict[EvidenceKey, Counts] = {}
 
     def note_answer(
@@ -107,7 +107,7 @@
         is_new = target.entry.version == move.order.version
         slow = not failed and self._judge(target, route, first_byte_seconds, now)
         if not (failed or is_new):
-            self._yardstick.note_usual(route.name, first_byte_seconds)
+            self._baseline.note_usual(route.name, first_byte_seconds)
         arm = NEW_ARM if is_new else OLD_ARM
         key = EvidenceKey(move.move_id, arm, route.name, _CLASSES[route.kind])
         seen = Counts(requests=1, errors=int(failed), slow_first=int(slow))
@@ -118,7 +118,7 @@
     ) -> bool:
         if target.is_cold(now) or now - target.seen_at < _WARMUP_SECONDS:
             return False
-        return self._yardstick.is_slow(route.name, seconds)
+        return self._baseline.is_slow(route.name, seconds)
 
     def collect(self) -> InstanceEvidence:
         """Return what was counted in the moves under way; ended ones are dropped."""
--- a/carobladder/fleet/versions.py
+++ b/carobladder/fleet/versions.py
@@ -230,9 +230,15 @@
         )
 
     def choose_version(
-        self, service: str, targets: list[FleetTarget]
+        self,
+        service: str,
+        targets: list[FleetTarget],
+        registered: list[FleetTarget],
     ) -> list[FleetTarget]:
-        """Return those of the usable targets that a request may go to now."""
+        """Return those of the usable targets that a request may go to now.
+
+        ``registered`` are all targets of the service, also those not usable now.
+        """
         move = self._moves.get(service)
         if move is None:
             return targets
@@ -242,6 +248,8 @@
             return new or old
         if move.fault or (move.step is not None and move.step.final):
             return old
+        if all(t.entry.version == move.order.version for t in registered):
+            return new
         return self._divide(move, old, new)
 
     def _divide(
--- a/tests/entry/test_progress.py
+++ b/tests/entry/test_progress.py
@@ -1,4 +1,4 @@
-"""Tests of when a waiting read is doubted."""
+"""Tests of when a waiting read is taken to have missed a record."""
 
 import asyncio
 import random
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -122,7 +122,7 @@
     def _send(self, instance: Instance) -> None:
         now = self.clock.monotonic()
         usable = instance.table.list_open("engine")
-        chosen = instance.moves.choose_version("engine", usable)
+        chosen = instance.moves.choose_version("engine", usable, usable)
         if not chosen:
             return
         target = self._generator.choice(chosen)
@@ -258,7 +258,7 @@
         await fleet.run(10.0)
         self.check_statuses(fleet, "rolled_back")
 
-    async def test_two_drivers_at_once_write_one_story(self):
+    async def test_two_drivers_at_once_do_not_contradict_each_other(self):
         fleet = self.start()
         for instance in fleet.instances:
             instance.ledger.assign(frozenset({0}))
@@ -286,7 +286,7 @@
         await fleet.run(2.0)
         self.assertEqual(late.moves.active, [])
         usable = late.table.list_open("engine")
-        chosen = late.moves.choose_version("engine", usable)
+        chosen = late.moves.choose_version("engine", usable, usable)
         self.assertEqual({t.entry.version for t in chosen}, {"v2"})
 
     async def test_withdrawn_order_is_visibly_taken_back(self):
--- a/tests/fleet/test_evidence.py
+++ b/tests/fleet/test_evidence.py
@@ -7,7 +7,7 @@
     ANY_ROUTE,
     NEW_ARM,
     OLD_ARM,
-    AnswerYardstick,
+    LatencyBaseline,
     VersionComparison,
 )
 from carobladder.moves.evidence import (
@@ -125,16 +125,16 @@
         self.assertEqual(traffic.comparison.reason, reason)
 
 
-class AnswerYardstickTest(unittest.TestCase):
+class LatencyBaselineTest(unittest.TestCase):
     """Guard against prompts without kept context that are taken for slow answers."""
 
     def test_spread_of_the_usual_times_is_not_slow(self):
-        yardstick = AnswerYardstick()
+        baseline = LatencyBaseline()
         generator = random.Random(4)
         for _ in range(500):
-            yardstick.note_usual("a", generator.choice([0.1, 0.1, 0.1, 0.4]))
-        self.assertFalse(yardstick.is_slow("a", 0.6))
-        self.assertTrue(yardstick.is_slow("a", 1.2))
+            baseline.note_usual("a", generator.choice([0.1, 0.1, 0.1, 0.4]))
+        self.assertFalse(baseline.is_slow("a", 0.6))
+        self.assertTrue(baseline.is_slow("a", 1.2))
 
     def test_unknown_route_is_not_judged(self):
-        self.assertFalse(AnswerYardstick().is_slow("a", 9.0))
+        self.assertFalse(LatencyBaseline().is_slow("a", 9.0))
--- a/tests/fleet/test_versions.py
+++ b/tests/fleet/test_versions.py
@@ -97,6 +97,7 @@
     def setUp(self):
         _, self.old = fill_table(6)
         _, self.new = fill_table(3, version="v2")
+        self.registered = self.old + self.new
         self.moves = VersionMoves(EXPOSURE)
 
     def send(self, count: int, targets=None) -> Counter:
@@ -104,7 +105,7 @@
         usable = self.old + self.new if targets is None else targets
         sent = Counter()
         for _ in range(count):
-            chosen = self.moves.choose_version("engine", usable)
+            chosen = self.moves.choose_version("engine", usable, self.registered)
             if not chosen:
                 sent[None] += 1
                 continue
@@ -120,7 +121,8 @@
 
     def test_without_an_order_all_versions_are_used(self):
         usable = self.old + self.new
-        self.assertEqual(self.moves.choose_version("engine", usable), usable)
+        chosen = self.moves.choose_version("engine", usable, usable)
+        self.assertEqual(chosen, usable)
 
     def test_new_version_gets_nothing_before_the_first_step(self):
         self.moves.take_order(ORDER, 0.0)
@@ -148,6 +150,12 @@
         total = 600
         self.assertLessEqual(sent["v2"] + 16, total * EXPOSURE)
 
+    def test_order_for_the_only_version_refuses_nothing(self):
+        """An instance that has just started may not know yet that a move ended."""
+        self.registered = self.new
+        self.moves.take_order(ORDER, 0.0)
+        self.assertEqual(self.send(100, self.new), {"v2": 100})
+
     def test_faulty_version_gets_nothing_even_without_others(self):
         self.moves.take_order(ORDER, 0.0)
         self.take(0.2)
