--- a/carobladder/entry/knowledge.py
+++ b/carobladder/entry/knowledge.py
@@ -14,7 +14,7 @@
     TargetEntry,
     TargetTable,
 )
-from carobladder.routing import CallerLimits, RouteTable
+from carobladder.routing import CallerLimits, Configuration, RouteTable
 from carobladder.telemetry import (
     ConfigurationIgnored,
     ConfigurationInForce,
@@ -68,6 +68,8 @@
             emit(ConfigurationIgnored(configuration.version, before.version))
             return
         self.table = RouteTable(configuration)
+        keys_before = _list_keys(before) if before else frozenset()
+        keys = _list_keys(configuration)
         emit(
             ConfigurationInForce(
                 version=configuration.version,
@@ -75,6 +77,8 @@
                 routes=len(configuration.routes),
                 services=len(configuration.services),
                 teams=len(configuration.teams),
+                keys_added=len(keys - keys_before),
+                keys_revoked=len(keys_before - keys),
             )
         )
         if self.on_limits is not None:
@@ -124,6 +128,10 @@
             emit(TargetGone(target_id, "its entry did not come back after an outage"))
 
 
+def _list_keys(configuration: Configuration) -> frozenset[str]:
+    return frozenset(key for team in configuration.teams for key in team.keys)
+
+
 def _describe_entry(before: TargetEntry | None, entry: TargetEntry) -> Event:
     if before is None:
         return TargetSeen(
--- a/carobladder/entry/status.py
+++ b/carobladder/entry/status.py
@@ -51,6 +51,23 @@
         "Age of the newest proof that all entries of targets are known",
         lambda: parts.entries.freshness.age(clock.boottime()),
     )
+    add(
+        "target_loads_age_seconds",
+        "Age of the oldest load that is used for the choice of targets",
+        lambda: _find_oldest_load(parts, clock.monotonic()),
+    )
+    add(
+        "retries_left",
+        "Repeats left in the service that has the fewest",
+        parts.budgets.count_left,
+    )
     add("targets", "Registered targets", lambda: len(parts.targets))
     add("fleet_share", "Held part of sums", lambda: parts.ledger.share)
     add("ready", "Whether callers may be sent here", lambda: float(is_ready()))
+
+
+def _find_oldest_load(parts: EntryParts, now: float) -> float:
+    health = [target.health for target in parts.targets.list_all()]
+    used = [item for item in health if item.estimate_load(now) is not None]
+    stated = [item.read_stated_load(now) for item in used]
+    return max((age for _, age in filter(None, stated)), default=0.0)
--- a/carobladder/fleet/budgets.py
+++ b/carobladder/fleet/budgets.py
@@ -43,6 +43,11 @@
             self._budgets[service] = budget
         return budget
 
+    def count_left(self) -> float:
+        """Return the repeats left in the service that has the fewest."""
+        slack = self._slack * self._ledger.share
+        return min((budget.left for budget in self._budgets.values()), default=slack)
+
     def resize(self) -> None:
         """Follow a change of the share."""
         for budget in self._budgets.values():
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -129,7 +129,7 @@
         """Note that the caller received a part of the answer."""
         self._relayed_from = target
 
-    def note_event(self, seconds: float) -> None:
+    def note_event(self) -> None:
         """Note that an event of the relayed stream arrived."""
         if self._relayed_from is not None:
             now = self._forwarder.clock.monotonic()
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -233,6 +233,17 @@
             Answer(answer.status, _keep_answer_fields(answer.headers), body)
         )
 
+    def _observe_gaps(
+        self, call: ForwardedCall, session: CallSession
+    ) -> Callable[[float], None]:
+        observe = self._metrics.pause_observer(call.route.name, call.team)
+
+        def note_event(seconds: float) -> None:
+            session.note_event()
+            observe(seconds)
+
+        return note_event
+
     async def _relay(
         self,
         call: ForwardedCall,
@@ -249,8 +260,10 @@
         observer = StreamObserver(
             monotonic=self._clock.monotonic,
             received=request.received,
-            observe_first=self._metrics.first_event_observer(call.route.name),
-            observe_gap=session.note_event,
+            observe_first=self._metrics.first_event_observer(
+                call.route.name, call.team
+            ),
+            observe_gap=self._observe_gaps(call, session),
         )
         relay: StreamRelay[FleetTarget] = StreamRelay(
             session,
--- a/carobladder/retries/budgets.py
+++ b/carobladder/retries/budgets.py
@@ -31,6 +31,11 @@
         self._tokens = burst
         self._updated = now
 
+    @property
+    def left(self) -> float:
+        """Return the retries that may come at once now."""
+        return self._tokens
+
     def set_burst(self, burst: float) -> None:
         """Change the number of retries that may come at once."""
         self._burst = burst
--- a/carobladder/telemetry/events/orders.py
+++ b/carobladder/telemetry/events/orders.py
@@ -29,6 +29,8 @@
     routes: int
     services: int
     teams: int
+    keys_added: int
+    keys_revoked: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -40,6 +40,11 @@
         self._route_seconds = self._histogram("request_seconds", "route")
         self._team_seconds = self._histogram("team_request_seconds", "team")
         self._first_event_seconds = self._histogram("first_event_seconds", "route")
+        self._team_first_event_seconds = self._histogram(
+            "team_first_event_seconds", "team"
+        )
+        self._pause_seconds = self._histogram("event_pause_seconds", "route")
+        self._team_pause_seconds = self._histogram("team_event_pause_seconds", "team")
         self._refusals = self._counter("refusals", "reason")
         self._attempts = self._counter("failed_attempts", "decision")
         self._broken_streams = self._counter("broken_streams", "reason")
@@ -58,9 +63,29 @@
         self._route_seconds.labels(self._routes.choose(route)).observe(seconds)
         self._team_seconds.labels(self._teams.choose(team)).observe(seconds)
 
-    def first_event_observer(self, route: str) -> Callable[[float], None]:
+    def first_event_observer(self, route: str, team: str) -> Callable[[float], None]:
         """Return the function that records the seconds to a stream's first event."""
-        return self._first_event_seconds.labels(self._routes.choose(route)).observe
+        return self._observer(
+            self._first_event_seconds, self._team_first_event_seconds, route, team
+        )
+
+    def pause_observer(self, route: str, team: str) -> Callable[[float], None]:
+        """Return the function that records the seconds between a stream's events."""
+        return self._observer(
+            self._pause_seconds, self._team_pause_seconds, route, team
+        )
+
+    def _observer(
+        self, by_route: Histogram, by_team: Histogram, route: str, team: str
+    ) -> Callable[[float], None]:
+        of_route = by_route.labels(self._routes.choose(route))
+        of_team = by_team.labels(self._teams.choose(team))
+
+        def observe(seconds: float) -> None:
+            of_route.observe(seconds)
+            of_team.observe(seconds)
+
+        return observe
 
     def count_refusal(self, reason: str) -> None:
         """Count a request that ended in an answer of the instance itself."""
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -191,3 +191,25 @@
         self.assertEqual(await self.call(), 200)
         async with asyncio.timeout(8.0):
             await self.task
+
+    async def test_metrics_tell_ages_budgets_and_shares(self):
+        await self.wait_until_listening()
+        self.configure(1)
+        self.register()
+        await self.wait_for(200)
+        port = self.entry._status_servers[1][0].port
+        found = await self.client.fetch(
+            "GET", f"127.0.0.1:{port}", "/metrics", timeout_seconds=3.0
+        )
+        text = found.body.decode()
+        for name in (
+            "configuration_version 1.0",
+            "operator_records_age_seconds",
+            "target_entries_age_seconds",
+            "target_loads_age_seconds",
+            "retries_left",
+            "fleet_share",
+            "request_seconds_count",
+        ):
+            with self.subTest(name=name):
+                self.assertIn(f"carobladder_{name}", text)
