--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -39,6 +39,26 @@
         self.assertEqual([r.offset for r in page.records], [0, 1])
         self.assertEqual(page.next_offset, 2)
 
+    async def test_write_under_a_condition_is_done_whole_or_not_at_all(self):
+        topic = KeyedTopic(self.store.client, "keyed.status")
+        first = [("step/x", b"1"), ("rollout/x", b"2")]
+        self.assertTrue(await topic.write_at(0, first))
+        self.assertFalse(await topic.write_at(0, [("step/x", b"3")]))
+        self.assertTrue(await topic.write_at(2, [("step/x", b"4")]))
+        page = await topic.read_newest()
+        self.assertEqual(
+            [(record.key, record.value) for record in page.records],
+            [("rollout/x", b"2"), ("step/x", b"4")],
+        )
+
+    async def test_write_whose_answer_was_lost_may_have_been_done(self):
+        topic = KeyedTopic(self.store.client, "keyed.status")
+        self.store.lose_answers = 1
+        with self.assertRaises(LogUnavailableError) as caught:
+            await topic.write_at(0, [("step/x", b"1")])
+        self.assertTrue(caught.exception.may_have_taken_effect)
+        self.assertEqual((await topic.read_newest()).next_offset, 1)
+
     async def test_malformed_record_is_passed_over_but_counted(self):
         part = self.store.state._find(TOPIC, 0)
         part.records += [b"", b"\x09ab"]
