Read a caller's connection on after 64 KB of requests

Cause: bytes that arrive ahead of parsing pause the connection beyond 64 KB. Their count was reset only when the parser asked for more bytes. A request that arrives in one piece never asks, so the count grew over all requests of a connection, reading was paused and the next request on it was never read; its caller waited until its deadline and no line was logged.

Change: the count is reset, and reading resumed, whenever the connection waits for bytes. The test sends ten requests of 20 KB on one connection and hung on the fourth before.

--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -293,14 +293,15 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._unread_bytes = 0
-            if self._reading_paused:
-                self._reading_paused = False
-                assert self._transport is not None
-                self._transport.resume_reading()
             await self._wait_for_bytes()
 
     async def _wait_for_bytes(self) -> None:
+        """Wait for more bytes; all that have arrived are parsed by now."""
+        self._unread_bytes = 0
+        if self._reading_paused:
+            self._reading_paused = False
+            assert self._transport is not None
+            self._transport.resume_reading()
         self._reader = self._loop.create_future()
         try:
             await self._reader
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -4,7 +4,7 @@
 import re
 import unittest
 
-from carobladder.gateway import GatewayServer
+from carobladder.gateway.server import GatewayServer
 from tests.gateway.engines import Engine, whole_stream
 from tests.gateway.fakes import LONG_SECONDS, Gateway, read_error
 from tests.gateway.test_bad_input import exchange
@@ -33,6 +33,26 @@
         ids = [line for line in raw.split(b"\r\n") if line.startswith(b"X-Request-Id")]
         self.assertEqual(len(set(ids)), 3)
 
+    async def test_connection_is_read_on_however_much_it_carried(self):
+        """Guard against a connection that falls silent after 64 KB of requests.
+
+        A request that arrives in one piece is parsed without waiting for bytes, so
+        the count of unread bytes must not grow from one request to the next.
+        """
+        host, _, port = self.gateway.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = b"b" * 20_000
+        request = b"PUT /admin/v1/x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        try:
+            for _ in range(10):
+                writer.write(request % len(body) + body)
+                async with asyncio.timeout(LONG_SECONDS):
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    self.assertIn(b" 201 ", head)
+                    await reader.readexactly(len(body))
+        finally:
+            writer.close()
+
     async def test_head_has_headers_and_no_body(self):
         raw = await exchange(
             self.gateway, b"HEAD /healthz HTTP/1.1\r\nHost: x\r\n" + CLOSE + b"\r\n"
