Load only what a program runs

Cause: the subpackages that both programs use re-exported all of their modules, so the entry program loaded the command line library, its renderer, pydantic and the handlers and move drivers of serve at each start.

--- a/benchmarks/move_datacentres.py
+++ b/benchmarks/move_datacentres.py
@@ -7,14 +7,13 @@
 from benchmarks.placement import Policy
 from benchmarks.placement_fleet import Arrival, Fleet
 from benchmarks.placement_workload import Chat, Deployment, generate_chats
-from carobladder.moves import (
+from carobladder.moves.datacentres import (
     ChatRule,
     DataCentreMoveSpec,
     DataCentreMoveState,
     DataCentrePhase,
     DataCentreSituation,
     MaintenanceWindow,
-    MoveRecord,
     PoolCapacity,
     apply_data_centre_record,
     decide_data_centre_step,
@@ -22,7 +21,8 @@
     plan_leave,
     rule_for_chat,
 )
-from carobladder.placement import Placement, PlacementTuning
+from carobladder.moves.records import MoveRecord
+from carobladder.placement.policy import Placement, PlacementTuning
 
 __all__ = ["DataCentreResult", "measure_data_centre_move"]
 
--- a/benchmarks/move_operators.py
+++ b/benchmarks/move_operators.py
@@ -6,13 +6,9 @@
 
 from returns.pipeline import is_successful
 
-from carobladder.moves import (
-    Driver,
-    LeaseRecord,
-    LeaseView,
-    MoveRecord,
-    Order,
-    OrderTarget,
+from carobladder.moves.drivers import Driver, LeaseRecord, LeaseView, Order, OrderTarget
+from carobladder.moves.records import MoveRecord
+from carobladder.moves.versions import (
     VersionMoveSpec,
     VersionMoveState,
     VersionPhase,
--- a/benchmarks/move_versions.py
+++ b/benchmarks/move_versions.py
@@ -8,29 +8,31 @@
 from datetime import UTC, datetime, timedelta
 from random import Random
 
-from carobladder.moves import (
+from carobladder.moves.evidence import (
     ComparisonPlan,
     Counts,
     EvidenceBook,
     EvidenceKey,
     EvidenceReport,
     LatencyBounds,
-    MoveRecord,
     Observation,
     SequentialTest,
     Verdict,
+    count_observation,
+    sum_requests,
+)
+from carobladder.moves.records import MoveRecord
+from carobladder.moves.versions import (
     VersionMoveSpec,
     VersionMoveState,
     VersionPhase,
     VersionSituation,
     apply_version_record,
-    count_observation,
     decide_version_step,
     effective_share,
     next_version_record,
-    sum_requests,
 )
-from carobladder.placement import key_fraction
+from carobladder.placement.keys import key_fraction
 from carobladder.targets import RequestClass
 
 __all__ = ["KINDS", "VersionResult", "VersionRun"]
--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -12,7 +12,8 @@
 from benchmarks.move_operators import OperatorResult, OperatorRun
 from benchmarks.move_versions import KINDS, VersionResult, VersionRun
 from benchmarks.placement_workload import DEPLOYMENTS
-from carobladder.moves import DataCentrePhase, VersionPhase
+from carobladder.moves.datacentres import DataCentrePhase
+from carobladder.moves.versions import VersionPhase
 
 PARTS = ["operators", "data-centres", "versions"]
 # Whether callers return tokens, and whether the return is controlled or at once.
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -12,13 +12,13 @@
 from benchmarks.engine_models import PREFILL_TOKENS_PER_SECOND
 from benchmarks.placement_fleet import Arrival, Fleet, Outcome, Strategy
 from benchmarks.placement_workload import DEPLOYMENTS, Deployment, generate_chats
-from carobladder.placement import (
+from carobladder.placement.policy import (
     Placement,
     PlacementPolicy,
     PlacementRequest,
     PlacementTuning,
-    rank_members,
 )
+from carobladder.placement.rendezvous import rank_members
 from carobladder.targets import RequestClass, TargetState
 
 ORACLE_WAIT_FACTOR = 1.0
--- a/benchmarks/placement_fleet.py
+++ b/benchmarks/placement_fleet.py
@@ -9,7 +9,8 @@
 
 from benchmarks.engine_models import Engine, PrefixCache, Prompt
 from benchmarks.placement_workload import Chat, Deployment
-from carobladder.placement import ChatToken, Placement
+from carobladder.placement.policy import Placement
+from carobladder.placement.tokens import ChatToken
 from carobladder.targets import (
     CLASS_PRIORITY,
     CLASS_WEIGHT,
--- a/benchmarks/slopes_state.py
+++ b/benchmarks/slopes_state.py
@@ -27,7 +27,8 @@
     EvidenceReport,
 )
 from carobladder.peers import EvidenceItem
-from carobladder.placement import PlacementPolicy, TokenSigner
+from carobladder.placement.policy import PlacementPolicy
+from carobladder.placement.tokens import TokenSigner
 from carobladder.resources import Catalog, ConfiguredDirectory
 from carobladder.resources.records import Change
 from carobladder.resources.records import decode_record as decode_config
--- a/carobladder/cli.py
+++ b/carobladder/cli.py
@@ -27,13 +27,9 @@
 from carobladder.exceptions import SettingsError
 from carobladder.explain.command import ExplainCommand
 from carobladder.replay.command import ReplayCommand
-from carobladder.settings import (
-    InstanceSettings,
-    SettingsArguments,
-    build_settings_arguments,
-    describe_settings,
-    load_settings,
-)
+from carobladder.settings.check import describe_settings, load_settings
+from carobladder.settings.command import SettingsArguments, build_settings_arguments
+from carobladder.settings.definition import InstanceSettings
 from carobladder.settings.entry import describe_entry_settings
 
 __all__ = ["Carobladder", "main"]
--- a/carobladder/instance/assembly.py
+++ b/carobladder/instance/assembly.py
@@ -12,15 +12,11 @@
 from carobladder.clients.instances import InstanceListClient
 from carobladder.clients.log import Log
 from carobladder.clock import Clock
-from carobladder.gateway import (
-    ChatHandler,
-    ChatOptions,
-    RelayTimes,
-    RequestLimits,
-    ServiceHandler,
-    ServiceOptions,
-    TargetCaller,
-)
+from carobladder.gateway.attempts import TargetCaller
+from carobladder.gateway.chats import ChatHandler, ChatOptions
+from carobladder.gateway.relay import RelayTimes
+from carobladder.gateway.requests import RequestLimits
+from carobladder.gateway.services import ServiceHandler, ServiceOptions
 from carobladder.instance.callbacks import PeerCallbacks
 from carobladder.instance.directory import LiveDirectory
 from carobladder.instance.evidence import EvidenceCollector
@@ -38,7 +34,8 @@
     PeerTransport,
     Timing,
 )
-from carobladder.placement import PlacementPolicy, TokenSigner
+from carobladder.placement.policy import PlacementPolicy
+from carobladder.placement.tokens import TokenSigner
 from carobladder.platform.store import PlatformStore, StoreLog
 from carobladder.resources import (
     Catalog,
@@ -48,7 +45,7 @@
     WatchHistory,
 )
 from carobladder.retries import RetryBudget
-from carobladder.settings import InstanceSettings
+from carobladder.settings.definition import InstanceSettings
 from carobladder.telemetry import GatewayMetrics
 
 __all__ = ["Configuration", "DataPath", "Fleet", "Moves", "build_configuration"]
--- a/carobladder/instance/evidence.py
+++ b/carobladder/instance/evidence.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from carobladder.gateway.ports import TargetOutcome
-from carobladder.moves import (
+from carobladder.moves.evidence import (
     ComparisonPlan,
     Counts,
     EvidenceBook,
--- a/carobladder/instance/movecapacity.py
+++ b/carobladder/instance/movecapacity.py
@@ -4,7 +4,8 @@
 
 from carobladder.clock import Clock
 from carobladder.instance.movetargets import TargetSurvey
-from carobladder.moves import PoolCapacity, TargetView, plan_leave
+from carobladder.moves.datacentres import PoolCapacity, plan_leave
+from carobladder.moves.switches import TargetView
 from carobladder.resources import Catalog, DataCentreSpec, TargetSpec
 from carobladder.resources.directory import is_out_of_service
 
--- a/carobladder/instance/movedriver.py
+++ b/carobladder/instance/movedriver.py
@@ -15,21 +15,20 @@
 from carobladder.instance.movewatch import DeclaredMove, MoveWatch, list_moves
 from carobladder.instance.windows import WindowMove, plan_window_moves
 from carobladder.membership import find_owner
-from carobladder.moves import (
+from carobladder.moves.datacentres import (
     DataCentreMoveState,
     DataCentreSituation,
-    Driver,
-    DriverStatus,
-    OrderTarget,
+    decide_data_centre_step,
+)
+from carobladder.moves.drivers import Driver, DriverStatus, OrderTarget
+from carobladder.moves.switches import (
     Switch,
     SwitchAction,
     TargetView,
-    VersionMoveState,
-    decide_data_centre_step,
-    decide_version_step,
     describe_arms,
     plan_switches,
 )
+from carobladder.moves.versions import VersionMoveState, decide_version_step
 from carobladder.resources import (
     ABSENT,
     Catalog,
--- a/carobladder/instance/movetargets.py
+++ b/carobladder/instance/movetargets.py
@@ -8,7 +8,7 @@
 from returns.result import Success
 
 from carobladder.clients.engines import EngineClient, LoadReport
-from carobladder.moves import TargetView
+from carobladder.moves.switches import TargetView
 from carobladder.resources import Catalog, Resource, TargetSpec
 
 __all__ = ["DRIVER_PREFIX", "TargetSurvey"]
--- a/carobladder/instance/movewatch.py
+++ b/carobladder/instance/movewatch.py
@@ -10,16 +10,10 @@
     Comparison,
     EvidenceCollector,
 )
-from carobladder.moves import (
-    DataCentreMoveState,
-    DataCentrePhase,
-    Intent,
-    MoveError,
-    Verdict,
-    VersionMoveState,
-    effective_share,
-    version_shares,
-)
+from carobladder.moves.datacentres import DataCentreMoveState, DataCentrePhase
+from carobladder.moves.evidence import Verdict
+from carobladder.moves.records import Intent, MoveError
+from carobladder.moves.versions import VersionMoveState, effective_share, version_shares
 from carobladder.peers import EvidenceItem
 from carobladder.resources import (
     Catalog,
--- a/carobladder/instance/placement.py
+++ b/carobladder/instance/placement.py
@@ -6,18 +6,16 @@
 
 from carobladder.clock import Clock
 from carobladder.gateway.ports import ChatRequest, ChatTurn, Ranking
-from carobladder.moves import ChatRule, DataCentreMoveState, rule_for_chat
-from carobladder.placement import (
+from carobladder.moves.datacentres import ChatRule, DataCentreMoveState, rule_for_chat
+from carobladder.placement.keys import (
     ChatMessage,
-    ChatToken,
-    PlacementPolicy,
-    PlacementRequest,
-    TokenSigner,
     choose_version,
     derive_chat_key,
     derive_prefix_key,
 )
-from carobladder.placement import Placement as Placed
+from carobladder.placement.policy import Placement as Placed
+from carobladder.placement.policy import PlacementPolicy, PlacementRequest
+from carobladder.placement.tokens import ChatToken, TokenSigner
 from carobladder.targets import TargetState
 
 __all__ = ["FleetPlacement"]
--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -9,7 +9,8 @@
 from carobladder.clients.http import HttpClient
 from carobladder.clients.instances import InstanceList, ListWatcher
 from carobladder.clock import Clock, SystemClock, run_with_timeout
-from carobladder.gateway import GatewayServer, Router
+from carobladder.gateway.router import Router
+from carobladder.gateway.server import GatewayServer
 from carobladder.instance.administration import AdminHandler
 from carobladder.instance.assembly import (
     build_configuration,
@@ -23,7 +24,7 @@
 from carobladder.instance.declarations import declare_targets
 from carobladder.peers import PeerMessage, SnapshotRequest
 from carobladder.resources import ABSENT
-from carobladder.settings import InstanceSettings
+from carobladder.settings.definition import InstanceSettings
 from carobladder.telemetry import GatewayMetrics, configure_logging, log_event
 
 __all__ = ["Instance", "run_instance"]
--- a/carobladder/instance/windows.py
+++ b/carobladder/instance/windows.py
@@ -5,7 +5,7 @@
 from datetime import datetime, timedelta
 
 from carobladder.instance.movewatch import list_moves
-from carobladder.moves import DataCentreMoveState, DataCentrePhase
+from carobladder.moves.datacentres import DataCentreMoveState, DataCentrePhase
 from carobladder.resources import Catalog, DataCentreMoveSpec, DataCentreSpec, Window
 
 __all__ = ["WindowMove", "plan_window_moves"]
--- a/carobladder/moves/datacentres.py
+++ b/carobladder/moves/datacentres.py
@@ -18,7 +18,7 @@
     advance_phase,
     apply_move_record,
 )
-from carobladder.placement import key_fraction
+from carobladder.placement.keys import key_fraction
 
 __all__ = [
     "DEFAULT_REFILL_STEPS",
--- a/carobladder/moves/switches.py
+++ b/carobladder/moves/switches.py
@@ -14,7 +14,7 @@
     needed_targets,
     wanted_targets,
 )
-from carobladder.placement import rank_members
+from carobladder.placement.rendezvous import rank_members
 
 __all__ = [
     "Switch",
--- a/carobladder/replay/player.py
+++ b/carobladder/replay/player.py
@@ -18,7 +18,8 @@
 from carobladder.peers import Coordinator, Timing
 from carobladder.peers.coordination import Outgoing
 from carobladder.peers.messages import Allowances, decode_message
-from carobladder.placement import PlacementPolicy, TokenSigner
+from carobladder.placement.policy import PlacementPolicy
+from carobladder.placement.tokens import TokenSigner
 from carobladder.replay import events
 from carobladder.targets import CLASS_WEIGHT, RequestClass, TargetState
 
--- a/carobladder/resources/catalog.py
+++ b/carobladder/resources/catalog.py
@@ -11,7 +11,7 @@
     OffsetGapError,
     RevisionConflictError,
 )
-from carobladder.moves import Intent, MoveError, RecordFault
+from carobladder.moves.records import Intent, MoveError, RecordFault
 from carobladder.resources.models import (
     DataCentreMoveSpec,
     MoveSpec,
--- a/carobladder/resources/models.py
+++ b/carobladder/resources/models.py
@@ -20,7 +20,8 @@
 )
 
 from carobladder.exceptions import InvalidResourceError
-from carobladder.moves import DEFAULT_REFILL_STEPS, DEFAULT_STEPS, FIRST_SHARE_MAX
+from carobladder.moves.datacentres import DEFAULT_REFILL_STEPS
+from carobladder.moves.versions import DEFAULT_STEPS, FIRST_SHARE_MAX
 from carobladder.targets import RequestClass
 
 __all__ = [
--- a/carobladder/resources/moves.py
+++ b/carobladder/resources/moves.py
@@ -7,27 +7,22 @@
 
 from returns.result import Result
 
-from carobladder.moves import (
-    DataCentreMoveSpec as DataCentrePlan,
-)
-from carobladder.moves import (
+from carobladder.moves.datacentres import DataCentreMoveSpec as DataCentrePlan
+from carobladder.moves.datacentres import (
     DataCentreMoveState,
     DataCentrePhase,
     Direction,
-    Intent,
-    LeaseRecord,
-    LeaseView,
-    MoveRecord,
-    RecordFault,
+    apply_data_centre_record,
+)
+from carobladder.moves.drivers import LeaseRecord, LeaseView
+from carobladder.moves.records import Intent, MoveRecord, RecordFault
+from carobladder.moves.versions import VersionMoveSpec as VersionPlan
+from carobladder.moves.versions import (
     VersionMoveState,
     VersionPhase,
-    apply_data_centre_record,
     apply_version_record,
     version_shares,
 )
-from carobladder.moves import (
-    VersionMoveSpec as VersionPlan,
-)
 from carobladder.resources.models import (
     DataCentreMoveSpec,
     MoveSpec,
--- a/carobladder/settings/__init__.py
+++ b/carobladder/settings/__init__.py
@@ -1,8 +1,4 @@
-"""Settings from flags and environment variables."""
+"""Settings of the programs, from flags, environment variables or a file.
 
-from carobladder.settings import check, command, definition
-from carobladder.settings.check import *  # noqa: F403
-from carobladder.settings.command import *  # noqa: F403
-from carobladder.settings.definition import *  # noqa: F403
-
-__all__ = [*check.__all__, *command.__all__, *definition.__all__]
+Import from the modules: each program loads only the libraries of its own settings.
+"""
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -14,7 +14,7 @@
 
 import zmq
 
-from carobladder.settings import ENVIRONMENT_PREFIX, variable_name
+from carobladder.settings.definition import ENVIRONMENT_PREFIX, variable_name
 from demo.deployments import VERSION, Declaration, Deployment, declare_resources
 from demo.ports import PortPicker
 from demo.processes import Child, ChildGroup
--- a/tests/demo/stub_entry.py
+++ b/tests/demo/stub_entry.py
@@ -11,7 +11,7 @@
 from carobladder.clients.http import HttpClient
 from carobladder.clock import SystemClock
 from carobladder.platform.store import PlatformStore, StoreLog
-from carobladder.settings import load_settings
+from carobladder.settings.check import load_settings
 from standins.client import fetch_json, open_stream
 from standins.http import App, Exchange, RequestError, run_app
 
--- a/tests/faults/record_traces.py
+++ b/tests/faults/record_traces.py
@@ -14,7 +14,7 @@
 from carobladder.instance.runtime import Instance
 from carobladder.replay import Bounds, TracePlayer, TraceRecorder, write_lines
 from carobladder.replay.comparison import outcomes_path
-from carobladder.settings import InstanceSettings
+from carobladder.settings.definition import InstanceSettings
 from demo.callers import Balancer, Caller
 from demo.deployments import (
     DEPLOYMENT_S,
--- a/tests/faults/stream_row.py
+++ b/tests/faults/stream_row.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from carobladder.clients.ports import HttpAnswer
-from carobladder.gateway import RelayTimes, attempts
+from carobladder.gateway import attempts
+from carobladder.gateway.relay import RelayTimes
 from carobladder.retries import StreamTracker
 from tests.faults.cells import Injection, Row, Run
 from tests.gateway.engines import DONE, EngineRequest, read_request
--- a/tests/faults/test_replay.py
+++ b/tests/faults/test_replay.py
@@ -12,7 +12,7 @@
 
 from carobladder.bookings import ClaimLedger
 from carobladder.cli import Carobladder
-from carobladder.placement import PlacementPolicy
+from carobladder.placement.policy import PlacementPolicy
 from carobladder.replay import TraceError, replay_trace
 from carobladder.replay.comparison import outcomes_path
 from tests.faults.record_traces import MAX_TRACE_BYTES, TRACES
--- a/tests/faults/version_row.py
+++ b/tests/faults/version_row.py
@@ -10,9 +10,9 @@
 
 from benchmarks import move_versions
 from benchmarks.move_versions import KINDS, Harm, VersionRun
-from carobladder.moves import (
-    MoveRecord,
-    Verdict,
+from carobladder.moves.evidence import Verdict
+from carobladder.moves.records import MoveRecord
+from carobladder.moves.versions import (
     VersionPhase,
     apply_version_record,
     effective_share,
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -16,26 +16,24 @@
     OutcomeUnknownError,
     TargetError,
 )
-from carobladder.gateway import (
+from carobladder.gateway.attempts import TargetCaller
+from carobladder.gateway.chats import ChatHandler, ChatOptions
+from carobladder.gateway.ports import (
     Answer,
-    ChatHandler,
-    ChatOptions,
     ChatRequest,
-    GatewayServer,
     Ranking,
-    RelayTimes,
     Request,
-    RequestLimits,
     Responder,
-    Router,
     ServiceAnswer,
-    ServiceHandler,
-    ServiceOptions,
     ServiceRoute,
     SlotRequest,
-    TargetCaller,
     Team,
 )
+from carobladder.gateway.relay import RelayTimes
+from carobladder.gateway.requests import RequestLimits
+from carobladder.gateway.router import Router
+from carobladder.gateway.server import GatewayServer
+from carobladder.gateway.services import ServiceHandler, ServiceOptions
 from carobladder.retries import RetryBudget
 from carobladder.targets import TargetState
 from carobladder.telemetry import GatewayMetrics
--- a/tests/gateway/test_chats.py
+++ b/tests/gateway/test_chats.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from carobladder.exceptions import NoCapacityError
-from carobladder.gateway import RelayTimes
+from carobladder.gateway.relay import RelayTimes
 from tests.gateway.engines import DONE, Engine, token_event, whole_stream
 from tests.gateway.fakes import CHAT, LONG_SECONDS, Gateway, read_error
 
--- a/tests/instance/cluster.py
+++ b/tests/instance/cluster.py
@@ -9,7 +9,8 @@
 
 from carobladder.clock import SystemClock
 from carobladder.instance.runtime import Instance
-from carobladder.settings import load_settings, variable_name
+from carobladder.settings.check import load_settings
+from carobladder.settings.definition import variable_name
 from standins.client import JsonAnswer, fetch_json
 from standins.engine import EngineApp, EngineOptions
 from standins.http import start_app
--- a/tests/instance/test_move_drivers.py
+++ b/tests/instance/test_move_drivers.py
@@ -3,7 +3,7 @@
 import unittest
 
 from carobladder.instance.movedriver import MoveDriver
-from carobladder.moves import Driver, OrderTarget
+from carobladder.moves.drivers import Driver, OrderTarget
 from carobladder.resources import Catalog, MoveStep
 from tests.instance.move_fleet import MoveFleet
 from tests.support.virtual import settle
--- a/tests/instance/test_move_evidence.py
+++ b/tests/instance/test_move_evidence.py
@@ -8,7 +8,7 @@
 from carobladder.instance.evidence import Comparison, EvidenceCollector
 from carobladder.instance.movewatch import MoveWatch
 from carobladder.instance.windows import plan_window_moves
-from carobladder.moves import Verdict
+from carobladder.moves.evidence import Verdict
 from carobladder.peers import EvidenceItem
 from carobladder.peers.messages import Heartbeat, encode_message
 from carobladder.resources import Catalog, Change, MoveStep
--- a/tests/instance/test_move_placement.py
+++ b/tests/instance/test_move_placement.py
@@ -6,13 +6,14 @@
 from carobladder.clock import VirtualClock
 from carobladder.gateway.ports import ChatRequest, ChatTurn, Team
 from carobladder.instance.placement import FleetPlacement
-from carobladder.moves import (
+from carobladder.moves.datacentres import (
     DataCentreMoveSpec,
     DataCentreMoveState,
     DataCentrePhase,
     Direction,
 )
-from carobladder.placement import PlacementPolicy, TokenSigner
+from carobladder.placement.policy import PlacementPolicy
+from carobladder.placement.tokens import TokenSigner
 from carobladder.targets import RequestClass, TargetState
 
 TEAM = Team("a", 1.0, frozenset({"m"}))
--- a/tests/moves/test_datacentres.py
+++ b/tests/moves/test_datacentres.py
@@ -7,23 +7,22 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from carobladder.moves import (
+from carobladder.moves.datacentres import (
     ChatRule,
     DataCentreMoveSpec,
     DataCentreMoveState,
     DataCentrePhase,
     DataCentreSituation,
     MaintenanceWindow,
-    MoveError,
-    MoveRecord,
     PoolCapacity,
-    Verdict,
     apply_data_centre_record,
     decide_data_centre_step,
     next_data_centre_record,
     plan_leave,
     rule_for_chat,
 )
+from carobladder.moves.evidence import Verdict
+from carobladder.moves.records import MoveError, MoveRecord
 
 OPEN = datetime(2026, 1, 1, 8, tzinfo=UTC)
 WINDOW = MaintenanceWindow(OPEN, OPEN + timedelta(hours=2))
--- a/tests/moves/test_drivers.py
+++ b/tests/moves/test_drivers.py
@@ -3,14 +3,14 @@
 import unittest
 
 from benchmarks.move_operators import OperatorRun
-from carobladder.moves import (
+from carobladder.moves.drivers import (
     Driver,
     DriverStatus,
     LeaseRecord,
     LeaseView,
-    MoveError,
     OrderTarget,
 )
+from carobladder.moves.records import MoveError
 
 CHECKS = OrderTarget("a", checks_fencing=True)
 IGNORES = OrderTarget("b", checks_fencing=False)
--- a/tests/moves/test_evidence.py
+++ b/tests/moves/test_evidence.py
@@ -7,7 +7,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from carobladder.moves import (
+from carobladder.moves.evidence import (
     ComparisonPlan,
     Counts,
     EvidenceBook,
--- a/tests/moves/test_leave_under_load.py
+++ b/tests/moves/test_leave_under_load.py
@@ -6,7 +6,7 @@
 from benchmarks.move_datacentres import DataCentreResult, MovingFleet
 from benchmarks.placement_fleet import Arrival
 from benchmarks.placement_workload import DEPLOYMENTS, generate_chats
-from carobladder.moves import ChatRule
+from carobladder.moves.datacentres import ChatRule
 
 # Long enough for the leave and the start of the window.
 HOURS = 1.6
--- a/tests/moves/test_switches.py
+++ b/tests/moves/test_switches.py
@@ -8,15 +8,9 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from carobladder.moves import (
-    SwitchAction,
-    TargetView,
-    VersionMoveSpec,
-    VersionMoveState,
-    VersionPhase,
-    plan_switches,
-    switches,
-)
+from carobladder.moves import switches
+from carobladder.moves.switches import SwitchAction, TargetView, plan_switches
+from carobladder.moves.versions import VersionMoveSpec, VersionMoveState, VersionPhase
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 SPEC = VersionMoveSpec("move", "m", "v1", "v2", START, START + timedelta(hours=3))
--- a/tests/moves/test_versions.py
+++ b/tests/moves/test_versions.py
@@ -9,11 +9,9 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
-from carobladder.moves import (
-    MoveError,
-    MoveRecord,
-    RecordFault,
-    Verdict,
+from carobladder.moves.evidence import Verdict
+from carobladder.moves.records import MoveError, MoveRecord, RecordFault
+from carobladder.moves.versions import (
     VersionMoveSpec,
     VersionMoveState,
     VersionPhase,
--- a/tests/placement/test_churn.py
+++ b/tests/placement/test_churn.py
@@ -5,7 +5,7 @@
 from benchmarks.engine_models import PrefixCache, Prompt
 from benchmarks.placement import ConsistentHash, Oracle, Policy, measure
 from benchmarks.placement_workload import DEPLOYMENTS
-from carobladder.placement import PlacementTuning
+from carobladder.placement.policy import PlacementTuning
 
 HOURS = 1.0
 # Stated target: share of the oracle's reused prefix tokens.
--- a/tests/placement/test_keys.py
+++ b/tests/placement/test_keys.py
@@ -7,7 +7,7 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from carobladder.placement import (
+from carobladder.placement.keys import (
     ChatMessage,
     choose_version,
     derive_chat_key,
--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -6,11 +6,8 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from carobladder.placement import (
-    ChatToken,
-    PlacementPolicy,
-    PlacementRequest,
-)
+from carobladder.placement.policy import PlacementPolicy, PlacementRequest
+from carobladder.placement.tokens import ChatToken
 from carobladder.targets import RequestClass, TargetState
 
 KEYS = st.integers(0, 2**64 - 1)
--- a/tests/placement/test_rendezvous.py
+++ b/tests/placement/test_rendezvous.py
@@ -6,7 +6,7 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
-from carobladder.placement import rank_members
+from carobladder.placement.rendezvous import rank_members
 
 KEYS = st.integers(0, 2**64 - 1)
 MEMBERS = st.lists(
--- a/tests/placement/test_tokens.py
+++ b/tests/placement/test_tokens.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
-from carobladder.placement import ChatToken, TokenFault, TokenSigner
+from carobladder.placement.tokens import ChatToken, TokenFault, TokenSigner
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 TOKEN = ChatToken("engine-1", "boot-1", int(NOW.timestamp()), 1200)
--- a/tests/settings/test_check.py
+++ b/tests/settings/test_check.py
@@ -3,7 +3,7 @@
 import unittest
 
 from carobladder.exceptions import SettingsError
-from carobladder.settings import describe_settings, load_settings
+from carobladder.settings.check import describe_settings, load_settings
 
 KEY = "k" * 40
 VALID = {
