Let few instances read the store; measure silence by route

Ruled out: longer waits alone (a waiting read proves nothing until it returns, and keys need a proof every few seconds); records pushed to all (each pending waiting read returns at each change all the same).

Change: the holders of some share partitions, which the store itself hands on, are readers. The others ask one or two instances when their proof ages. An answer states an age and an end; it proves the time of asking less that age if the asker has read as far, so neither delay, pause nor clock step makes a proof younger than it is. Answers carry the records that the asker lacks, packed. An instance that hears nobody reads for itself before the bound of the deployment. Datagrams carry a code by a key that stands in the store. A restart keeps its announcement, so that nobody reads because of it.

Change: silence counts against what the route usually takes, and a request whose own limit ends first says nothing.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from carobladder.exceptions import ConnectionBrokenError
+from carobladder.exceptions import AnswerOverdueError, ConnectionBrokenError
 
 __all__ = ["ClientConnection", "Sink"]
 
@@ -333,9 +333,11 @@
             self._timer = None
 
     def _broken(self, reason: str) -> ConnectionBrokenError:
+        kind = ConnectionBrokenError
         if self.timed_out:
+            kind = AnswerOverdueError
             reason = "no bytes of the answer within the time limit"
-        return ConnectionBrokenError(
+        return kind(
             f"{self.address}: {reason}; try another target",
             request_written=self.request_written,
         )
--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -5,12 +5,17 @@
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
+from carobladder.entry.exchange import PeerExchange
 from carobladder.entry.fence import FenceWatch, plan_fence
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.knowledge import Knowledge
-from carobladder.entry.loads import LoadExchange
+from carobladder.entry.paces import (
+    plan_instances_pace,
+    plan_operator_pace,
+    plan_targets_pace,
+)
+from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prober import TargetProber
-from carobladder.entry.progress import PeerProgress
 from carobladder.entry.shares import SHARE_PARTITIONS, ShareKeeper
 from carobladder.entry.versions import VersionMover
 from carobladder.fleet import (
@@ -19,6 +24,8 @@
     KeyedRecord,
     LoadSharing,
     PromptWarmth,
+    ReaderRole,
+    RouteTimes,
     ServiceBudgets,
     ShareLedger,
     TargetSelector,
@@ -53,18 +60,6 @@
 _STORE_TIMEOUT_SECONDS = 0.8
 _CONNECT_SECONDS = 0.4
 _STORE_SILENCE_SECONDS = 3.0
-# Part of the time in which a revoked key must be refused everywhere.
-_OPERATOR_WAIT_PART = 0.48
-# Part of the time in which a configuration must be in force.
-_OPERATOR_CONFIRM_PART = 0.5
-_OPERATOR_COLLECT_SECONDS = 0.2
-# The kernel notices a silent connection to the store sooner than this wait ends.
-_TARGETS_WAIT_SECONDS = 8.0
-# Parts of the time in which requests to a draining target must end.
-_TARGETS_COLLECT_PART = 0.55
-_TARGETS_CONFIRM_PART = 0.25
-_INSTANCES_WAIT_SECONDS = 25.0
-_INSTANCES_COLLECT_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +75,7 @@
     entries: TopicFollower
     instances: TopicFollower
     shares: ShareKeeper
-    loads: LoadExchange
+    exchange: PeerExchange
     prober: TargetProber
     mover: VersionMover
     fence: FenceWatch
@@ -101,7 +96,6 @@
     def __init__(self, settings: EntrySettings, clock: Clock, incarnation: int) -> None:
         self._settings = settings
         self._clock = clock
-        self._incarnation = incarnation
         self._generator = random.Random()
         self._revocation_seconds = settings.key_revocation_ms / _MS_PER_SECOND
         self._client = HttpClient(clock, connect_seconds=_CONNECT_SECONDS)
@@ -118,6 +112,8 @@
         self._pacer = ColdPacer(self._ledger)
         self._moves = VersionMoves(settings.exposure_share)
         self._tallies = AnswerTallies(self._moves, self._targets, incarnation)
+        self._directory = PeerDirectory(settings.instance, settings.peer_listen, clock)
+        self._role = ReaderRole(self._ledger, self._directory.count_peers)
         self._metrics = ForwardMetrics()
         self._server_metrics = GatewayMetrics()
 
@@ -142,10 +138,11 @@
             settings.entry_renewal_ms / _MS_PER_SECOND,
             mover.take_order,
         )
-        loads = self._build_loads()
-        entries = self._follow_targets(knowledge, loads)
-        operator = self._follow_operator(knowledge, entries, loads)
-        loads.tell_progress_of((operator, entries))
+        instances = self._follow_instances()
+        entries = self._follow_targets(knowledge)
+        operator = self._follow_operator(knowledge, entries)
+        exchange = self._build_exchange()
+        exchange.follow(instances, (operator, entries))
         server = self._build_server(knowledge, operator, selector, budgets)
         knowledge.on_limits = lambda limits: _use_limits(server, limits)
         return EntryParts(
@@ -156,9 +153,9 @@
             knowledge=knowledge,
             operator=operator,
             entries=entries,
-            instances=self._follow_instances(loads),
+            instances=instances,
             shares=self._build_shares(),
-            loads=loads,
+            exchange=exchange,
             prober=TargetProber(self._targets, self._client, clock),
             mover=mover,
             fence=FenceWatch(operator.freshness, self._revocation_seconds, clock),
@@ -180,6 +177,7 @@
             encode_move_status,
             self._settings.exposure_share,
             self._clock,
+            self._generator,
         )
 
     def _build_shares(self) -> ShareKeeper:
@@ -191,41 +189,32 @@
             self._clock,
         )
 
-    def _build_loads(self) -> LoadExchange:
-        return LoadExchange(
-            self._settings.instance,
+    def _build_exchange(self) -> PeerExchange:
+        return PeerExchange(
             self._settings.peer_listen,
+            self._directory,
             LoadSharing(self._targets),
             KeyedTopic(self._store, INSTANCES_TOPIC),
+            self._role.is_held,
             self._clock,
             self._generator,
         )
 
     def _follow_operator(
-        self, knowledge: Knowledge, entries: TopicFollower, loads: LoadExchange
+        self, knowledge: Knowledge, entries: TopicFollower
     ) -> TopicFollower:
-        configuration_seconds = self._settings.configuration_ms / _MS_PER_SECOND
         return TopicFollower(
             "operator",
             KeyedTopic(self._store, OPERATOR_TOPIC),
             self._clock,
-            self._revocation_seconds * _OPERATOR_WAIT_PART,
-            _OPERATOR_COLLECT_SECONDS,
-            self._hear_of_peers(configuration_seconds * _OPERATOR_CONFIRM_PART, loads),
+            plan_operator_pace(self._revocation_seconds),
             lambda record: knowledge.apply(decode_operator_record(record)),
             lambda away_seconds: entries.read_again(),
+            self._generator,
+            self._role.is_held,
         )
 
-    def _hear_of_peers(
-        self, confirm_seconds: float, loads: LoadExchange
-    ) -> PeerProgress:
-        return PeerProgress(
-            self._clock, self._generator, confirm_seconds, loads.count_peers
-        )
-
-    def _follow_targets(
-        self, knowledge: Knowledge, loads: LoadExchange
-    ) -> TopicFollower:
+    def _follow_targets(self, knowledge: Knowledge) -> TopicFollower:
         def take(record: KeyedRecord) -> None:
             if record.value is None:
                 knowledge.drop_target(record.key)
@@ -237,23 +226,22 @@
             "targets",
             KeyedTopic(self._store, TARGETS_TOPIC),
             self._clock,
-            _TARGETS_WAIT_SECONDS,
-            drain_seconds * _TARGETS_COLLECT_PART,
-            self._hear_of_peers(drain_seconds * _TARGETS_CONFIRM_PART, loads),
+            plan_targets_pace(drain_seconds),
             take,
             knowledge.note_store_return,
+            self._generator,
+            self._role.is_held,
         )
 
-    def _follow_instances(self, loads: LoadExchange) -> TopicFollower:
+    def _follow_instances(self) -> TopicFollower:
         return TopicFollower(
             "instances",
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._clock,
-            _INSTANCES_WAIT_SECONDS,
-            _INSTANCES_COLLECT_SECONDS,
-            None,
-            loads.take_record,
+            plan_instances_pace(),
+            self._directory.take_record,
             lambda away_seconds: None,
+            self._generator,
         )
 
     def _build_server(
@@ -269,6 +257,7 @@
             codec,
             PromptWarmth(self._targets),
             self._tallies,
+            RouteTimes(),
             self._clock,
         )
         forwarder = Forwarder(
--- /dev/null
+++ b/carobladder/entry/paces.py
@@ -0,0 +1,57 @@
+"""How often the topics of the store are read, from the bounds of a deployment."""
+
+from carobladder.entry.followers import ReadingPace
+
+__all__ = ["plan_instances_pace", "plan_operator_pace", "plan_targets_pace"]
+
+# Longest wait that the store allows for a read.
+_WAIT_SECONDS = 30.0
+# Parts of the time in which a revoked key must be refused everywhere.
+_OPERATOR_READER_PART = 0.35
+_OPERATOR_LISTENER_PART = 0.6
+_OPERATOR_COLLECT_SECONDS = 0.2
+# A configuration of some hundred routes, which is packed for a datagram. Larger ones
+# are read by each instance.
+_OPERATOR_TOLD_BYTES = 131_072
+# Parts of the time in which requests to a draining target must end.
+_TARGETS_READER_PART = 0.4
+_TARGETS_LISTENER_PART = 0.7
+_TARGETS_COLLECT_PART = 0.15
+# An instance that others tell of a record waits so long for the record itself.
+_CATCH_UP_SECONDS = 0.25
+_INSTANCES_COLLECT_SECONDS = 8.0
+# Instances that start together announce themselves within this time.
+_INSTANCES_SETTLE_SECONDS = 1.5
+
+
+def plan_operator_pace(revocation_seconds: float) -> ReadingPace:
+    """Return the pace for the operators' records, which revoke keys."""
+    return ReadingPace(
+        wait_seconds=_WAIT_SECONDS,
+        collect_seconds=_OPERATOR_COLLECT_SECONDS,
+        reader_age_seconds=revocation_seconds * _OPERATOR_READER_PART,
+        listener_age_seconds=revocation_seconds * _OPERATOR_LISTENER_PART,
+        catch_up_seconds=_CATCH_UP_SECONDS,
+        told_bytes=_OPERATOR_TOLD_BYTES,
+    )
+
+
+def plan_targets_pace(drain_seconds: float) -> ReadingPace:
+    """Return the pace for the targets' entries, which tell of draining ones."""
+    return ReadingPace(
+        wait_seconds=_WAIT_SECONDS,
+        collect_seconds=drain_seconds * _TARGETS_COLLECT_PART,
+        reader_age_seconds=drain_seconds * _TARGETS_READER_PART,
+        listener_age_seconds=drain_seconds * _TARGETS_LISTENER_PART,
+        catch_up_seconds=_CATCH_UP_SECONDS,
+        records_lapse=True,
+    )
+
+
+def plan_instances_pace() -> ReadingPace:
+    """Return the pace for the announcements of instances, read by each for itself."""
+    return ReadingPace(
+        wait_seconds=_WAIT_SECONDS,
+        collect_seconds=_INSTANCES_COLLECT_SECONDS,
+        settle_seconds=_INSTANCES_SETTLE_SECONDS,
+    )
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -106,7 +106,7 @@
             parts.entries.run(),
             parts.instances.run(),
             parts.shares.run(),
-            parts.loads.run(),
+            parts.exchange.run(),
             parts.prober.run(),
             parts.mover.run(),
             self._keep_house(),
--- a/carobladder/entry/status.py
+++ b/carobladder/entry/status.py
@@ -61,6 +61,11 @@
         "Repeats left in the service that has the fewest",
         parts.budgets.count_left,
     )
+    add(
+        "peer_messages_dropped",
+        "Datagrams that no known instance has sent in this form",
+        lambda: parts.exchange.dropped,
+    )
     add("targets", "Registered targets", lambda: len(parts.targets))
     add("fleet_share", "Held part of sums", lambda: parts.ledger.share)
     add("ready", "Whether callers may be sent here", lambda: float(is_ready()))
--- a/carobladder/entry/versions.py
+++ b/carobladder/entry/versions.py
@@ -1,11 +1,12 @@
 """Carrying out of version moves that operators order through the store."""
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from carobladder.clock import Clock
-from carobladder.entry.followers import TopicFollower
+from carobladder.entry.followers import ReadingPace, TopicFollower
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
     AnswerTallies,
@@ -43,7 +44,6 @@
 # Evidence is told and judged, and steps are decided, once in this time.
 _ROUND_SECONDS = 0.8
 _STEP_WAIT_SECONDS = 2.0
-_EVIDENCE_WAIT_SECONDS = 2.0
 _COLLECT_SECONDS = 0.3
 _STEP_PREFIX = "step/"
 
@@ -72,6 +72,7 @@
         describe_status: Callable[[MoveStep], tuple[str, bytes]],
         exposure_share: float,
         clock: Clock,
+        generator: random.Random,
     ) -> None:
         self._instance = instance
         self._moves = moves
@@ -83,6 +84,7 @@
         self._describe_status = describe_status
         self._exposure_share = exposure_share
         self._clock = clock
+        self._generator = generator
         self._book = EvidenceBook()
         self._comparisons: dict[str, VersionComparison] = {}
         self._reported: dict[str, InstanceEvidence] = {}
@@ -127,11 +129,10 @@
             name,
             topic,
             self._clock,
-            _STEP_WAIT_SECONDS,
-            _COLLECT_SECONDS,
-            None,
+            ReadingPace(_STEP_WAIT_SECONDS, _COLLECT_SECONDS),
             take,
             lambda away_seconds: None,
+            self._generator,
         )
 
     async def _work(self) -> None:
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -5,6 +5,7 @@
 from typing import ClassVar
 
 __all__ = [
+    "AnswerOverdueError",
     "AnswerTimeoutError",
     "BadCredentialsError",
     "BodyTooLargeError",
@@ -107,6 +108,10 @@
     """Report a connection to a target that failed or closed too early."""
 
 
+class AnswerOverdueError(ConnectionBrokenError):
+    """Report that no bytes of an answer came within the caller's time limit."""
+
+
 class TargetRefusedError(TargetError):
     """Report that a target answered with a refusal instead of running the request."""
 
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -8,6 +8,8 @@
     freshness,
     health,
     loads,
+    messages,
+    patience,
     records,
     selection,
     shares,
@@ -23,6 +25,8 @@
 from carobladder.fleet.freshness import *  # noqa: F403
 from carobladder.fleet.health import *  # noqa: F403
 from carobladder.fleet.loads import *  # noqa: F403
+from carobladder.fleet.messages import *  # noqa: F403
+from carobladder.fleet.patience import *  # noqa: F403
 from carobladder.fleet.records import *  # noqa: F403
 from carobladder.fleet.selection import *  # noqa: F403
 from carobladder.fleet.shares import *  # noqa: F403
@@ -39,6 +43,8 @@
     *freshness.__all__,
     *health.__all__,
     *loads.__all__,
+    *messages.__all__,
+    *patience.__all__,
     *records.__all__,
     *selection.__all__,
     *shares.__all__,
--- a/carobladder/fleet/freshness.py
+++ b/carobladder/fleet/freshness.py
@@ -19,6 +19,11 @@
         """Tell whether any read has returned."""
         return self._proved_at is not None
 
+    @property
+    def proved_at(self) -> float:
+        """Return the time up to which all records are known, or minus infinity."""
+        return float("-inf") if self._proved_at is None else self._proved_at
+
     def note_read(self, sent_at: float) -> None:
         """Take a read that was sent at this time and has returned."""
         if self._proved_at is None or sent_at > self._proved_at:
--- a/carobladder/fleet/loads.py
+++ b/carobladder/fleet/loads.py
@@ -1,4 +1,4 @@
-"""What instances tell each other: loads of targets and how far they have read."""
+"""Loads of targets that instances tell each other."""
 
 from collections.abc import Iterable
 
@@ -7,21 +7,15 @@
 from carobladder.fleet.exchanges import TargetLoad
 from carobladder.fleet.targets import TargetTable
 
-__all__ = [
-    "LoadReport",
-    "LoadSharing",
-    "PeerMessage",
-    "decode_message",
-    "encode_message",
-]
+__all__ = ["LoadReport", "LoadSharing", "is_usable_report"]
 
-_PROTOCOL_VERSION = 2
+_MS_PER_SECOND = 1000
 # Older reports are not told on; a load changes within about a second.
 _TELL_SECONDS = 1.5
-_MAX_AGE_SECONDS = 5.0
+_MAX_AGE_MS = 5000
 _MAX_LOAD = 100_000
-# With the longest interval between messages an instance sends 3.6 KB/s.
-_MAX_REPORTS = 30
+# With the longest interval between messages an instance sends less than 4 KB/s.
+_MAX_REPORTS = 24
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
@@ -29,39 +23,7 @@
 
     target_id: str
     load: int
-    age_seconds: float
-
-
-class PeerMessage(msgspec.Struct, array_like=True, frozen=True):
-    """Carry from one instance to another what it knows.
-
-    ``ends`` are the offsets after the last records that it has read of the followed
-    topics, in their order; 0 if it has read none.
-    """
-
-    version: int
-    reports: list[LoadReport]
-    ends: list[int]
-
-
-_decoder = msgspec.msgpack.Decoder(PeerMessage)
-
-
-def encode_message(reports: list[LoadReport], ends: list[int]) -> bytes:
-    """Return the message for other instances."""
-    return msgspec.msgpack.encode(PeerMessage(_PROTOCOL_VERSION, reports, ends))
-
-
-def decode_message(data: bytes) -> PeerMessage:
-    """Return a message with its usable reports; raises ValueError for another one."""
-    try:
-        message = _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise ValueError(f"not a message of an instance: {error}") from None
-    if message.version != _PROTOCOL_VERSION:
-        raise ValueError(f"unknown version {message.version}")
-    reports = [report for report in message.reports if _is_usable(report)]
-    return PeerMessage(message.version, reports, message.ends)
+    age_ms: int
 
 
 class LoadSharing:
@@ -80,8 +42,9 @@
         for target in self._table.list_all():
             stated = target.health.read_stated_load(now)
             if stated is not None and stated[1] <= _TELL_SECONDS:
-                reports.append(LoadReport(target.target_id, stated[0], stated[1]))
-        reports.sort(key=lambda report: report.age_seconds)
+                age_ms = round(stated[1] * _MS_PER_SECOND)
+                reports.append(LoadReport(target.target_id, stated[0], age_ms))
+        reports.sort(key=lambda report: report.age_ms)
         return reports[:_MAX_REPORTS]
 
     def take(self, reports: Iterable[LoadReport], now: float) -> None:
@@ -90,9 +53,10 @@
             target = self._table.find(report.target_id)
             if target is not None:
                 load = TargetLoad(report.load, 0, target.entry.slots)
-                target.health.note_load(load, now - report.age_seconds)
+                target.health.note_load(load, now - report.age_ms / _MS_PER_SECOND)
 
 
-def _is_usable(report: LoadReport) -> bool:
-    fresh = 0.0 <= report.age_seconds <= _MAX_AGE_SECONDS
+def is_usable_report(report: LoadReport) -> bool:
+    """Tell whether a report of another instance can be true and is not old."""
+    fresh = 0 <= report.age_ms <= _MAX_AGE_MS
     return fresh and 0 <= report.load <= _MAX_LOAD
--- a/carobladder/fleet/records.py
+++ b/carobladder/fleet/records.py
@@ -9,6 +9,7 @@
     "GroupStore",
     "KeyedPage",
     "KeyedRecord",
+    "RecordRun",
     "TopicReader",
     "TopicWriter",
 ]
@@ -31,6 +32,18 @@
     next_offset: int
 
 
+@dataclass(frozen=True, slots=True)
+class RecordRun:
+    """Carry all records of a keyed topic from ``first`` to before ``next_offset``.
+
+    Records that cannot be read are left out; their offsets are covered nevertheless.
+    """
+
+    first: int
+    next_offset: int
+    records: tuple[KeyedRecord, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class GroupShares:
     """Carry the partitions of a group's topics that a member holds."""
--- a/carobladder/fleet/shares.py
+++ b/carobladder/fleet/shares.py
@@ -1,10 +1,15 @@
 """Shares of the fleet's sums that an instance may use."""
 
+from collections.abc import Callable
+
 from carobladder.placement.keys import hash_parts
 from carobladder.placement.rendezvous import rank_members
 
-__all__ = ["ColdPacer", "ShareLedger"]
+__all__ = ["ColdPacer", "ReaderRole", "ShareLedger"]
 
+# So many instances for each reader of the store, and at least so many readers.
+_INSTANCES_FOR_READER = 16
+_FEWEST_READERS = 4
 # Sends of one share to one cold target lie further apart than the second in which
 # they are counted.
 _SPACING_SECONDS = 1.05
@@ -53,6 +58,25 @@
         return changed
 
 
+class ReaderRole:
+    """Tell whether this instance reads the store for others as well.
+
+    Some partitions are drawn alike everywhere; their holders are the readers, so the
+    store itself replaces a reader whose lease has lapsed.
+    """
+
+    def __init__(self, ledger: ShareLedger, count_peers: Callable[[], int]) -> None:
+        self._ledger = ledger
+        self._count_peers = count_peers
+        self._ranked = rank_members(hash_parts("readers"), ledger.names)
+
+    def is_held(self) -> bool:
+        """Tell whether this instance is a reader now."""
+        wanted = (self._count_peers() + 1) // _INSTANCES_FOR_READER
+        drawn = self._ranked[: max(_FEWEST_READERS, wanted)]
+        return not self._ledger.held.isdisjoint(drawn)
+
+
 class ColdPacer:
     """Pace the requests to cold targets so that all instances stay within a rate.
 
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -19,7 +19,7 @@
     Selection,
     TargetSelector,
 )
-from carobladder.forwarding.attempts import OpenCall, suspect_target
+from carobladder.forwarding.attempts import OpenCall
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import (
@@ -95,7 +95,6 @@
             try:
                 opened = await self._send(target, extra_headers)
             except TargetError as error:
-                suspect_target(target, str(error), self._forwarder.clock.monotonic())
                 self.runs += error.request_written
                 self.note_failure(target, error)
                 continue
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -7,7 +7,11 @@
 
 from carobladder.clients.http import AnswerStream, HttpClient
 from carobladder.clock import Clock
-from carobladder.exceptions import ConnectionBrokenError, TargetError
+from carobladder.exceptions import (
+    AnswerOverdueError,
+    ConnectionBrokenError,
+    TargetError,
+)
 from carobladder.fleet import (
     AnswerFacts,
     AnswerTallies,
@@ -15,6 +19,7 @@
     ExchangeCodec,
     FleetTarget,
     PromptWarmth,
+    RouteTimes,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
 from carobladder.routing import Route, Service
@@ -28,12 +33,9 @@
 
 Headers = tuple[tuple[str, str], ...]
 
-# A target that has not begun to answer after this multiple of its usual time, and at
-# least the floor, is likely to be dark.
-_PATIENCE_FACTOR = 4.0
-_PATIENCE_FLOOR_SECONDS = 0.4
-# An engine that reads several long prompts at once sends nothing for as long.
-_PROMPT_PATIENCE_SECONDS = 1.0
+# A request whose own limit is this close to the time after which silence counts ends
+# without saying anything about its target.
+_LIMIT_MARGIN_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,7 @@
     codec: ExchangeCodec
     warmth: PromptWarmth
     tallies: AnswerTallies
+    times: RouteTimes
     clock: Clock
 
     async def send(
@@ -93,7 +96,9 @@
         loop = asyncio.get_running_loop()
         target.health.in_flight += 1
         patience = self.choose_patience(call, target)
-        alarm = loop.call_later(patience, self._note_silence, target, sent_at)
+        alarm = None
+        if self._left_seconds(call) > patience + _LIMIT_MARGIN_SECONDS:
+            alarm = loop.call_later(patience, self._note_silence, target, sent_at)
         try:
             answer = await self.client.open(
                 call.method,
@@ -112,12 +117,16 @@
             seconds = self.clock.monotonic() - sent_at
             if error.request_written and seconds >= patience:
                 self._tally(call, target, seconds, failed=False)
+            if seconds >= patience or not isinstance(error, AnswerOverdueError):
+                suspect_target(target, str(error), self.clock.monotonic())
             raise
         except BaseException:
             target.health.in_flight -= 1
+            self._note_unanswered(call, target, sent_at)
             raise
         finally:
-            alarm.cancel()
+            if alarm is not None:
+                alarm.cancel()
         self._note_facts(target, facts)
         return OpenCall(
             answer,
@@ -130,10 +139,9 @@
 
     def choose_patience(self, call: ForwardedCall, target: FleetTarget) -> float:
         """Return the seconds after which a silent target is likely to be dark."""
-        usual = target.health.first_byte_seconds * _PATIENCE_FACTOR
-        reads_prompt = call.affinity is not None
-        floor = _PROMPT_PATIENCE_SECONDS if reads_prompt else _PATIENCE_FLOOR_SECONDS
-        return max(floor, usual)
+        return self.times.choose_patience(
+            call.route.name, target, reads_prompt=call.affinity is not None
+        )
 
     async def _match_answer(
         self,
@@ -176,6 +184,14 @@
             why = "it sent no byte for the time that is usual"
             suspect_target(target, why, self.clock.monotonic())
 
+    def _note_unanswered(
+        self, call: ForwardedCall, target: FleetTarget, sent_at: float
+    ) -> None:
+        """Learn from a request that ended without an answer of a sound target."""
+        if target.health.last_byte_at > sent_at:
+            seconds = self.clock.monotonic() - sent_at
+            self.times.note_unanswered(call.route.name, seconds)
+
     def _build_fields(
         self,
         call: ForwardedCall,
@@ -233,6 +249,7 @@
         seconds = opened.first_byte_seconds
         if opened.facts.not_run or seconds is None:
             return
+        self.times.note_answer(call.route.name, seconds)
         failed = broken or opened.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         self._tally(call, opened.target, seconds, failed=failed)
 
--- /dev/null
+++ b/tests/entry/test_exchange.py
@@ -0,0 +1,159 @@
+"""Tests of the exchange between instances over loopback."""
+
+import asyncio
+import random
+import unittest
+
+from carobladder.clock import SystemClock
+from carobladder.entry.exchange import PeerExchange
+from carobladder.entry.followers import ReadingPace, TopicFollower
+from carobladder.entry.peers import PeerDirectory
+from carobladder.fleet import (
+    LoadSharing,
+    PeerAnswer,
+    TargetLoad,
+    TopicState,
+    seal_message,
+)
+from carobladder.platform.store import KeyedTopic
+from tests.fleet.builders import fill_table
+from tests.platform.fake_store import FakeStore
+
+TOPIC = "keyed.instances"
+LONG_SECONDS = 5.0
+
+
+class Member:
+    """Hold the parts of one instance that exchange."""
+
+    def __init__(self, store: FakeStore, name: str, port: int) -> None:
+        clock = SystemClock()
+        address = f"127.0.0.1:{port}"
+        self.table, self.targets = fill_table(1)
+        self.directory = PeerDirectory(name, address, clock)
+        self.topic = KeyedTopic(store.client, TOPIC)
+        self.announcements = TopicFollower(
+            "instances",
+            self.topic,
+            clock,
+            ReadingPace(0.1, 0.05),
+            self.directory.take_record,
+            lambda away_seconds: None,
+            random.Random(1),
+        )
+        self.exchange = PeerExchange(
+            address,
+            self.directory,
+            LoadSharing(self.table),
+            self.topic,
+            lambda: True,
+            clock,
+            random.Random(1),
+        )
+        self.exchange.follow(self.announcements, (self.announcements,))
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Start following and exchanging."""
+        works = (self.announcements.run(), self.exchange.run())
+        return [asyncio.create_task(work) for work in works]
+
+
+class PeerExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against instances that do not find each other or believe anybody."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.clock = SystemClock()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def asyncTearDown(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def find_ports(self, count: int) -> list[int]:
+        """Return free ports that differ from each other."""
+        loop = asyncio.get_running_loop()
+        transports = []
+        for _ in range(count):
+            transport, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0)
+            )
+            transports.append(transport)
+        ports = [t.get_extra_info("sockname")[1] for t in transports]
+        for transport in transports:
+            transport.close()
+        await asyncio.sleep(0)
+        return ports
+
+    async def start(self, *names: str) -> list[Member]:
+        ports = await self.find_ports(len(names))
+        members = [
+            Member(self.store, name, port)
+            for name, port in zip(names, ports, strict=True)
+        ]
+        for member in members:
+            self.tasks += member.start()
+        async with asyncio.timeout(LONG_SECONDS):
+            while any(m.directory.count_peers() < len(names) - 1 for m in members):
+                await asyncio.sleep(0.02)
+        return members
+
+    async def test_two_instances_exchange_loads(self):
+        first, second = await self.start("a", "b")
+        known, unknown = first.targets[0], second.targets[0]
+        known.health.note_load(TargetLoad(5, 0, 8), self.clock.monotonic())
+        async with asyncio.timeout(LONG_SECONDS):
+            while unknown.health.estimate_load(self.clock.monotonic()) is None:
+                await asyncio.sleep(0.02)
+        self.assertEqual(unknown.health.read_stated_load(0.0)[0], 5)
+        self.assertEqual(len(second.directory.list_readers()), 1)
+
+    async def test_answer_proves_only_a_question_that_was_asked(self):
+        """Datagrams of an instance may be repeated or come from its last run."""
+        first, second = await self.start("a", "b")
+        proofs = []
+        follower = first.announcements
+        follower.take_peer_state = lambda state, asked_at: proofs.append(asked_at)
+        number = first.exchange._draw_question()
+        answer = PeerAnswer(number, True, [TopicState(9, 1)], [None])
+        data = seal_message(answer, "b", second.directory.own_key)
+        first.exchange.datagram_received(data, None)
+        self.assertEqual(len(proofs), 1)
+        first.exchange.datagram_received(data, None)
+        unasked = PeerAnswer(12345, True, [TopicState(9, 1)], [None])
+        sealed = seal_message(unasked, "b", second.directory.own_key)
+        first.exchange.datagram_received(sealed, None)
+        self.assertEqual(len(proofs), 1)
+
+    async def test_forged_datagrams_are_counted_and_dropped(self):
+        (member,) = await self.start("a")
+        answer = PeerAnswer(1, True, [TopicState(9, 1)], [None])
+        for data in (b"nonsense", seal_message(answer, "b", b"k" * 32)):
+            member.exchange.datagram_received(data, None)
+        self.assertEqual(member.exchange.dropped, 2)
+
+    async def test_announcement_is_repeated_until_it_is_accepted(self):
+        (port,) = await self.find_ports(1)
+        member = Member(self.store, "a", port)
+        await member.announcements._read()
+        self.store.lose_answers = 1
+        task = asyncio.create_task(member.exchange.run())
+        await asyncio.sleep(1.3)
+        task.cancel()
+        writes = [path for method, path, _ in self.store.calls if method == "POST"]
+        self.assertEqual(len(writes), 2)
+
+    async def test_restart_does_not_announce_again(self):
+        (port,) = await self.find_ports(1)
+        for _ in range(2):
+            member = Member(self.store, "a", port)
+            tasks = member.start()
+            async with asyncio.timeout(LONG_SECONDS):
+                while member.directory.own_key is None:
+                    await asyncio.sleep(0.02)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        writes = [path for method, path, _ in self.store.calls if method == "POST"]
+        self.assertEqual(len(writes), 1)
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -5,8 +5,8 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.progress import PeerProgress
+from carobladder.entry.followers import ReadingPace, TopicFollower
+from carobladder.fleet import KeyedRecord, RecordRun, TopicState
 from carobladder.platform.store import KeyedTopic
 from tests.platform.fake_store import FakeStore
 
@@ -25,11 +25,10 @@
             "operator",
             KeyedTopic(self.store.client, TOPIC),
             self.clock,
-            1.6,
-            0.25,
-            None,
+            ReadingPace(1.6, 0.25),
             lambda record: self.seen.append((record.key, record.value)),
             self.returns.append,
+            random.Random(1),
         )
 
     async def step(self, reads: int = 1) -> None:
@@ -152,11 +151,10 @@
             "targets",
             KeyedTopic(store.client, TOPIC),
             clock,
-            8.0,
-            0.8,
-            PeerProgress(clock, random.Random(1), 0.5, lambda: 0),
+            ReadingPace(8.0, 0.8, 0.5, 1.0),
             lambda record: seen.append((record.key, record.value)),
             lambda age: None,
+            random.Random(1),
         )
         fetch = store.fetch
 
@@ -176,3 +174,159 @@
         task.cancel()
         self.assertEqual(seen, [("i-1", b"draining")])
         self.assertLess(clock.monotonic(), 0.6)
+
+
+class PeerKnowledgeTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against what other instances tell wrongly, late or while we fail."""
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.clock = VirtualClock()
+        self.seen: list[tuple[str, bytes | None]] = []
+        self.away: list[float] = []
+        self.follower = TopicFollower(
+            "targets",
+            KeyedTopic(self.store.client, TOPIC),
+            self.clock,
+            ReadingPace(30.0, 0.2, 0.6, 1.2, 0.25, records_lapse=True),
+            lambda record: self.seen.append((record.key, record.value)),
+            self.away.append,
+            random.Random(1),
+            lambda: False,
+        )
+
+    async def settle(self, seconds: float = 0.0) -> None:
+        """Let time pass in steps."""
+        for _ in range(max(1, round(seconds / 0.05))):
+            for _ in range(12):
+                await asyncio.sleep(0)
+            self.clock.advance(0.05 if seconds else 0.0)
+        for _ in range(12):
+            await asyncio.sleep(0)
+
+    async def start(self) -> None:
+        task = asyncio.create_task(self.follower.run())
+        self.addCleanup(task.cancel)
+        await self.settle()
+
+    def count_reads(self) -> int:
+        return sum("log-read" in path for _, path, _ in self.store.calls)
+
+    async def test_proof_is_as_old_as_the_question_and_its_answer(self):
+        await self.start()
+        asked_at = self.clock.boottime()
+        self.clock.advance(0.9)
+        self.follower.take_peer_state(TopicState(0, 300), asked_at)
+        self.assertAlmostEqual(self.follower.freshness.proved_at, asked_at)
+        self.follower.take_peer_state(TopicState(0, 300), asked_at + 0.5)
+        self.assertAlmostEqual(self.follower.freshness.proved_at, asked_at + 0.2)
+
+    async def test_suspension_between_question_and_answer_ages_the_proof(self):
+        await self.start()
+        asked_at = self.clock.boottime()
+        self.clock.suspend(6.0)
+        self.follower.take_peer_state(TopicState(0, 10), asked_at)
+        age = self.follower.freshness.age(self.clock.boottime())
+        self.assertGreaterEqual(age, 6.0)
+
+    async def test_negative_age_is_no_proof(self):
+        await self.start()
+        before = self.follower.freshness.proved_at
+        self.follower.take_peer_state(TopicState(0, -5000), self.clock.boottime() + 1)
+        self.assertEqual(self.follower.freshness.proved_at, before)
+
+    async def test_instance_that_is_behind_takes_no_proof_and_reads(self):
+        await self.start()
+        self.store.state.put(TOPIC, "i-1", b"draining")
+        before = self.follower.freshness.proved_at
+        self.follower.take_peer_state(TopicState(1, 0), self.clock.boottime())
+        self.assertEqual(self.follower.freshness.proved_at, before)
+        await self.settle(0.4)
+        self.assertEqual(self.seen, [("i-1", b"draining")])
+
+    async def test_end_that_the_store_does_not_have_costs_few_reads(self):
+        """Another instance may be wrong, or know the store of another day."""
+        await self.start()
+        for end in range(5, 45):
+            self.follower.note_peer_end(end)
+            await self.settle(0.1)
+        self.assertLessEqual(self.count_reads(), 4.0 / 0.9 + 4)
+
+    async def test_records_of_another_instance_save_the_read(self):
+        await self.start()
+        self.store.state.put(TOPIC, "i-1", b"1")
+        run = RecordRun(0, 1, (KeyedRecord(0, "i-1", b"1"),))
+        self.follower.note_peer_end(1)
+        self.follower.take_peer_run(run)
+        await self.settle(0.5)
+        self.assertEqual(self.seen, [("i-1", b"1")])
+        self.assertEqual(self.count_reads(), 0)
+        self.follower.take_peer_run(run)
+        self.assertEqual(len(self.seen), 1)
+
+    async def test_run_with_a_gap_is_not_taken(self):
+        await self.start()
+        self.follower.take_peer_run(RecordRun(3, 4, (KeyedRecord(3, "i-1", b"1"),)))
+        self.assertEqual(self.seen, [])
+
+    async def test_later_page_does_not_revert_what_was_told(self):
+        """A key that was put and dropped must not come back by a page from before."""
+        await self.start()
+        page = RecordRun(0, 1, (KeyedRecord(0, "i-1", b"1"),))
+        told = RecordRun(
+            0, 2, (KeyedRecord(0, "i-1", b"1"), KeyedRecord(1, "i-1", None))
+        )
+        self.follower.take_peer_run(told)
+        self.follower.take_peer_run(page)
+        self.assertEqual(self.seen, [("i-1", b"1"), ("i-1", None)])
+
+    async def test_lapsed_records_wait_for_the_own_read_after_an_outage(self):
+        """Else a target whose entry lapsed in the outage would be gone at once."""
+        self.store.state.put(TOPIC, "i-1", b"1")
+        await self.start()
+        self.store.status = 503
+        await self.settle(4.0)
+        self.follower.take_peer_run(RecordRun(1, 2, (KeyedRecord(1, "i-1", None),)))
+        self.assertEqual(self.seen, [("i-1", b"1")])
+        self.store.state.put(TOPIC, "i-1", None)
+        self.store.status = None
+        await self.settle(4.0)
+        self.assertEqual(self.seen, [("i-1", b"1"), ("i-1", None)])
+        self.assertEqual(len(self.away), 1)
+        self.assertGreater(self.away[0], 4.0)
+
+    async def test_proofs_of_others_do_not_shorten_an_outage(self):
+        await self.start()
+        self.store.status = 503
+        await self.settle(4.0)
+        self.follower.take_peer_state(TopicState(0, 0), self.clock.boottime())
+        self.store.status = None
+        await self.settle(4.0)
+        self.assertGreater(self.away[0], 4.0)
+
+    async def test_news_of_the_stores_return_ends_a_long_pause(self):
+        """Lapsed entries are kept for two seconds after the return only."""
+        await self.start()
+        self.store.status = 503
+        await self.settle(6.0)
+        self.store.status = None
+        self.follower.take_peer_state(TopicState(0, 0), self.clock.boottime())
+        await self.settle(1.1)
+        self.assertEqual(len(self.away), 1)
+
+    async def test_records_are_told_on_in_parts_that_fit_an_answer(self):
+        for number in range(60):
+            self.store.state.put(TOPIC, f"i-{number}", b"x" * 300)
+        await self.start()
+        for number in range(60, 80):
+            self.store.state.put(TOPIC, f"i-{number}", b"x" * 300)
+        await self.settle(2.0)
+        self.assertIsNone(self.follower.collect_run(59))
+        self.assertIsNone(self.follower.collect_run(80))
+        first = self.follower.collect_run(60)
+        self.assertEqual(first.first, 60)
+        self.assertLess(first.next_offset, 80)
+        rest = self.follower.collect_run(first.next_offset)
+        self.assertEqual(rest.next_offset, 80)
+        told = [record.key for record in (*first.records, *rest.records)]
+        self.assertEqual(told, [f"i-{number}" for number in range(60, 80)])
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -6,7 +6,9 @@
 from carobladder.clients.http import HttpClient
 from carobladder.clock import SystemClock
 from carobladder.entry.runtime import Entry
-from carobladder.gateway import Answer, GatewayServer, RequestLimits
+from carobladder.gateway.ports import Answer
+from carobladder.gateway.requests import RequestLimits
+from carobladder.gateway.server import GatewayServer
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import GatewayMetrics
 from standins.store import StoreState
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -75,6 +75,7 @@
             encode_move_status,
             EXPOSURE,
             fleet.clock,
+            random.Random(1),
         )
         self.task = asyncio.create_task(self.mover.run())
 
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -3,44 +3,10 @@
 import random
 import unittest
 
-import msgspec
-
-from carobladder.fleet import (
-    LoadReport,
-    LoadSharing,
-    TargetLoad,
-    decode_message,
-    encode_message,
-)
+from carobladder.fleet import LoadReport, LoadSharing, TargetLoad
 from tests.fleet.builders import fill_table
 
 
-class LoadMessageTest(unittest.TestCase):
-    """Guard against messages that mislead or stop an instance."""
-
-    def test_round_trip(self):
-        reports = [LoadReport("i-1", 7, 0.25)]
-        message = decode_message(encode_message(reports, [4, 0]))
-        self.assertEqual((message.reports, message.ends), (reports, [4, 0]))
-
-    def test_other_bytes_and_versions(self):
-        other = msgspec.msgpack.encode([1, [], []])
-        for data in (b"", b"\xff\x00", b"text", other, encode_message([], [])[:-1]):
-            with self.subTest(data=data), self.assertRaises(ValueError):
-                decode_message(data)
-
-    def test_unusable_reports_are_dropped(self):
-        reports = [
-            LoadReport("i-1", -1, 0.1),
-            LoadReport("i-2", 10**9, 0.1),
-            LoadReport("i-3", 1, -0.1),
-            LoadReport("i-4", 1, 60.0),
-            LoadReport("i-5", 1, 0.1),
-        ]
-        kept = decode_message(encode_message(reports, [])).reports
-        self.assertEqual([report.target_id for report in kept], ["i-5"])
-
-
 class LoadSharingTest(unittest.TestCase):
     """Guard against loads that are unknown because the fleet is large."""
 
@@ -48,9 +14,9 @@
         table, targets = fill_table(2)
         sharing = LoadSharing(table)
         targets[0].health.note_load(TargetLoad(3, 1, 8), 10.0)
-        sharing.take([LoadReport("i-1", 9, 1.0), LoadReport("i-9", 1, 0.0)], 10.5)
+        sharing.take([LoadReport("i-1", 9, 1000), LoadReport("i-9", 1, 0)], 10.5)
         self.assertEqual(targets[0].health.read_stated_load(10.5), (4, 0.5))
-        sharing.take([LoadReport("i-1", 9, 0.2)], 10.5)
+        sharing.take([LoadReport("i-1", 9, 200)], 10.5)
         load, age_seconds = targets[0].health.read_stated_load(10.5)
         self.assertEqual(load, 9)
         self.assertAlmostEqual(age_seconds, 0.2)
@@ -70,13 +36,11 @@
         tables[0][1][0].health.note_load(TargetLoad(12, 0, 64), 0.0)
         for turn in range(1, 6):
             now = turn * 0.3
-            messages = [
-                encode_message(sharing.collect(now), []) for sharing in sharings
-            ]
-            for message in messages:
+            told = [sharing.collect(now) for sharing in sharings]
+            for reports in told:
                 for peer in generator.sample(sharings, 2):
                     if generator.random() > 0.1:
-                        peer.take(decode_message(message).reports, now)
+                        peer.take(reports, now)
         known = [t[0].health.read_stated_load(1.5) for _, t in tables]
         self.assertGreater(sum(load is not None for load in known), 60)
         self.assertEqual({load[0] for load in known if load}, {12})
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -10,6 +10,7 @@
     ColdPacer,
     Freshness,
     PromptWarmth,
+    RouteTimes,
     ShareLedger,
     TargetEntry,
     TargetSelector,
@@ -17,7 +18,8 @@
     VersionMoves,
 )
 from carobladder.forwarding import FenceTimes, Forwarder, ForwardHandler, TargetSender
-from carobladder.gateway import GatewayServer, RequestLimits
+from carobladder.gateway.requests import RequestLimits
+from carobladder.gateway.server import GatewayServer
 from carobladder.platform.exchanges import PlatformCodec
 from carobladder.retries import RetryBudget
 from carobladder.routing import (
@@ -149,6 +151,7 @@
             codec,
             PromptWarmth(self.targets),
             AnswerTallies(moves, self.targets, incarnation=1),
+            RouteTimes(),
             self.clock,
         )
         selector = TargetSelector(
--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -301,7 +301,46 @@
 
 
 class PatienceTest(ForwardingTest):
-    """Guard against giving up an engine that only reads long prompts."""
+    """Guard against giving up targets that are only slow with some requests."""
+
+    async def test_limit_of_a_short_request_says_nothing_of_its_target(self):
+        """Seen on calm days: a route whose limit is shorter than its work takes.
+
+        Each of its requests made the instance leave a sound target alone.
+        """
+
+        async def work(request: bytes, writer) -> None:
+            if b"/short" not in request:
+                await echo(request, writer)
+
+        instance = await self.start(work)
+        for _ in range(3):
+            short = asyncio.create_task(
+                instance.call("/unsafe/short", b"a", Carobladder_Deadline="430")
+            )
+            await asyncio.sleep(0.05)
+            self.assertEqual((await instance.call("/safe/x"))[0], 200)
+            self.assertEqual((await short)[0], 504)
+        self.assertEqual(instance.targets.find("i-0").health.failures, 0)
+
+    async def test_route_that_takes_long_is_given_as_long(self):
+        """The limit of a slow route may grow beyond what other routes take."""
+
+        async def work(request: bytes, writer) -> None:
+            if b"/slow" not in request:
+                await echo(request, writer)
+
+        instance = await self.start(work)
+        for milliseconds in (350, 1200):
+            slow = asyncio.create_task(
+                instance.call(
+                    "/unsafe/slow", b"a", Carobladder_Deadline=str(milliseconds)
+                )
+            )
+            await asyncio.sleep(0.05)
+            self.assertEqual((await instance.call("/safe/x"))[0], 200)
+            self.assertEqual((await slow)[0], 504)
+        self.assertEqual(instance.targets.find("i-0").health.failures, 0)
 
     async def test_engine_that_reads_long_prompts_is_not_suspected(self):
         """Many first requests come at once and nothing is in the cache yet."""
