Bound answers without end and streams that only drip

Cause: a whole answer could take 64 MB, so four targets in trouble could take more than an instance of 200 MB has; interim answers had no bound; each byte of a stream began its longest pause anew, so a target that sends a byte now and then kept a stream open.

Change: the answers that a client holds at once share an eighth of the instance's memory, one of them half of that; at most 16 interim answers; a stream that may be resumed goes on elsewhere when no whole event came within the longest pause.

Tests: bytes without end in a head, a head line, interim answers, a chunk head, chunks, a trailer and a body; four answers at once; a dripping stream; a slow but sound one.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -14,6 +14,8 @@
 
 _MAX_ANSWER_HEADER_BYTES = 65_536
 _DEFAULT_IDLE_SECONDS = 4.0
+# Interim answers (1xx) before the answer itself.
+_MAX_INTERIM_ANSWERS = 16
 _KEEP_ALIVE_PROBES = 3
 _MS_PER_SECOND = 1000
 # Reading from the socket stops while this much is not yet consumed.
@@ -147,6 +149,7 @@
     async def read_response(self, limit_at: float) -> h11.Response:
         """Return the status line and headers of the answer, by the loop's time."""
         self._arm_timer(limit_at)
+        interim_answers = 0
         while True:
             event = self._next_event()
             if isinstance(event, h11.Response):
@@ -155,6 +158,10 @@
                 await self._wait()
             elif not isinstance(event, h11.InformationalResponse):
                 raise self._broken("connection closed before the answer")
+            else:
+                interim_answers += 1
+                if interim_answers > _MAX_INTERIM_ANSWERS:
+                    raise self._broken("interim answers without end")
 
     async def read_data(self, timeout_seconds: float) -> bytes:
         """Return the next bytes of the body, or nothing at its end."""
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -26,7 +26,10 @@
 # A peer whose kernel does not answer for this long has lost the connection.
 _SILENCE_SECONDS = 15.0
 _MAX_IDLE_FOR_ADDRESS = 128
-_MAX_ANSWER_BYTES = 67_108_864
+# Bytes of all answers that a client holds at the same time, and the part of them that
+# one answer may take.
+_MAX_HELD_BYTES = 67_108_864
+_ANSWER_PART = 0.5
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
@@ -95,20 +98,28 @@
         return at_end
 
     async def read_all(self, timeout_seconds: float) -> bytes:
-        """Return the rest of the body; the time limit holds for all of it."""
+        """Return the rest of the body; the time limit holds for all of it.
+
+        Raises ConnectionBrokenError, also for more bytes than the client may hold.
+        """
         loop = asyncio.get_running_loop()
         limit_at = loop.time() + timeout_seconds
         parts = []
         size = 0
-        while data := await self.read(max(0.0, limit_at - loop.time())):
-            parts.append(data)
-            size += len(data)
-            if size > _MAX_ANSWER_BYTES:
-                self.close()
-                raise ConnectionBrokenError(
-                    f"answer exceeds {_MAX_ANSWER_BYTES} bytes; request less at a time",
-                    request_written=True,
-                )
+        try:
+            while data := await self.read(max(0.0, limit_at - loop.time())):
+                parts.append(data)
+                size += len(data)
+                self._client.hold(len(data))
+                if self._client.is_over(size):
+                    self.close()
+                    raise ConnectionBrokenError(
+                        f"answer exceeds the memory for it at {size} bytes; "
+                        "request less at a time",
+                        request_written=True,
+                    )
+        finally:
+            self._client.hold(-size)
         return b"".join(parts)
 
     async def skip_to_next(self, limit_at: float) -> None:
@@ -153,8 +164,11 @@
         *,
         connect_seconds: float = _CONNECT_SECONDS,
         silence_seconds: float = _SILENCE_SECONDS,
+        max_held_bytes: int = _MAX_HELD_BYTES,
     ) -> None:
         self._clock = clock
+        self._max_held_bytes = max_held_bytes
+        self._held_bytes = 0
         self._silence_seconds = silence_seconds
         self._connect_seconds = connect_seconds
         self._pool: dict[str, list[ClientConnection]] = {}
@@ -241,6 +255,15 @@
         self._keep(connection, self._clock.monotonic())
         return True
 
+    def hold(self, size: int) -> None:
+        """Count bytes of answers that are held, or with a negative size released."""
+        self._held_bytes += size
+
+    def is_over(self, size: int) -> bool:
+        """Tell whether an answer of this size so far must be given up."""
+        most = self._max_held_bytes
+        return self._held_bytes > most or size > most * _ANSWER_PART
+
     def close(self) -> None:
         """Close the idle connections."""
         for connections in self._pool.values():
--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -56,6 +56,9 @@
 __all__ = ["EntryParts", "build_parts"]
 
 _MS_PER_SECOND = 1000.0
+_BYTES_PER_MB = 1_000_000
+# Answers that are read whole before they are sent on may take this part of the memory.
+_HELD_DIVISOR = 8
 # A read of the store answers within this time after its own wait.
 _STORE_TIMEOUT_SECONDS = 0.8
 _CONNECT_SECONDS = 0.4
@@ -98,7 +101,11 @@
         self._clock = clock
         self._generator = random.Random()
         self._revocation_seconds = settings.key_revocation_ms / _MS_PER_SECOND
-        self._client = HttpClient(clock, connect_seconds=_CONNECT_SECONDS)
+        self._client = HttpClient(
+            clock,
+            connect_seconds=_CONNECT_SECONDS,
+            max_held_bytes=settings.memory_mb * _BYTES_PER_MB // _HELD_DIVISOR,
+        )
         store_client = HttpClient(
             clock,
             connect_seconds=_CONNECT_SECONDS,
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -236,9 +236,20 @@
         if events:
             writable = self._responder.write_chunk(events)
             self._note_chunk()
-        return writable and not tracker.finished and not tracker.fault
+        return writable and not (
+            tracker.finished or tracker.fault or (not events and self._is_stalled())
+        )
+
+    def _is_stalled(self) -> bool:
+        """Tell whether bytes arrive, but no whole event within the longest pause."""
+        if self._last_at is None:
+            return False
+        pause = self._observer.monotonic() - self._last_at
+        return pause > self._times.stream_gap_seconds
 
     def _check_fault(self) -> None:
+        if self._is_stalled():
+            raise _broken("bytes arrived, but no whole event in the longest pause")
         fault = self._tracker.fault
         if fault is not StreamFault.NONE:
             raise _broken(f"the stream cannot be followed: {fault}")
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -35,6 +35,7 @@
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Hold the validated settings; times have the units of the operators.
 
+    ``memory_mb`` is the memory that the process may use.
     ``share_partitions`` is the number of partitions of one topic of the store.
     ``retry_ratio`` and ``retry_slack`` bound the repeats of all instances together
     in a window: a part of the requests and a number besides. ``exposure_share`` is
@@ -48,6 +49,7 @@
     metrics_listen: Address
     peer_listen: Address
     store_address: Address
+    memory_mb: Count = 256
     share_partitions: Count = 12
     entry_renewal_ms: Milliseconds = 1200.0
     key_revocation_ms: Milliseconds = 5000.0
--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -473,6 +473,54 @@
         self.assertFalse(complete)
         self.assertNotIn(b"id: 4", data)
 
+    async def test_stalled_stream_that_sends_a_byte_now_and_then_is_left(self):
+        """Each byte used to begin the longest pause anew."""
+
+        async def stall(request: bytes, writer) -> None:
+            writer.write(start_events(request) + chunk(event(1)) + chunk(b"id: 2\nda"))
+            while not writer.is_closing():
+                await asyncio.sleep(0.2)
+                writer.write(chunk(b"t"))
+
+        instance = await self.start(stall, self.script(range(1, 4)))
+        loop = asyncio.get_running_loop()
+        for number in range(4):
+            began = loop.time()
+            _, _, body = await instance.call(
+                "/resumable/x",
+                b"a",
+                Carobladder_Deadline="4000",
+                Carobladder_Request_Id=f"id{number}",
+            )
+            data, complete = self.read_chunks(body)
+            self.assertTrue(complete)
+            self.assertEqual(data, b"".join(event(n) for n in range(1, 4)))
+            self.assertLess(loop.time() - began, 1.8)
+        self.assertGreaterEqual(len(self.targets[0].requests), 1)
+
+    async def test_slow_but_sound_stream_is_not_cut(self):
+        """Its events are further apart than usual, and each comes in parts."""
+
+        async def crawl(request: bytes, writer) -> None:
+            writer.write(start_events(request))
+            for number in range(1, 4):
+                data = event(number)
+                await asyncio.sleep(0.3)
+                writer.write(chunk(data[:4]))
+                await asyncio.sleep(0.3)
+                writer.write(chunk(data[4:]))
+            writer.write(b"0\r\n\r\n")
+
+        instance = await self.start(crawl)
+        for route in ("stream", "resumable"):
+            _, _, body = await instance.call(
+                f"/{route}/x", b"a", Carobladder_Deadline="4000"
+            )
+            data, complete = self.read_chunks(body)
+            self.assertTrue(complete)
+            self.assertEqual(data, b"".join(event(n) for n in range(1, 4)))
+        self.assertEqual(self.count_requests(), 2)
+
     async def test_resumable_stream_goes_on_at_another_target(self):
         broken = self.script(range(1, 4), cut=True, partial=b"id: 4\nda")
         instance = await self.start(broken, self.script(range(1, 9)))
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -173,3 +173,86 @@
             await asyncio.sleep(0.05)
             async with answer:
                 self.assertEqual(len(await answer.read_all(LONG_SECONDS)), 5_000_000)
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against servers in trouble that send bytes until the caller closes."""
+
+    async def asyncSetUp(self):
+        self.client = HttpClient(VirtualClock(), max_held_bytes=2_000_000)
+        self.addCleanup(self.client.close)
+
+    async def read(self, start: bytes, piece: bytes) -> tuple[float, int]:
+        """Return the time until an answer without end fails, and the bytes sent."""
+        sent = 0
+
+        async def send(reader, writer, number):
+            nonlocal sent
+            await read_head(reader)
+            writer.write(start)
+            while True:
+                writer.write(piece)
+                sent += len(piece)
+                await writer.drain()
+
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with ScriptedServer(send) as server:
+            with self.assertRaises(ConnectionBrokenError) as caught:
+                answer = await self.client.open(
+                    "GET", server.address, "/", timeout_seconds=LONG_SECONDS
+                )
+                await answer.read_all(LONG_SECONDS)
+        self.assertTrue(caught.exception.request_written)
+        self.assertEqual(self.client._held_bytes, 0)
+        return loop.time() - began, sent
+
+    async def test_bytes_without_end(self):
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "head": (head, b"x-a: " + b"y" * 500 + b"\r\n"),
+            "head line": (head + b"x: ", b"y" * 500),
+            "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            "chunk head": (chunked + b"1;", b"z" * 500),
+            "chunks": (chunked, b"ff\r\n" + b"z" * 255 + b"\r\n"),
+            "trailer": (chunked + b"0\r\n", b"x-a: " + b"y" * 500 + b"\r\n"),
+            "body without a length": (head + b"\r\n", b"z" * 1000),
+            "no answer": (b"", b"\x00\xff" * 500),
+        }
+        for name, (start, piece) in cases.items():
+            with self.subTest(name):
+                seconds, sent = await self.read(start, piece)
+                self.assertLess(seconds, LONG_SECONDS / 3)
+                self.assertLess(sent, 30_000_000)
+
+    async def test_answers_together_stay_within_the_memory(self):
+        """One answer fits, but not four of its size at once."""
+        release = asyncio.Event()
+
+        async def send(reader, writer, number):
+            await read_head(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n")
+            writer.write(b"z" * 800_000)
+            await release.wait()
+            writer.write(b"z" * 100_000)
+
+        async with ScriptedServer(send) as server:
+
+            async def fetch() -> bool:
+                try:
+                    await self.client.fetch(
+                        "GET", server.address, "/", timeout_seconds=LONG_SECONDS
+                    )
+                except ConnectionBrokenError:
+                    return False
+                return True
+
+            tasks = [asyncio.create_task(fetch()) for _ in range(4)]
+            await asyncio.sleep(0.3)
+            self.assertLessEqual(self.client._held_bytes, 2_000_000)
+            release.set()
+            whole = [await task for task in tasks]
+        self.assertIn(True, whole)
+        self.assertIn(False, whole)
+        self.assertEqual(self.client._held_bytes, 0)
