Read the operators' topic within the time for a configuration

Cause: an instance that nobody tells of a change reads for itself when its proof is old. For the operators' topic that age followed from the time for revoked keys (3 s of 5 s), not from the 2 s in which a configuration must be in force.

Change: both ages are the smaller of those for keys (0.35 and 0.6 of the time) and for configurations (0.4 and 0.7).

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -217,7 +217,10 @@
             "operator",
             KeyedTopic(self._store, OPERATOR_TOPIC),
             self._clock,
-            plan_operator_pace(self._revocation_seconds),
+            plan_operator_pace(
+                self._revocation_seconds,
+                self._settings.configuration_ms / _MS_PER_SECOND,
+            ),
             lambda record: knowledge.apply(decode_operator_record(record)),
             lambda away_seconds: entries.read_again(),
             self._generator,
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -7,8 +7,11 @@
 # Longest wait that the store allows for a read.
 _WAIT_SECONDS = 30.0
 # Parts of the time in which a revoked key must be refused everywhere.
-_OPERATOR_READER_PART = 0.35
-_OPERATOR_LISTENER_PART = 0.6
+_REVOCATION_READER_PART = 0.35
+_REVOCATION_LISTENER_PART = 0.6
+# Parts of the time in which a configuration must be in force everywhere.
+_CONFIGURATION_READER_PART = 0.4
+_CONFIGURATION_LISTENER_PART = 0.7
 _OPERATOR_COLLECT_SECONDS = 0.2
 # A configuration of some hundred routes, which is packed for a datagram. Larger ones
 # are read by each instance.
@@ -24,13 +27,21 @@
 _INSTANCES_SETTLE_SECONDS = 1.5
 
 
-def plan_operator_pace(revocation_seconds: float) -> ReadingPace:
-    """Return the pace for the operators' records, which revoke keys."""
+def plan_operator_pace(
+    revocation_seconds: float, configuration_seconds: float
+) -> ReadingPace:
+    """Return the pace for the operators' records: configurations and their keys."""
     return ReadingPace(
         wait_seconds=_WAIT_SECONDS,
         collect_seconds=_OPERATOR_COLLECT_SECONDS,
-        reader_age_seconds=revocation_seconds * _OPERATOR_READER_PART,
-        listener_age_seconds=revocation_seconds * _OPERATOR_LISTENER_PART,
+        reader_age_seconds=min(
+            revocation_seconds * _REVOCATION_READER_PART,
+            configuration_seconds * _CONFIGURATION_READER_PART,
+        ),
+        listener_age_seconds=min(
+            revocation_seconds * _REVOCATION_LISTENER_PART,
+            configuration_seconds * _CONFIGURATION_LISTENER_PART,
+        ),
         catch_up_seconds=_CATCH_UP_SECONDS,
         told_bytes=_OPERATOR_TOLD_BYTES,
     )
