Ask a version move which targets are of its version

Cause: the comparison of a target's version with the order's stood seven times in three modules, and the exchange paired followers and told ends twice for each datagram.

Change: VersionMove.takes_over; one list of pairs. Behaviour and tests stay as they are.

--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -129,10 +129,10 @@
         self._sharing.take(message.reports, self._clock.monotonic())
         if message.question:
             self._answer(message, peer)
-        known = zip(self._followers, message.ends, strict=False)
-        if any([follower.lacks(end) for follower, end in known]):
+        known = list(zip(self._followers, message.ends, strict=False))
+        if any(follower.lacks(end) for follower, end in known):
             self._ask_at_once(peer)
-        for follower, end in zip(self._followers, message.ends, strict=False):
+        for follower, end in known:
             follower.note_peer_end(end)
 
     @_take.register
--- a/carobladder/entry/versions.py
+++ b/carobladder/entry/versions.py
@@ -219,7 +219,7 @@
 
     def _count_new_targets(self, move: VersionMove) -> int:
         targets = self._table.list_open(move.order.service)
-        return sum(target.entry.version == move.order.version for target in targets)
+        return sum(move.takes_over(target) for target in targets)
 
     def _count_old_requests(self, move: VersionMove) -> int:
         reports = self._reported.values()
--- a/carobladder/fleet/tallies.py
+++ b/carobladder/fleet/tallies.py
@@ -104,7 +104,7 @@
         move = self._moves.services.get(target.entry.service)
         if move is None or not move.active:
             return
-        is_new = target.entry.version == move.order.version
+        is_new = move.takes_over(target)
         slow = not failed and self._judge(target, route, first_byte_seconds, now)
         if not (failed or is_new):
             self._baseline.note_usual(route.name, first_byte_seconds)
@@ -149,5 +149,5 @@
         return sum(
             target.health.in_flight
             for target in self._table.list_registered(move.order.service)
-            if target.entry.version != move.order.version
+            if not move.takes_over(target)
         )
--- a/carobladder/fleet/versions.py
+++ b/carobladder/fleet/versions.py
@@ -180,6 +180,10 @@
         """Return the part of requests that goes to the new version."""
         return 0.0 if self.step is None or self.fault else self.step.share
 
+    def takes_over(self, target: FleetTarget) -> bool:
+        """Tell whether a target is of the version that takes over."""
+        return target.entry.version == self.order.version
+
     def elapsed_seconds(self, now: float) -> float:
         """Return the time since the order was first seen by any instance."""
         if self.step is None:
@@ -242,13 +246,13 @@
         move = self._moves.get(service)
         if move is None:
             return targets
-        new = [t for t in targets if t.entry.version == move.order.version]
-        old = [t for t in targets if t.entry.version != move.order.version]
+        new = [t for t in targets if move.takes_over(t)]
+        old = [t for t in targets if not move.takes_over(t)]
         if move.step is not None and move.step.state is MoveState.COMPLETED:
             return new or old
         if move.fault or (move.step is not None and move.step.final):
             return old
-        if all(t.entry.version == move.order.version for t in registered):
+        if all(move.takes_over(t) for t in registered):
             return new
         return self._divide(move, old, new)
 
@@ -273,4 +277,4 @@
         move = self._moves.get(target.entry.service)
         if move is not None and move.active:
             move.sent += 1
-            move.sent_new += target.entry.version == move.order.version
+            move.sent_new += move.takes_over(target)
