Leave targets alone that say they leave or that ask for a pause

Change: the adapter decodes both. A target that says it leaves gets no request for the rest of its run, also if its entry says ready or lapsed and came back; the table keeps removed runs for that. A pause is bounded at 60 s, never negative and never shortened by a later refusal; a service of which all targets pause is refused at once with the shortest time left, not cut to a part of the caller's time. Both are checked again when the request is about to be written. What an answer 421 says is about another target and is not used any more, its load and cold time included.

Ruled out: telling other instances. Each instance is bound by its own answers only.

--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -44,6 +44,7 @@
     "TargetFailedError",
     "TargetRefusedError",
     "TargetsBusyError",
+    "TargetsPausedError",
     "UnknownModelError",
     "UnknownOutcomeError",
     "UnknownPathError",
@@ -242,6 +243,15 @@
     code = "targets_busy"
 
 
+class TargetsPausedError(NotReadyError):
+    """Report that each target of the service has asked for a pause.
+
+    ``retry_after_seconds`` is the time until the first of the pauses is over.
+    """
+
+    code = "targets_paused"
+
+
 class DeadlineExceededError(CallerError):
     """Report a request whose deadline passed before it was started."""
 
--- a/carobladder/explain/story.py
+++ b/carobladder/explain/story.py
@@ -7,17 +7,18 @@
 
 __all__ = ["Story", "StoryStep", "explain_request"]
 
-_TARGET_EVENTS = frozenset(
-    {
-        "target_seen",
-        "target_changed",
-        "target_gone",
-        "target_suspected",
-        "target_trusted",
-        "target_checked",
-        "target_entry_unreadable",
-    }
-)
+# Events of one matter replace each other.
+_TARGET_EVENTS = {
+    "target_seen": "target",
+    "target_changed": "target",
+    "target_gone": "target",
+    "target_suspected": "target",
+    "target_trusted": "target",
+    "target_checked": "target",
+    "target_entry_unreadable": "target",
+    "target_leaving": "leaving of target",
+    "target_paused": "pause of target",
+}
 _KNOWLEDGE_EVENTS = {
     "configuration_in_force": "configuration",
     "store_lost": "store",
@@ -90,7 +91,7 @@
         target = str(line.fields.get("target", ""))
         known = targets.get(line.run, ())
         if line.event in _TARGET_EVENTS and target in known:
-            matter = f"target {target}"
+            matter = f"{_TARGET_EVENTS[line.event]} {target}"
         if matter is not None:
             newest[line.run, matter] = line
     return list(newest.values())
--- a/carobladder/fleet/exchanges.py
+++ b/carobladder/fleet/exchanges.py
@@ -50,13 +50,21 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
-    """Describe a target's answer; ``not_run`` is the target's own promise."""
+    """Describe a target's answer.
+
+    ``not_run`` is the target's own promise. ``misdirected`` says that another target
+    answers at the address. A target that is ``leaving`` ends soon; one that states
+    ``pause_seconds`` wants no requests of this instance for so long.
+    """
 
     request_id: str
     signed: bool
     not_run: bool
+    misdirected: bool = False
     load: TargetLoad | None = None
     cold_seconds: float | None = None
+    leaving: bool = False
+    pause_seconds: float | None = None
 
 
 class ExchangeCodec(Protocol):
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -81,11 +81,20 @@
             self._pacer.take(chosen.target_id, wanted.service.cold_per_second, now)
         return chosen
 
+    def find_pause(self, service: str, now: float) -> float | None:
+        """Return the seconds until the first target takes requests again.
+
+        Return None unless each target of the service has asked for a pause.
+        """
+        pauses = [target.read_pause(now) for target in self._table.list_open(service)]
+        return min(pauses, default=0.0) or None
+
     def _list_usable(self, wanted: Selection, now: float) -> list[FleetTarget]:
         open_targets = [
             target
             for target in self._table.list_open(wanted.service.name)
             if target.target_id not in wanted.excluded
+            and target.may_be_sent_to(now)
             and self._bears_one(target, wanted.service, now)
         ]
         service = wanted.service.name
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -1,5 +1,7 @@
 """Targets that the instance may use."""
 
+from collections import OrderedDict
+
 from carobladder.fleet.entries import TargetEntry
 from carobladder.fleet.health import TargetHealth
 
@@ -8,6 +10,9 @@
 # Entries that lapsed while the store was away come back within this time of its
 # return if the target is alive.
 _RETURN_SECONDS = 2.0
+# Bounds a pause that a target asks for, so that an absurd time cannot bar it for ever.
+_LONGEST_PAUSE_SECONDS = 60.0
+_MAX_REMOVED = 512
 
 
 class FleetTarget:
@@ -19,6 +24,8 @@
         self.seen_at = now
         self.cold_until = now + entry.cold_seconds
         self.misdirected = False
+        self.leaving = False
+        self._asked_to_wait_until = float("-inf")
 
     @property
     def target_id(self) -> str:
@@ -38,22 +45,50 @@
     @property
     def takes_requests(self) -> bool:
         """Tell whether the target is neither leaving nor replaced by another one."""
-        return not (self.entry.draining or self.misdirected)
+        return not (self.entry.draining or self.leaving or self.misdirected)
+
+    def read_pause(self, now: float) -> float:
+        """Return the seconds for which the target still wants no requests."""
+        return max(0.0, self._asked_to_wait_until - now)
+
+    def may_be_sent_to(self, now: float) -> bool:
+        """Tell whether a request may be written to the target at this moment."""
+        return self.takes_requests and now >= self._asked_to_wait_until
 
     def note_misdirected(self) -> None:
         """Note that another target answers at the address; a new entry ends that."""
         self.misdirected = True
 
+    def note_leaving(self) -> bool:
+        """Note that the target itself said that it leaves; tell whether that is new.
+
+        It holds for the rest of its run, whatever its entry in the store says.
+        """
+        known = self.leaving
+        self.leaving = True
+        return not known
+
+    def note_pause(self, seconds: float, now: float) -> None:
+        """Leave the target alone for the time that it asked for in a refusal."""
+        pause_seconds = min(max(0.0, seconds), _LONGEST_PAUSE_SECONDS)
+        until = now + pause_seconds
+        self._asked_to_wait_until = max(self._asked_to_wait_until, until)
+
     def note_cold(self, seconds: float, now: float) -> None:
         """Take the cold time that the target itself stated in an answer."""
         self.cold_until = now + seconds
 
 
 class TargetTable:
-    """Keep the registered targets, by service."""
+    """Keep the registered targets, by service.
+
+    A run that registers again after its removal is the same target, with all that was
+    seen of it: that it said it leaves holds also where its entry lapsed and came back.
+    """
 
     def __init__(self) -> None:
         self._targets: dict[str, FleetTarget] = {}
+        self._removed: OrderedDict[str, FleetTarget] = OrderedDict()
         self._by_service: dict[str, list[FleetTarget]] = {}
         self._emptied: set[str] = set()
         self._lapsing: dict[str, float] = {}
@@ -74,11 +109,13 @@
         """Take an entry; a restart under the same id is a new target."""
         self._lapsing.pop(entry.target_id, None)
         known = self._targets.get(entry.target_id)
+        if known is None:
+            known = self._removed.pop(entry.target_id, None)
         if known is None or _is_other_run(known.entry, entry):
             known = FleetTarget(entry, now)
-            self._targets[entry.target_id] = known
         else:
             known.update(entry, now)
+        self._targets[entry.target_id] = known
         self._regroup()
         return known
 
@@ -141,7 +178,10 @@
 
     def _remove(self, target_id: str) -> None:
         self._lapsing.pop(target_id, None)
-        del self._targets[target_id]
+        self._removed[target_id] = self._targets.pop(target_id)
+        self._removed.move_to_end(target_id)
+        if len(self._removed) > _MAX_REMOVED:
+            self._removed.popitem(last=False)
         self._regroup()
 
     def _regroup(self) -> None:
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -13,6 +13,7 @@
     TargetFailedError,
     TargetRefusedError,
     TargetsBusyError,
+    TargetsPausedError,
 )
 from carobladder.fleet import (
     FleetTarget,
@@ -101,7 +102,7 @@
             if opened.facts.not_run:
                 opened.note_first_byte()
                 opened.close()
-                if opened.answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+                if opened.facts.misdirected:
                     target.note_misdirected()
                 self.note_failure(target, _describe_refusal(opened))
                 continue
@@ -244,6 +245,10 @@
         if self.may_have_run:
             return TargetFailedError(f"the call failed at its target: {reason}")
         message = f"the call was not run: {reason}"
+        now = self._forwarder.clock.monotonic()
+        pause = self._forwarder.selector.find_pause(self._call.service.name, now)
+        if pause is not None:
+            return TargetsPausedError(message, pause)
         if self._sends:
             return TargetsBusyError(message, _BUSY_RETRY_SECONDS)
         return NoTargetError(message, _NO_TARGET_RETRY_SECONDS)
--- a/carobladder/forwarding/refusals.py
+++ b/carobladder/forwarding/refusals.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from carobladder.exceptions import CallerError
+from carobladder.exceptions import CallerError, TargetsPausedError
 from carobladder.fleet import CallFacts
 from carobladder.gateway.ports import Answer
 from carobladder.gateway.problems import encode_problem
@@ -52,7 +52,7 @@
     ) -> float:
         seconds = error.retry_after_seconds or _DEFAULT_RETRY_SECONDS
         seconds *= 1.0 + self._generator.random()
-        if facts.time_left_seconds is None:
+        if facts.time_left_seconds is None or isinstance(error, TargetsPausedError):
             return seconds
         left_seconds = max(0.0, facts.time_left_seconds - passed_seconds)
         return min(seconds, left_seconds * _RETRY_PART)
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -10,6 +10,7 @@
 from carobladder.exceptions import (
     AnswerOverdueError,
     ConnectionBrokenError,
+    RequestWithheldError,
     TargetError,
 )
 from carobladder.fleet import (
@@ -26,6 +27,8 @@
 from carobladder.telemetry import (
     AnswerOfOtherRequestDropped,
     RequestPlaced,
+    TargetLeaving,
+    TargetPaused,
     emit,
 )
 
@@ -36,6 +39,8 @@
 # A request whose own limit is this close to the time after which silence counts ends
 # without saying anything about its target.
 _LIMIT_MARGIN_SECONDS = 0.1
+# Say nothing against the target that the request was meant for.
+_BLAMELESS_ERRORS = (AnswerOverdueError, RequestWithheldError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +113,7 @@
                 body=call.body,
                 timeout_seconds=wait_seconds,
                 may_repeat=False,
-                confirm=note_write,
+                confirm=lambda: self._confirm(target) and note_write(),
             )
             limit_at = loop.time() + wait_seconds
             facts = await self._match_answer(call, target, answer, limit_at)
@@ -117,7 +122,7 @@
             seconds = self.clock.monotonic() - sent_at
             if error.request_written and seconds >= patience:
                 self._tally(call, target, seconds, failed=False)
-            if seconds >= patience or not isinstance(error, AnswerOverdueError):
+            if seconds >= patience or not isinstance(error, _BLAMELESS_ERRORS):
                 suspect_target(target, str(error), self.clock.monotonic())
             raise
         except BaseException:
@@ -127,7 +132,7 @@
         finally:
             if alarm is not None:
                 alarm.cancel()
-        self._note_facts(target, facts)
+        self._note_facts(call, target, facts)
         return OpenCall(
             answer,
             target,
@@ -171,8 +176,24 @@
             )
         return facts
 
-    def _note_facts(self, target: FleetTarget, facts: AnswerFacts) -> None:
+    def _confirm(self, target: FleetTarget) -> bool:
+        """Tell whether the target still takes requests once it is connected."""
+        return target.may_be_sent_to(self.clock.monotonic())
+
+    def _note_facts(
+        self, call: ForwardedCall, target: FleetTarget, facts: AnswerFacts
+    ) -> None:
+        if facts.misdirected:
+            # What the answer says is about another target.
+            return
         now = self.clock.monotonic()
+        request_id = call.facts.request_id
+        if facts.leaving and target.note_leaving():
+            emit(TargetLeaving(target.target_id, request_id))
+        if facts.pause_seconds is not None:
+            target.note_pause(facts.pause_seconds, now)
+            pause_seconds = round(target.read_pause(now), 3)
+            emit(TargetPaused(target.target_id, request_id, pause_seconds))
         if facts.load is not None:
             target.health.note_load(facts.load, now)
         if facts.cold_seconds is not None:
--- a/carobladder/platform/exchanges.py
+++ b/carobladder/platform/exchanges.py
@@ -1,6 +1,8 @@
 """Headers of requests and answers, decoded for the data path."""
 
+import math
 from collections.abc import Iterable
+from http import HTTPStatus
 
 from carobladder.fleet.exchanges import (
     AnswerFacts,
@@ -14,12 +16,14 @@
     END_TO_END_HEADERS,
     EXPECTED_TARGET_HEADER,
     KEY_HEADER,
+    LEAVING_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
     PREFIX_HEADER,
     PRIORITY_HEADER,
     PROMPT_SOURCE_HEADER,
     REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
     SIGNATURE_HEADER,
     SYSTEM_HEADERS,
     TEAM_HEADER,
@@ -32,7 +36,6 @@
 
 _MS_PER_SECOND = 1000.0
 _LEAST_PRIORITY = 9
-_MISDIRECTED = 421
 
 
 class PlatformCodec:
@@ -87,12 +90,16 @@
     def read_answer(self, status: int, fields: Fields) -> AnswerFacts:
         """Return what the headers of a target's answer say."""
         values = dict(fields)
+        misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
         return AnswerFacts(
             request_id=values.get(REQUEST_ID_HEADER, ""),
             signed=SIGNATURE_HEADER in values,
-            not_run=NOT_RUN_HEADER in values or status == _MISDIRECTED,
+            not_run=NOT_RUN_HEADER in values or misdirected,
+            misdirected=misdirected,
             load=_read_load(values.get(LOAD_HEADER, "")),
             cold_seconds=_read_seconds(values.get(COLD_HEADER)),
+            leaving=values.get(LEAVING_HEADER, "").strip() == "1",
+            pause_seconds=_read_pause(status, values.get(RETRY_AFTER_HEADER)),
         )
 
     def write_answer(self, request_id: str) -> Fields:
@@ -100,13 +107,26 @@
         return ((REQUEST_ID_HEADER, request_id),) if request_id else ()
 
 
-def _read_seconds(text: str | None) -> float | None:
-    if text is None:
+def _read_pause(status: int, text: str | None) -> float | None:
+    """Return the seconds for which a target that refuses wants no requests."""
+    if status != HTTPStatus.SERVICE_UNAVAILABLE:
         return None
+    return _read_amount(text)
+
+
+def _read_seconds(text: str | None) -> float | None:
+    """Return the seconds of a number of milliseconds."""
+    milliseconds = _read_amount(text)
+    return None if milliseconds is None else milliseconds / _MS_PER_SECOND
+
+
+def _read_amount(text: str | None) -> float | None:
+    """Return a number, at least 0; None if there is none that can be used."""
     try:
-        return max(0.0, float(text) / _MS_PER_SECOND)
+        amount = float(text or "")
     except ValueError:
         return None
+    return max(0.0, amount) if math.isfinite(amount) else None
 
 
 def _read_tokens(text: str) -> tuple[int, int]:
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -9,6 +9,7 @@
     "EXPECTED_TARGET_HEADER",
     "INSTANCES_TOPIC",
     "KEY_HEADER",
+    "LEAVING_HEADER",
     "LOAD_HEADER",
     "MOVE_EVIDENCE_TOPIC",
     "NOT_RUN_HEADER",
@@ -17,6 +18,7 @@
     "PRIORITY_HEADER",
     "PROMPT_SOURCE_HEADER",
     "REQUEST_ID_HEADER",
+    "RETRY_AFTER_HEADER",
     "ROLLOUT_PREFIX",
     "SIGNATURE_HEADER",
     "STATUS_TOPIC",
@@ -50,6 +52,8 @@
 NOT_RUN_HEADER = "carobladder-not-executed"
 LOAD_HEADER = "carobladder-server-load"
 COLD_HEADER = "carobladder-cold-ms"
+LEAVING_HEADER = "server-leaving"
+RETRY_AFTER_HEADER = "retry-after"
 
 # Set by the fleet alone; what a caller sends under these names is dropped.
 SYSTEM_HEADERS = frozenset(
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -11,6 +11,8 @@
     "TargetChecked",
     "TargetEntryUnreadable",
     "TargetGone",
+    "TargetLeaving",
+    "TargetPaused",
     "TargetSeen",
     "TargetSuspected",
     "TargetTrusted",
@@ -50,6 +52,25 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLeaving(Event):
+    """A target said in an answer that it leaves; this run gets no more requests."""
+
+    target: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class TargetPaused(Event):
+    """A target refused a request and asked for a pause; it gets none meanwhile."""
+
+    target: str
+    request_id: str
+    pause_seconds: float
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class TargetEntryUnreadable(Event):
     """An entry names no target to use; ``known`` tells whether one was in use."""
