Tell other instances where prompts were read

Holders that a prompt has kept grow from three to six. What many engines keep is not told on, so lists of holders do not push each other out.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -23,6 +23,7 @@
     ColdPacer,
     KeyedRecord,
     LoadSharing,
+    PromptSharing,
     PromptWarmth,
     ReaderRole,
     RouteTimes,
@@ -118,6 +119,8 @@
             store_client, settings.store_address, _STORE_TIMEOUT_SECONDS
         )
         self._targets = TargetTable()
+        self._warmth = PromptWarmth(self._targets)
+        self._prompts = PromptSharing(self._targets, self._warmth)
         self._ledger = ShareLedger(SHARE_PARTITIONS)
         self._pacer = ColdPacer(self._ledger)
         self._moves = VersionMoves(settings.exposure_share)
@@ -204,6 +207,7 @@
             self._settings.peer_listen,
             self._directory,
             LoadSharing(self._targets),
+            self._prompts,
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._role.is_held,
             self._clock,
@@ -268,7 +272,8 @@
         sender = TargetSender(
             self._client,
             codec,
-            PromptWarmth(self._targets),
+            self._warmth,
+            self._prompts,
             self._tallies,
             RouteTimes(),
             self._clock,
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -18,6 +18,7 @@
     PeerAnswer,
     PeerMessage,
     PeerNews,
+    PromptSharing,
     TopicWriter,
     open_message,
     pack_run,
@@ -57,7 +58,8 @@
         self,
         address: str,
         directory: PeerDirectory,
-        sharing: LoadSharing,
+        loads: LoadSharing,
+        prompts: PromptSharing,
         topic: TopicWriter,
         is_reader: Callable[[], bool],
         clock: Clock,
@@ -66,7 +68,8 @@
         self.dropped = 0
         self._address = address
         self._directory = directory
-        self._sharing = sharing
+        self._loads = loads
+        self._prompts = prompts
         self._topic = topic
         self._is_reader = is_reader
         self._clock = clock
@@ -126,7 +129,8 @@
 
     @_take.register
     def _(self, message: PeerNews, peer: Peer) -> None:
-        self._sharing.take(message.reports, self._clock.monotonic())
+        self._loads.take(message.reports, self._clock.monotonic())
+        self._prompts.take(message.prompts)
         if message.question:
             self._answer(message, peer)
         known = list(zip(self._followers, message.ends, strict=False))
@@ -154,15 +158,18 @@
         )
 
     def _tell(self) -> None:
-        """Tell a reader, if one is known, and others drawn at random."""
+        """Tell a reader, if one is known, and others drawn at random.
+
+        Only the others are told of prompts, so that each report spreads evenly.
+        """
         peers = self._directory.list_peers()
         if not peers:
             return
         readers = self._directory.list_readers()
-        chosen = self._generator.sample(readers, min(1, len(readers)))
-        others = [peer for peer in peers if peer not in chosen]
-        count = min(_FAN_OUT - len(chosen), len(others))
-        chosen += self._generator.sample(others, count)
+        asked = self._generator.sample(readers, min(1, len(readers)))
+        others = [peer for peer in peers if peer not in asked]
+        count = min(_FAN_OUT - len(asked), len(others))
+        chosen = asked + self._generator.sample(others, count)
         wanted = max(
             (follower.count_wanted_answers() for follower in self._followers), default=0
         )
@@ -170,16 +177,17 @@
         tells_loads = len(peers) < _FEW_PEERS
         reports: list[LoadReport] = []
         if tells_loads or not self._is_reader():
-            reports = self._sharing.collect(self._clock.monotonic())
+            reports = self._loads.collect(self._clock.monotonic())
         for index, peer in enumerate(chosen):
             question = self._draw_question() if index < wanted else 0
-            self._send(self._build_news(question, reports), peer)
+            prompts = b"" if peer in asked else self._prompts.collect()
+            self._send(self._build_news(question, reports, prompts), peer)
 
     def _ask_at_once(self, peer: Peer) -> None:
         """Ask an instance that knows of records which are missing here."""
         if self._clock.boottime() - self._asked_at < _FASTEST_QUESTION_SECONDS:
             return
-        self._send(self._build_news(self._draw_question(), []), peer)
+        self._send(self._build_news(self._draw_question(), [], b""), peer)
 
     def _draw_question(self) -> int:
         """Return the number of a question that is asked now."""
@@ -191,9 +199,11 @@
             del self._questions[next(iter(self._questions))]
         return self._last_question
 
-    def _build_news(self, question: int, reports: list[LoadReport]) -> PeerNews:
+    def _build_news(
+        self, question: int, reports: list[LoadReport], prompts: bytes
+    ) -> PeerNews:
         ends = [follower.next_offset or 0 for follower in self._followers]
-        return PeerNews(question, self._is_reader(), reports, ends)
+        return PeerNews(question, self._is_reader(), reports, ends, prompts)
 
     def _answer(self, news: PeerNews, peer: Peer) -> None:
         known = list(zip(self._followers, news.ends, strict=False))
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -10,6 +10,7 @@
     loads,
     messages,
     patience,
+    prompts,
     records,
     selection,
     shares,
@@ -27,6 +28,7 @@
 from carobladder.fleet.loads import *  # noqa: F403
 from carobladder.fleet.messages import *  # noqa: F403
 from carobladder.fleet.patience import *  # noqa: F403
+from carobladder.fleet.prompts import *  # noqa: F403
 from carobladder.fleet.records import *  # noqa: F403
 from carobladder.fleet.selection import *  # noqa: F403
 from carobladder.fleet.shares import *  # noqa: F403
@@ -45,6 +47,7 @@
     *loads.__all__,
     *messages.__all__,
     *patience.__all__,
+    *prompts.__all__,
     *records.__all__,
     *selection.__all__,
     *shares.__all__,
--- a/carobladder/fleet/exchanges.py
+++ b/carobladder/fleet/exchanges.py
@@ -33,6 +33,11 @@
     input_tokens: int = 0
     output_tokens: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may have; a single part is shared."""
+        return self.prompt[:-1] or self.prompt
+
 
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -61,12 +61,14 @@
 
     ``ends`` are the offsets after the last known records of the topics in their order,
     0 if none is known. ``question`` asks for an answer with that number unless 0.
+    ``prompts`` are packed reports of where prompts were read.
     """
 
     question: int
     is_reader: bool
     reports: list[LoadReport]
     ends: list[int]
+    prompts: bytes = b""
 
 
 class PeerAnswer(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+import xxhash
+
 from carobladder.fleet.entries import TargetEntry
 from carobladder.fleet.health import TargetHealth
 
@@ -16,7 +18,10 @@
 
 
 class FleetTarget:
-    """Hold one run of a target, its entry and what was seen of it."""
+    """Hold one run of a target, its entry and what was seen of it.
+
+    ``tag`` is a short name for messages; two targets have the same one by chance only.
+    """
 
     def __init__(self, entry: TargetEntry, now: float) -> None:
         self.entry = entry
@@ -26,6 +31,7 @@
         self.misdirected = False
         self.leaving = False
         self._asked_to_wait_until = float("-inf")
+        self.tag = xxhash.xxh32_intdigest(entry.target_id.encode())
 
     @property
     def target_id(self) -> str:
@@ -90,6 +96,7 @@
         self._targets: dict[str, FleetTarget] = {}
         self._removed: OrderedDict[str, FleetTarget] = OrderedDict()
         self._by_service: dict[str, list[FleetTarget]] = {}
+        self._by_tag: dict[int, FleetTarget] = {}
         self._emptied: set[str] = set()
         self._lapsing: dict[str, float] = {}
         self._hold_until = 0.0
@@ -101,6 +108,10 @@
         """Return the target of this id, or None."""
         return self._targets.get(target_id)
 
+    def find_tagged(self, tag: int) -> FleetTarget | None:
+        """Return a target with this tag, or None."""
+        return self._by_tag.get(tag)
+
     def list_all(self) -> list[FleetTarget]:
         """Return all targets."""
         return list(self._targets.values())
@@ -189,6 +200,7 @@
         for target in self._targets.values():
             groups.setdefault(target.entry.service, []).append(target)
         self._by_service = groups
+        self._by_tag = {target.tag: target for target in self._targets.values()}
 
 
 def _is_other_run(known: TargetEntry, entry: TargetEntry) -> bool:
--- a/carobladder/fleet/warmth.py
+++ b/carobladder/fleet/warmth.py
@@ -11,30 +11,39 @@
 
 _MAX_PROMPTS = 20_000
 # Targets kept for a prompt, newest last.
-_MAX_HOLDERS = 3
+_MAX_HOLDERS = 6
 # A target that joined less than this time ago is not yet where others send a prompt.
 _SETTLING_SECONDS = 8.0
 
 
 class PromptWarmth:
-    """Remember where prompts were sent, and name a target to copy one from.
+    """Remember where prompts were read, and name a target to copy one from.
 
-    Instances rank targets alike, so a prompt that this instance has not sent yet is
-    likely to be at the first target in the ranking that has been there for a while.
+    Instances rank targets alike, so a prompt of which nothing is known is likely to be
+    at the first target in the ranking that has been there for a while.
     """
 
     def __init__(self, table: TargetTable) -> None:
         self._table = table
         self._holders: OrderedDict[int, list[FleetTarget]] = OrderedDict()
 
-    def note_sent(self, prefixes: Sequence[int], target: FleetTarget) -> None:
-        """Take note that a request with these shared prefixes went to the target."""
-        for prefix in prefixes:
-            holders = self._holders.pop(prefix, [])
-            kept = [holder for holder in holders if holder is not target]
-            self._holders[prefix] = [*kept[1 - _MAX_HOLDERS :], target]
-        while len(self._holders) > _MAX_PROMPTS:
-            self._holders.popitem(last=False)
+    def note_sent(self, prefix: int, target: FleetTarget) -> bool:
+        """Note that a request with this shared prefix goes to the target.
+
+        Tell whether others have to know: it was not known, and few targets keep it.
+        """
+        known = self._list_registered(prefix)
+        kept = [holder for holder in known if holder is not target]
+        self._keep(prefix, [*kept[1 - _MAX_HOLDERS :], target])
+        return target not in known and len(known) < _MAX_HOLDERS
+
+    def note_told(self, prefix: int, target: FleetTarget) -> bool:
+        """Take from another instance that the target reads a prefix; as note_sent."""
+        known = self._list_registered(prefix)
+        if target in known or len(known) >= _MAX_HOLDERS:
+            return False
+        self._keep(prefix, [*known, target])
+        return True
 
     def find_source(
         self, prefixes: Sequence[int], chosen: FleetTarget, now: float
@@ -53,6 +62,16 @@
                 return first
         return None
 
+    def _keep(self, prefix: int, holders: list[FleetTarget]) -> None:
+        self._holders[prefix] = holders
+        self._holders.move_to_end(prefix)
+        if len(self._holders) > _MAX_PROMPTS:
+            self._holders.popitem(last=False)
+
+    def _list_registered(self, prefix: int) -> list[FleetTarget]:
+        holders = self._holders.get(prefix, ())
+        return [h for h in holders if self._table.find(h.target_id) is h]
+
     def _list_holders(self, prefix: int, now: float) -> list[FleetTarget]:
         return [h for h in self._holders.get(prefix, ()) if self._is_live(h, now)]
 
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -16,7 +16,7 @@
     NotReadyError,
     UnknownPathError,
 )
-from carobladder.fleet import CallFacts, ExchangeCodec, Freshness
+from carobladder.fleet import CallFacts, ExchangeCodec, Freshness, PromptPart
 from carobladder.fleet.targets import FleetTarget
 from carobladder.forwarding.calls import (
     CallSession,
@@ -130,7 +130,8 @@
         if route is None:
             raise self._doubt(UnknownPathError(f"no route for {path}"))
         team, priority = self._authenticate(table, route, facts)
-        prefixes = _hash_prefixes(facts)
+        shared = facts.shared_parts
+        prefixes = _hash_prefixes(shared)
         service = self._choose_service(table, route, prefixes)
         time_left = facts.time_left_seconds
         seconds = route.timeout_seconds or _DEFAULT_TIMEOUT_SECONDS
@@ -147,6 +148,7 @@
             fields=self._keep_fields(request),
             body=request.body,
             prefixes=prefixes,
+            prefix_tokens=tuple(part.tokens for part in reversed(shared)),
             limit_at=request.received + seconds,
             version=table.configuration.version,
             records_age_seconds=self._freshness.age(self._clock.boottime()),
@@ -337,12 +339,8 @@
         )
 
 
-def _hash_prefixes(facts: CallFacts) -> tuple[int, ...]:
-    """Return the keys of the prompt's shared prefixes, the longest first.
-
-    The last part belongs to the request itself; a prompt of one part is shared.
-    """
-    shared = facts.prompt[:-1] or facts.prompt
+def _hash_prefixes(shared: Sequence[PromptPart]) -> tuple[int, ...]:
+    """Return the keys of a prompt's shared prefixes, the longest first."""
     names = [part.part_id for part in shared]
     return tuple(
         hash_parts("prompt", *names[:length]) for length in range(len(names), 0, -1)
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -19,6 +19,7 @@
     CallFacts,
     ExchangeCodec,
     FleetTarget,
+    PromptSharing,
     PromptWarmth,
     RouteTimes,
 )
@@ -47,7 +48,8 @@
 class ForwardedCall:
     """Describe a call independently of the target that runs it.
 
-    ``prefixes`` are the keys of the prompt's shared prefixes, the longest first.
+    ``prefixes`` are the keys of the prompt's shared prefixes, the longest first, and
+    ``prefix_tokens`` the sizes of the parts that they end with.
     ``limit_at`` is the monotonic time at which the call must have its answer.
     ``version`` of the configuration and its age are those that the checks rested on.
     """
@@ -62,6 +64,7 @@
     fields: Headers
     body: bytes
     prefixes: tuple[int, ...]
+    prefix_tokens: tuple[int, ...]
     limit_at: float
     version: int
     records_age_seconds: float
@@ -79,6 +82,7 @@
     client: HttpClient
     codec: ExchangeCodec
     warmth: PromptWarmth
+    prompts: PromptSharing
     tallies: AnswerTallies
     times: RouteTimes
     clock: Clock
@@ -258,7 +262,8 @@
         """Return the address to copy the shared prompt from, or nothing."""
         prefixes, now = call.prefixes, self.clock.monotonic()
         source = self.warmth.find_source(prefixes, target, now)
-        self.warmth.note_sent(prefixes, target)
+        for prefix, tokens in zip(prefixes, call.prefix_tokens, strict=True):
+            self.prompts.note_read(prefix, tokens, target)
         return source.entry.address if source else ""
 
     def _left_seconds(self, call: ForwardedCall) -> float:
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -16,6 +16,8 @@
     KeyedPage,
     KeyedRecord,
     LoadSharing,
+    PromptSharing,
+    PromptWarmth,
     ReaderRole,
     ShareLedger,
     TargetTable,
@@ -164,7 +166,8 @@
         self.exchange = SimulatedExchange(
             f"{name}:1",
             self.directory,
-            LoadSharing(TargetTable()),
+            LoadSharing(table := TargetTable()),
+            PromptSharing(table, PromptWarmth(table)),
             None,
             self.role.is_held,
             fleet.clock,
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -11,6 +11,8 @@
 from carobladder.fleet import (
     LoadSharing,
     PeerAnswer,
+    PromptSharing,
+    PromptWarmth,
     TargetLoad,
     TopicState,
     seal_message,
@@ -29,7 +31,9 @@
     def __init__(self, store: FakeStore, name: str, port: int) -> None:
         clock = SystemClock()
         address = f"127.0.0.1:{port}"
-        self.table, self.targets = fill_table(1)
+        self.table, self.targets = fill_table(2)
+        self.warmth = PromptWarmth(self.table)
+        self.prompts = PromptSharing(self.table, self.warmth)
         self.directory = PeerDirectory(name, address, clock)
         self.topic = KeyedTopic(store.client, TOPIC)
         self.announcements = TopicFollower(
@@ -45,6 +49,7 @@
             address,
             self.directory,
             LoadSharing(self.table),
+            self.prompts,
             self.topic,
             lambda: True,
             clock,
@@ -109,6 +114,14 @@
         self.assertEqual(unknown.health.read_stated_load(0.0)[0], 5)
         self.assertEqual(len(second.directory.list_readers()), 1)
 
+    async def test_two_instances_exchange_where_prompts_were_read(self):
+        first, second = await self.start("a", "b")
+        first.prompts.note_read(7, 5000, first.targets[1])
+        async with asyncio.timeout(LONG_SECONDS):
+            while not (source := second.warmth.find_source((7,), second.targets[0], 0)):
+                await asyncio.sleep(0.02)
+        self.assertIs(source, second.targets[1])
+
     async def test_answer_proves_only_a_question_that_was_asked(self):
         """Datagrams of an instance may be repeated or come from its last run."""
         first, second = await self.start("a", "b")
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -9,6 +9,7 @@
     AnswerTallies,
     ColdPacer,
     Freshness,
+    PromptSharing,
     PromptWarmth,
     RouteTimes,
     ShareLedger,
@@ -146,10 +147,12 @@
         ledger = ShareLedger(96)
         ledger.assign(frozenset(range(96)))
         moves = VersionMoves(0.1)
+        warmth = PromptWarmth(self.targets)
         sender = TargetSender(
             self.client,
             codec,
-            PromptWarmth(self.targets),
+            warmth,
+            PromptSharing(self.targets, warmth),
             AnswerTallies(moves, self.targets, incarnation=1),
             RouteTimes(),
             self.clock,
