Keep the sum of retry slack in fleets with more instances than shares

Cause: an instance without a share partition counted as 1/32 of the fleet. With 96 partitions and 195 instances, 99 of them do, so all together could make 1,213 repeats where 1,210 are allowed (a third of them out of touch), and 27,808 of 4,960 at 800.

Change: 384 partitions, so that each of 195 instances holds one. An instance that was given none has no part of the slack and repeats what its own requests earn, one at a time; one that has never reached the store counts as one of 800.

Ruled out: 960 partitions, whose names and rows take over half of the 4 KB/s that an instance may spend in a fleet of eight.

--- a/carobladder/entry/shares.py
+++ b/carobladder/entry/shares.py
@@ -10,7 +10,7 @@
 __all__ = ["SHARE_PARTITIONS", "ShareKeeper", "name_share_topics"]
 
 # Enough partitions for each instance of the largest deployment to hold one.
-SHARE_PARTITIONS = 96
+SHARE_PARTITIONS = 384
 _GROUP = "instances"
 _LEASE_SECONDS = 4.0
 _RENEWAL_SECONDS = 1.5
--- a/carobladder/fleet/budgets.py
+++ b/carobladder/fleet/budgets.py
@@ -8,6 +8,9 @@
 
 # Part of the fleet's bounds that is used, since views of the shares differ.
 _USED_PART = 0.7
+# An instance whose share of the slack is below this keeps what its requests earn until
+# it makes one repeat.
+_LEAST_BURST = 1.0
 
 
 class ServiceBudgets:
@@ -38,8 +41,13 @@
         budget = self._budgets.get(service)
         if budget is None:
             now = self._clock.monotonic()
-            burst = self._slack * self._ledger.share
-            budget = RetryBudget(self._ratio, now, burst=burst, minimum_per_second=0.0)
+            budget = RetryBudget(
+                self._ratio,
+                now,
+                burst=self._slack * self._ledger.share,
+                minimum_per_second=0.0,
+                least_capacity=_LEAST_BURST,
+            )
             self._budgets[service] = budget
         return budget
 
--- a/carobladder/fleet/shares.py
+++ b/carobladder/fleet/shares.py
@@ -13,7 +13,8 @@
 # Sends of one share to one cold target lie further apart than the second in which
 # they are counted.
 _SPACING_SECONDS = 1.05
-_DEFAULT_SHARE = 1 / 32
+# Of an instance that no store has given any: what it may use in the largest fleet.
+_DEFAULT_SHARE = 1 / 800
 
 
 class ShareLedger:
@@ -27,6 +28,7 @@
     def __init__(self, total: int) -> None:
         self._all = [str(index) for index in range(total)]
         self._held: frozenset[str] = frozenset()
+        self._assigned = False
 
     @property
     def held(self) -> frozenset[str]:
@@ -40,8 +42,11 @@
 
     @property
     def share(self) -> float:
-        """Return the part of the fleet's sums that belongs to this instance."""
-        if not self._held:
+        """Return the part of the fleet's sums that belongs to this instance.
+
+        In a fleet with more instances than partitions some have none.
+        """
+        if not self._assigned:
             return _DEFAULT_SHARE
         return len(self._held) / len(self._all)
 
@@ -55,6 +60,7 @@
         names = frozenset(str(index) for index in held)
         changed = names != self._held
         self._held = names
+        self._assigned = True
         return changed
 
 
--- a/carobladder/retries/budgets.py
+++ b/carobladder/retries/budgets.py
@@ -14,7 +14,8 @@
 
     Over any period the retries stay within the burst, the ratio times the requests
     and the minimum rate times the period. Every instance has the same ratio, so the
-    bound holds for the fleet without messages between instances.
+    bound holds for the fleet without messages between instances. A burst below
+    ``least_capacity`` is not given at the start, but requests may earn it.
     """
 
     def __init__(
@@ -24,9 +25,11 @@
         *,
         burst: float = _BURST_RETRIES,
         minimum_per_second: float = _MINIMUM_PER_SECOND,
+        least_capacity: float = 0.0,
     ) -> None:
         self._ratio = ratio
-        self._burst = burst
+        self._least_capacity = least_capacity
+        self._capacity = max(burst, least_capacity)
         self._minimum_per_second = minimum_per_second
         self._tokens = burst
         self._updated = now
@@ -38,12 +41,12 @@
 
     def set_burst(self, burst: float) -> None:
         """Change the number of retries that may come at once."""
-        self._burst = burst
-        self._tokens = min(self._tokens, burst)
+        self._capacity = max(burst, self._least_capacity)
+        self._tokens = min(self._tokens, self._capacity)
 
     def record_request(self) -> None:
         """Add the share of a retry that a first attempt earns."""
-        self._tokens = min(self._burst, self._tokens + self._ratio)
+        self._tokens = min(self._capacity, self._tokens + self._ratio)
 
     def withdraw(self, now: float) -> bool:
         """Take one retry out of the bucket; tell whether there was one."""
@@ -56,5 +59,5 @@
     def _refill(self, now: float) -> None:
         passed_seconds = max(0.0, now - self._updated)
         earned = passed_seconds * self._minimum_per_second
-        self._tokens = min(self._burst, self._tokens + earned)
+        self._tokens = min(self._capacity, self._tokens + earned)
         self._updated = max(now, self._updated)
