Warn other instances of targets that have fallen silent

Cause: on the large deployment an instance sends a request to an engine once in 36 s, so what it learns of a silent engine saves nobody else.

Change: an instance whose request got no byte for the usual time warns four others at once, if it has heard of another target meanwhile; each of them warns four. A warned target is left alone for 4 s, the second time 8 s, unless an answer is known that is newer than the request; two warnings within two seconds outweigh that, as a target may lose a part of its requests. An answer after the warning ends the doubt. Warnings that leave out more than a quarter of the usable targets are not followed.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -5,7 +5,7 @@
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
-from carobladder.entry.exchange import PeerExchange
+from carobladder.entry.exchange import PeerExchange, SharedKnowledge
 from carobladder.entry.fence import FenceWatch, plan_fence
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.knowledge import Knowledge
@@ -21,6 +21,7 @@
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
+    FailureSharing,
     KeyedRecord,
     LoadSharing,
     PromptSharing,
@@ -156,7 +157,7 @@
         operator = self._follow_operator(knowledge, entries)
         exchange = self._build_exchange()
         exchange.follow(instances, (operator, entries))
-        server = self._build_server(knowledge, operator, selector, budgets)
+        server = self._build_server(knowledge, operator, selector, budgets, exchange)
         knowledge.on_limits = lambda limits: _use_limits(server, limits)
         return EntryParts(
             targets=self._targets,
@@ -206,8 +207,11 @@
         return PeerExchange(
             self._settings.peer_listen,
             self._directory,
-            LoadSharing(self._targets),
-            self._prompts,
+            SharedKnowledge(
+                LoadSharing(self._targets),
+                self._prompts,
+                FailureSharing(self._targets, self._generator),
+            ),
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._role.is_held,
             self._clock,
@@ -267,6 +271,7 @@
         operator: TopicFollower,
         selector: TargetSelector,
         budgets: ServiceBudgets,
+        exchange: PeerExchange,
     ) -> GatewayServer:
         codec = PlatformCodec()
         sender = TargetSender(
@@ -277,6 +282,7 @@
             self._tallies,
             RouteTimes(),
             self._clock,
+            exchange.note_silence,
         )
         forwarder = Forwarder(
             sender, selector, self._clock, budgets.find, self._metrics
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import cast
 
@@ -13,6 +14,8 @@
 from carobladder.entry.peers import Peer, PeerDirectory
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
+    FailureSharing,
+    FleetTarget,
     LoadReport,
     LoadSharing,
     PeerAnswer,
@@ -27,7 +30,7 @@
 )
 from carobladder.telemetry import InstanceNotAnnounced, emit
 
-__all__ = ["PeerExchange"]
+__all__ = ["PeerExchange", "SharedKnowledge"]
 
 # An instance of a small fleet sends much to each target, so that loads change within
 # fractions of a second; in a large one a longer interval bounds the bytes.
@@ -36,6 +39,8 @@
 _INTERVAL_SECONDS_FOR_PEER = 0.01
 # Instances told in each interval; what is told reaches all others within a few.
 _FAN_OUT = 2
+# Instances that are warned of a silent target at once; each of them warns as many.
+_WARNED_PEERS = 4
 # Time between two questions about records that another instance knows.
 _FASTEST_QUESTION_SECONDS = 0.03
 # Questions that wait for an answer; a later answer to an older one is dropped.
@@ -47,6 +52,15 @@
 _ANNOUNCE_RETRY_SECONDS = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class SharedKnowledge:
+    """Hold what instances tell each other of targets."""
+
+    loads: LoadSharing
+    prompts: PromptSharing
+    failures: FailureSharing
+
+
 class PeerExchange(asyncio.DatagramProtocol):
     """Tell a few other instances what is known, and ask them how far they have read.
 
@@ -58,8 +72,7 @@
         self,
         address: str,
         directory: PeerDirectory,
-        loads: LoadSharing,
-        prompts: PromptSharing,
+        shared: SharedKnowledge,
         topic: TopicWriter,
         is_reader: Callable[[], bool],
         clock: Clock,
@@ -68,8 +81,7 @@
         self.dropped = 0
         self._address = address
         self._directory = directory
-        self._loads = loads
-        self._prompts = prompts
+        self._shared = shared
         self._topic = topic
         self._is_reader = is_reader
         self._clock = clock
@@ -129,8 +141,10 @@
 
     @_take.register
     def _(self, message: PeerNews, peer: Peer) -> None:
-        self._loads.take(message.reports, self._clock.monotonic())
-        self._prompts.take(message.prompts)
+        self._shared.loads.take(message.reports, self._clock.monotonic())
+        self._shared.prompts.take(message.prompts)
+        if self._shared.failures.take(message.failures, self._clock.monotonic()):
+            self._warn()
         if message.question:
             self._answer(message, peer)
         known = list(zip(self._followers, message.ends, strict=False))
@@ -177,17 +191,37 @@
         tells_loads = len(peers) < _FEW_PEERS
         reports: list[LoadReport] = []
         if tells_loads or not self._is_reader():
-            reports = self._loads.collect(self._clock.monotonic())
+            reports = self._shared.loads.collect(self._clock.monotonic())
         for index, peer in enumerate(chosen):
             question = self._draw_question() if index < wanted else 0
-            prompts = b"" if peer in asked else self._prompts.collect()
-            self._send(self._build_news(question, reports, prompts), peer)
+            news = self._build_news(question, reports)
+            if peer not in asked:
+                news = msgspec.structs.replace(
+                    news,
+                    prompts=self._shared.prompts.collect(),
+                    failures=self._shared.failures.collect(self._clock.monotonic()),
+                )
+            self._send(news, peer)
+
+    def note_silence(self, target: FleetTarget, sent_at: float) -> None:
+        """Warn others of a target that sent no byte since a request of this time."""
+        now = self._clock.monotonic()
+        if self._shared.failures.note_silence(target, sent_at, now):
+            self._warn()
+
+    def _warn(self) -> None:
+        """Tell some instances at once of silent targets."""
+        peers = self._directory.list_peers()
+        failures = self._shared.failures.collect(self._clock.monotonic())
+        for peer in self._generator.sample(peers, min(_WARNED_PEERS, len(peers))):
+            news = self._build_news()
+            self._send(msgspec.structs.replace(news, failures=failures), peer)
 
     def _ask_at_once(self, peer: Peer) -> None:
         """Ask an instance that knows of records which are missing here."""
         if self._clock.boottime() - self._asked_at < _FASTEST_QUESTION_SECONDS:
             return
-        self._send(self._build_news(self._draw_question(), [], b""), peer)
+        self._send(self._build_news(self._draw_question()), peer)
 
     def _draw_question(self) -> int:
         """Return the number of a question that is asked now."""
@@ -200,10 +234,10 @@
         return self._last_question
 
     def _build_news(
-        self, question: int, reports: list[LoadReport], prompts: bytes
+        self, question: int = 0, reports: Sequence[LoadReport] = ()
     ) -> PeerNews:
         ends = [follower.next_offset or 0 for follower in self._followers]
-        return PeerNews(question, self._is_reader(), reports, ends, prompts)
+        return PeerNews(question, self._is_reader(), list(reports), ends)
 
     def _answer(self, news: PeerNews, peer: Peer) -> None:
         known = list(zip(self._followers, news.ends, strict=False))
--- a/carobladder/explain/story.py
+++ b/carobladder/explain/story.py
@@ -18,6 +18,7 @@
     "target_entry_unreadable": "target",
     "target_leaving": "leaving of target",
     "target_paused": "pause of target",
+    "target_doubted": "doubt of target",
 }
 _KNOWLEDGE_EVENTS = {
     "configuration_in_force": "configuration",
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -5,6 +5,7 @@
     entries,
     evidence,
     exchanges,
+    failures,
     freshness,
     health,
     loads,
@@ -23,6 +24,7 @@
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.evidence import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
+from carobladder.fleet.failures import *  # noqa: F403
 from carobladder.fleet.freshness import *  # noqa: F403
 from carobladder.fleet.health import *  # noqa: F403
 from carobladder.fleet.loads import *  # noqa: F403
@@ -42,6 +44,7 @@
     *entries.__all__,
     *evidence.__all__,
     *exchanges.__all__,
+    *failures.__all__,
     *freshness.__all__,
     *health.__all__,
     *loads.__all__,
--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -19,6 +19,15 @@
 _LOAD_HALF_LIFE_SECONDS = 0.5
 
 
+# Warnings of other instances count for this half-life. So many of them outweigh answers
+# that others got meanwhile, as a target may fail a part of its requests.
+_WARNING_HALF_LIFE_SECONDS = 2.0
+_OUTWEIGHING_WARNINGS = 1.5
+# A target of which others warned is left alone for this long, longer the second time.
+_DOUBT_SECONDS = (4.0, 8.0)
+_DOUBT_MEMORY_SECONDS = 12.0
+
+
 class Condition(StrEnum):
     """Say how far a target is trusted."""
 
@@ -45,6 +54,11 @@
     _load: TargetLoad | None = None
     _load_at: float = 0.0
     _load_in_flight: int = 0
+    _warnings: float = 0.0
+    _warned_at: float = float("-inf")
+    _doubted_at: float = float("-inf")
+    _doubted_until: float = float("-inf")
+    _doubt_is_firm: bool = False
 
     def judge(self, now: float) -> Condition:
         """Return how far the target is trusted."""
@@ -68,6 +82,7 @@
     def note_first_byte(self, seconds: float, now: float) -> None:
         """Take the time from a request to the first byte of its answer."""
         self.last_byte_at = now
+        self._note_life(now)
         self.first_byte_seconds += _AVERAGE_GAIN * (seconds - self.first_byte_seconds)
 
     def note_failure(self, now: float) -> None:
@@ -83,12 +98,42 @@
         pause = _FIRST_PAUSE_SECONDS * 2.0 ** (self.failures - 1)
         self.paused_until = now + min(pause, _LONGEST_PAUSE_SECONDS)
 
+    def is_doubted(self, now: float) -> bool:
+        """Tell whether others warned of the target and no answer has come since."""
+        return now < self._doubted_until
+
+    def note_warning(self, silent_since: float, now: float) -> float:
+        """Take that an instance has heard nothing of the target since this time.
+
+        Return for how long the target is left alone: not at all if an answer is known
+        that is newer, unless the warnings come too often for that.
+        """
+        passed = max(0.0, now - self._warned_at)
+        self._warnings *= 0.5 ** (passed / _WARNING_HALF_LIFE_SECONDS)
+        self._warnings += 1.0
+        self._warned_at = now
+        answered = max(self.last_byte_at, self._load_at if self._load else 0.0)
+        is_contradicted = answered > silent_since
+        if is_contradicted and self._warnings < _OUTWEIGHING_WARNINGS:
+            return 0.0
+        is_repeated = now - self._doubted_until < _DOUBT_MEMORY_SECONDS
+        seconds = _DOUBT_SECONDS[is_repeated]
+        self._doubted_at, self._doubted_until = now, now + seconds
+        self._doubt_is_firm = is_contradicted
+        return seconds
+
+    def _note_life(self, answered_at: float) -> None:
+        """End a doubt by an answer that came after it, unless others fail meanwhile."""
+        if answered_at > self._doubted_at and not self._doubt_is_firm:
+            self._doubted_until = self._doubted_at
+
     def note_load(self, load: TargetLoad, stated_at: float) -> None:
         """Take the load that the target stated, unless a newer one is known."""
         if self._load is not None and stated_at <= self._load_at:
             return
         self._load = load
         self._load_at = stated_at
+        self._note_life(stated_at)
         self._load_in_flight = self.in_flight
 
     def read_stated_load(self, now: float) -> tuple[int, float] | None:
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from carobladder.fleet.failures import FailureReport
 from carobladder.fleet.loads import LoadReport, is_usable_report
 from carobladder.fleet.records import KeyedRecord, RecordRun
 
@@ -61,7 +62,8 @@
 
     ``ends`` are the offsets after the last known records of the topics in their order,
     0 if none is known. ``question`` asks for an answer with that number unless 0.
-    ``prompts`` are packed reports of where prompts were read.
+    ``prompts`` are packed reports of where prompts were read, ``failures`` warn of
+    silent targets.
     """
 
     question: int
@@ -69,6 +71,7 @@
     reports: list[LoadReport]
     ends: list[int]
     prompts: bytes = b""
+    failures: list[FailureReport] = []
 
 
 class PeerAnswer(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -24,6 +24,8 @@
 # Loads are known with a delay, in which they change by about the root of their mean.
 # With less room than this many roots, prompts go only to targets below the mean.
 _TIGHT_DEVIATIONS = 2.0
+# Part of the usable targets that warnings of other instances may leave out.
+_DOUBTED_PART = 0.25
 # Weight of a target's share of failed answers against its latency.
 _ERROR_WEIGHT = 20.0
 # Spread of the scores, so that instances with equal views choose differently.
@@ -102,7 +104,7 @@
             service, open_targets, self._table.list_registered(service)
         )
         sound = [t for t in versioned if self._is_trusted(t, wanted, now)]
-        return sound or versioned
+        return _leave_out_doubted(sound, now) or versioned
 
     def _bears_one(self, target: FleetTarget, service: Service, now: float) -> bool:
         if service.cold_per_second <= 0.0 or not target.is_cold(now):
@@ -183,6 +185,16 @@
         return health.first_byte_seconds * crowding * failing * jitter
 
 
+def _leave_out_doubted(targets: list[FleetTarget], now: float) -> list[FleetTarget]:
+    """Return the targets of which nobody warned, unless too many are warned of.
+
+    Warnings of many targets speak of their load or of a network, not of each target.
+    """
+    trusted = [target for target in targets if not target.health.is_doubted(now)]
+    doubted = len(targets) - len(trusted)
+    return trusted if doubted <= len(targets) * _DOUBTED_PART else targets
+
+
 def _estimate_loads(targets: list[FleetTarget], now: float) -> dict[str, float]:
     """Return the likely load of each target; unknown ones get the mean of the known.
 
--- a/carobladder/fleet/warmth.py
+++ b/carobladder/fleet/warmth.py
@@ -91,5 +91,6 @@
 
     def _is_live(self, target: FleetTarget, now: float) -> bool:
         registered = self._table.find(target.target_id) is target
-        sound = target.health.judge(now) is Condition.SOUND
+        health = target.health
+        sound = health.judge(now) is Condition.SOUND and not health.is_doubted(now)
         return registered and sound and not target.misdirected
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -24,6 +24,7 @@
     RouteTimes,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
+from carobladder.headers import Headers
 from carobladder.routing import Route, Service
 from carobladder.telemetry import (
     AnswerOfOtherRequestDropped,
@@ -35,8 +36,6 @@
 
 __all__ = ["ForwardedCall", "TargetSender"]
 
-Headers = tuple[tuple[str, str], ...]
-
 # A request whose own limit is this close to the time after which silence counts ends
 # without saying anything about its target.
 _LIMIT_MARGIN_SECONDS = 0.1
@@ -77,7 +76,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetSender:
-    """Send calls to targets and note what each send tells of its target."""
+    """Send calls to targets and note what each send tells of its target.
+
+    ``warn`` is called with a target that sent no byte since a request, and with the
+    time of that request.
+    """
 
     client: HttpClient
     codec: ExchangeCodec
@@ -86,6 +89,7 @@
     tallies: AnswerTallies
     times: RouteTimes
     clock: Clock
+    warn: Callable[[FleetTarget, float], None]
 
     async def send(
         self,
@@ -208,6 +212,7 @@
         if target.health.last_byte_at < sent_at:
             why = "it sent no byte for the time that is usual"
             suspect_target(target, why, self.clock.monotonic())
+            self.warn(target, sent_at)
 
     def _note_unanswered(
         self, call: ForwardedCall, target: FleetTarget, sent_at: float
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -9,6 +9,7 @@
 __all__ = [
     "TargetChanged",
     "TargetChecked",
+    "TargetDoubted",
     "TargetEntryUnreadable",
     "TargetGone",
     "TargetLeaving",
@@ -92,6 +93,16 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class TargetDoubted(Event):
+    """An instance warned of a silent target, which is left alone for a time."""
+
+    target: str
+    seconds: float
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class TargetTrusted(Event):
     """A target that was suspected has answered."""
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -15,13 +15,11 @@
 from carobladder.fleet import (
     KeyedPage,
     KeyedRecord,
-    LoadSharing,
-    PromptSharing,
-    PromptWarmth,
     ReaderRole,
     ShareLedger,
     TargetTable,
 )
+from tests.fleet.builders import build_shared
 
 TOPICS = ("operator", "targets")
 REVOCATION_SECONDS = 5.0
@@ -166,8 +164,7 @@
         self.exchange = SimulatedExchange(
             f"{name}:1",
             self.directory,
-            LoadSharing(table := TargetTable()),
-            PromptSharing(table, PromptWarmth(table)),
+            build_shared(TargetTable()),
             None,
             self.role.is_held,
             fleet.clock,
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -9,16 +9,13 @@
 from carobladder.entry.followers import ReadingPace, TopicFollower
 from carobladder.entry.peers import PeerDirectory
 from carobladder.fleet import (
-    LoadSharing,
     PeerAnswer,
-    PromptSharing,
-    PromptWarmth,
     TargetLoad,
     TopicState,
     seal_message,
 )
 from carobladder.platform.store import KeyedTopic
-from tests.fleet.builders import fill_table
+from tests.fleet.builders import build_shared, fill_table
 from tests.platform.fake_store import FakeStore
 
 TOPIC = "keyed.instances"
@@ -32,8 +29,7 @@
         clock = SystemClock()
         address = f"127.0.0.1:{port}"
         self.table, self.targets = fill_table(2)
-        self.warmth = PromptWarmth(self.table)
-        self.prompts = PromptSharing(self.table, self.warmth)
+        self.shared = build_shared(self.table)
         self.directory = PeerDirectory(name, address, clock)
         self.topic = KeyedTopic(store.client, TOPIC)
         self.announcements = TopicFollower(
@@ -48,8 +44,7 @@
         self.exchange = PeerExchange(
             address,
             self.directory,
-            LoadSharing(self.table),
-            self.prompts,
+            self.shared,
             self.topic,
             lambda: True,
             clock,
@@ -116,12 +111,24 @@
 
     async def test_two_instances_exchange_where_prompts_were_read(self):
         first, second = await self.start("a", "b")
-        first.prompts.note_read(7, 5000, first.targets[1])
+        warmth = second.shared.prompts._warmth
+        first.shared.prompts.note_read(7, 5000, first.targets[1])
         async with asyncio.timeout(LONG_SECONDS):
-            while not (source := second.warmth.find_source((7,), second.targets[0], 0)):
+            while not (source := warmth.find_source((7,), second.targets[0], 0)):
                 await asyncio.sleep(0.02)
         self.assertIs(source, second.targets[1])
 
+    async def test_instance_warns_others_at_once(self):
+        first, second = await self.start("a", "b")
+        now = self.clock.monotonic()
+        first.targets[1].health.note_first_byte(0.1, now)
+        first.exchange.note_silence(first.targets[0], now - 1.0)
+        doubted = second.targets[0].health
+        async with asyncio.timeout(LONG_SECONDS):
+            while not doubted.is_doubted(self.clock.monotonic()):
+                await asyncio.sleep(0.005)
+        self.assertFalse(second.targets[1].health.is_doubted(self.clock.monotonic()))
+
     async def test_answer_proves_only_a_question_that_was_asked(self):
         """Datagrams of an instance may be repeated or come from its last run."""
         first, second = await self.start("a", "b")
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -1,6 +1,17 @@
 """Targets for tests of the fleet."""
 
-from carobladder.fleet import FleetTarget, TargetEntry, TargetTable
+import random
+
+from carobladder.entry.exchange import SharedKnowledge
+from carobladder.fleet import (
+    FailureSharing,
+    FleetTarget,
+    LoadSharing,
+    PromptSharing,
+    PromptWarmth,
+    TargetEntry,
+    TargetTable,
+)
 from carobladder.routing import Service
 
 ENGINES = Service("engine", cold_per_second=18.0, batch_slots=128)
@@ -29,3 +40,12 @@
         for index in range(1, count + 1)
     ]
     return table, targets
+
+
+def build_shared(table: TargetTable) -> SharedKnowledge:
+    """Return what an instance with this table tells others."""
+    return SharedKnowledge(
+        LoadSharing(table),
+        PromptSharing(table, PromptWarmth(table)),
+        FailureSharing(table, random.Random(1)),
+    )
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -8,6 +8,7 @@
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
+    FleetTarget,
     Freshness,
     PromptSharing,
     PromptWarmth,
@@ -137,6 +138,7 @@
         self.targets = TargetTable()
         for index, address in enumerate(addresses):
             self.targets.apply(build_target(f"i-{index}", address), 0.0)
+        self.silent: list[FleetTarget] = []
         self.freshness = Freshness()
         self.freshness.note_read(self.clock.boottime())
         self.metrics = ForwardMetrics()
@@ -156,6 +158,7 @@
             AnswerTallies(moves, self.targets, incarnation=1),
             RouteTimes(),
             self.clock,
+            lambda target, sent_at: self.silent.append(target),
         )
         selector = TargetSelector(
             self.targets, ColdPacer(ledger), moves, 2.0, generator
--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -291,6 +291,7 @@
         condition = silent.health.judge(instance.clock.monotonic())
         self.assertIsNot(condition, Condition.SOUND)
         self.assertLessEqual(len(self.targets[0].requests), 1)
+        self.assertIn(silent, instance.silent)
 
     async def test_retry_budget_bounds_repeats(self):
         instance = await self.start(refuse("500 Oops"), refuse("500 Oops"))
