Tell of two engines that keep a prompt, not of six

Cause: on 87 and 195 instances there are 2,500 and 1,200 shared prompts, six engines each; at 20 reports a message and four tellings the fleet spreads 17 reports a second, so most were told too late or never.

Change: a pair of prompt and engine is told on only while fewer than two live engines are known to keep the prompt. One is enough to copy from; the second stands in for it.

Ruled out: longer datagrams (over 4 KB/s beside the loads).

--- a/carobladder/fleet/warmth.py
+++ b/carobladder/fleet/warmth.py
@@ -12,6 +12,8 @@
 _MAX_PROMPTS = 20_000
 # Targets kept for a prompt, newest last.
 _MAX_HOLDERS = 6
+# Others are told of so many, which leaves one where another one leaves.
+_TOLD_HOLDERS = 2
 # A target that joined less than this time ago is not yet where others send a prompt.
 _SETTLING_SECONDS = 8.0
 
@@ -35,12 +37,12 @@
         known = self._list_registered(prefix)
         kept = [holder for holder in known if holder is not target]
         self._keep(prefix, [*kept[1 - _MAX_HOLDERS :], target])
-        return target not in known and len(known) < _MAX_HOLDERS
+        return target not in known and len(known) < _TOLD_HOLDERS
 
     def note_told(self, prefix: int, target: FleetTarget) -> bool:
         """Take from another instance that the target reads a prefix; as note_sent."""
         known = self._list_registered(prefix)
-        if target in known or len(known) >= _MAX_HOLDERS:
+        if target in known or len(known) >= _TOLD_HOLDERS:
             return False
         self._keep(prefix, [*known, target])
         return True
