Let readers tell of instances, and renew memberships less often

Change: each instance reads the announcements twice at its start, 1.5 s apart; later ones come from the readers in the answers that carry the other topics. A follower notices within a second that its instance has become a reader. Memberships are renewed every 2.5 s with leases of 6.5 s instead of 1.5 s and 4 s.

Ruled out: one read at the start (instances that start together would not know each other until the readers tell them).

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -156,7 +156,7 @@
         entries = self._follow_targets(knowledge)
         operator = self._follow_operator(knowledge, entries)
         exchange = self._build_exchange()
-        exchange.follow(instances, (operator, entries))
+        exchange.follow(instances, (operator, entries, instances))
         server = self._build_server(knowledge, operator, selector, budgets, exchange)
         knowledge.on_limits = lambda limits: _use_limits(server, limits)
         return EntryParts(
@@ -263,6 +263,7 @@
             self._directory.take_record,
             lambda away_seconds: None,
             self._generator,
+            self._role.is_held,
         )
 
     def _build_server(
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -41,6 +41,8 @@
 _URGENT_PART = 0.55
 # Of a key that was dropped by a record which the store no longer holds.
 _UNKNOWN_OFFSET = -1
+# An instance notices after this time that it has become a reader, or is none any more.
+_ROLE_SECONDS = 1.0
 # Bounds the reads that wrong news of another instance can cause.
 _DISPROVED_SECONDS = 1.0
 # Runs of records that are kept to be told to other instances.
@@ -56,7 +58,8 @@
     its knowledge is ``reader_age_seconds`` old, any other instance only when it is
     ``listener_age_seconds`` old or ``catch_up_seconds`` after another instance told of
     a record that it lacks. Without these ages each instance is a reader whose only
-    reads are those that wait. ``settle_seconds`` pass after the first read. An answer
+    reads are those that wait. The second read follows ``settle_seconds`` after the
+    first. An answer
     to another instance carries records of up to ``told_bytes``. ``records_lapse`` says
     that the store drops records which were not renewed, also during an outage.
     """
@@ -226,12 +229,13 @@
         """Read as the role of this instance asks; tell whether there were records."""
         if self._next is None:
             await self._read_newest()
-            await self._clock.sleep(self._pace.settle_seconds)
+            await self._settle()
             return False
         listener_age_seconds = self._pace.listener_age_seconds
         if listener_age_seconds is None or self._is_reader():
             return await self._watch(self._next)
-        await self._wait_until_due(listener_age_seconds)
+        if not await self._wait_until_due(listener_age_seconds, as_reader=False):
+            return False
         return await self._read_from(self._next, 0.0)
 
     async def _read_newest(self) -> None:
@@ -243,6 +247,14 @@
         self._tried_once.set()
         self._note_success(sent_at, 0.0)
 
+    async def _settle(self) -> None:
+        """Read what is written by those that start at the same time."""
+        if not self._pace.settle_seconds:
+            return
+        await self._clock.sleep(self._pace.settle_seconds)
+        assert self._next is not None
+        await self._read_from(self._next, 0.0)
+
     async def _watch(self, first: int) -> bool:
         """Wait for records, and look for missed ones when the knowledge gets old.
 
@@ -268,7 +280,8 @@
     async def _look(self, age_seconds: float) -> bool:
         """Read without waiting whenever that is due, until there are records."""
         while True:
-            await self._wait_until_due(age_seconds)
+            if not await self._wait_until_due(age_seconds, as_reader=True):
+                return False
             assert self._next is not None
             if await self._read_from(self._next, 0.0):
                 return True
@@ -292,8 +305,11 @@
         self._no_catch_up_until = self._clock.boottime() + _DISPROVED_SECONDS
         self._note_caught_up()
 
-    async def _wait_until_due(self, age_seconds: float) -> None:
-        """Wait until the knowledge has this age, or lacks what others told of."""
+    async def _wait_until_due(self, age_seconds: float, *, as_reader: bool) -> bool:
+        """Wait until the knowledge has this age, or lacks what others told of.
+
+        Return False once this instance has the other role.
+        """
         limit_seconds = age_seconds * self._generator.uniform(*_AGE_SPREAD)
         while True:
             now = self._clock.boottime()
@@ -301,9 +317,11 @@
             if self._behind_since is not None:
                 catch_up_at = self._behind_since + self._pace.catch_up_seconds
                 due_at = min(due_at, max(catch_up_at, self._no_catch_up_until))
+            if self._is_reader() is not as_reader:
+                return False
             if now >= due_at:
-                return
-            await self._wait_for_news(due_at - now)
+                return True
+            await self._wait_for_news(min(due_at - now, _ROLE_SECONDS))
 
     async def _wait_for_news(self, seconds: float) -> None:
         """Wait for the time to pass or for news of a record that is missing here."""
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -23,6 +23,9 @@
 # An instance that others tell of a record waits so long for the record itself.
 _CATCH_UP_SECONDS = 0.25
 _INSTANCES_COLLECT_SECONDS = 8.0
+# Nothing is decided by these records, so others have time to tell them.
+_INSTANCES_LISTENER_SECONDS = 30.0
+_INSTANCES_CATCH_UP_SECONDS = 3.0
 # Instances that start together announce themselves within this time.
 _INSTANCES_SETTLE_SECONDS = 1.5
 
@@ -60,9 +63,14 @@
 
 
 def plan_instances_pace() -> ReadingPace:
-    """Return the pace for the announcements of instances, read by each for itself."""
+    """Return the pace for the announcements of instances.
+
+    What comes later than the start is told by the readers of the store.
+    """
     return ReadingPace(
         wait_seconds=_WAIT_SECONDS,
         collect_seconds=_INSTANCES_COLLECT_SECONDS,
+        listener_age_seconds=_INSTANCES_LISTENER_SECONDS,
+        catch_up_seconds=_INSTANCES_CATCH_UP_SECONDS,
         settle_seconds=_INSTANCES_SETTLE_SECONDS,
     )
--- a/carobladder/entry/shares.py
+++ b/carobladder/entry/shares.py
@@ -12,8 +12,8 @@
 # Enough partitions for each instance of the largest deployment to hold one.
 SHARE_PARTITIONS = 384
 _GROUP = "instances"
-_LEASE_SECONDS = 4.0
-_RENEWAL_SECONDS = 1.5
+_LEASE_SECONDS = 6.5
+_RENEWAL_SECONDS = 2.5
 _RETRY_SECONDS = 0.5
 _TOPIC_PREFIX = "shares-"
 
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -6,6 +6,7 @@
 
 from carobladder.clock import VirtualClock
 from carobladder.entry.followers import ReadingPace, TopicFollower
+from carobladder.entry.paces import plan_instances_pace
 from carobladder.fleet import KeyedRecord, RecordRun, TopicState
 from carobladder.platform.store import KeyedTopic
 from tests.platform.fake_store import FakeStore
@@ -330,3 +331,76 @@
         self.assertEqual(rest.next_offset, 80)
         told = [record.key for record in (*first.records, *rest.records)]
         self.assertEqual(told, [f"i-{number}" for number in range(60, 80)])
+
+
+class AnnouncementsTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against each of hundreds of instances reading who the others are.
+
+    The pattern: a large fleet starts at once; all announce themselves in a second.
+    """
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.clock = VirtualClock()
+        self.seen: list[str] = []
+        self.follower = TopicFollower(
+            "instances",
+            KeyedTopic(self.store.client, TOPIC),
+            self.clock,
+            plan_instances_pace(),
+            lambda record: self.seen.append(record.key),
+            lambda away_seconds: None,
+            random.Random(1),
+            lambda: self.reads,
+        )
+        self.reads = False
+
+    async def advance(self, seconds: float) -> None:
+        """Let time pass in steps."""
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            for _ in range(12):
+                await asyncio.sleep(0)
+
+    async def start(self) -> None:
+        """Let the follower read twice; another instance comes in between."""
+        task = asyncio.create_task(self.follower.run())
+        self.addCleanup(task.cancel)
+        await self.advance(0.5)
+        self.store.state.put(TOPIC, "front-1", b"1")
+        await self.advance(2.0)
+
+    async def test_two_reads_find_those_that_start_together(self):
+        await self.start()
+        self.assertEqual(self.seen, ["front-1"])
+        self.assertEqual(len(self.store.calls), 2)
+        await self.advance(20.0)
+        self.assertEqual(len(self.store.calls), 2)
+
+    async def test_later_announcement_is_told(self):
+        await self.start()
+        self.store.state.put(TOPIC, "front-2", b"2")
+        self.follower.note_peer_end(2)
+        await self.advance(0.3)
+        run = RecordRun(1, 2, (KeyedRecord(1, "front-2", b"2"),))
+        self.follower.take_peer_run(run)
+        await self.advance(5.0)
+        self.assertEqual(self.seen, ["front-1", "front-2"])
+        self.assertEqual(len(self.store.calls), 2)
+
+    async def test_announcement_that_nobody_tells_is_read(self):
+        await self.start()
+        self.store.state.put(TOPIC, "front-2", b"2")
+        self.follower.note_peer_end(2)
+        await self.advance(4.0)
+        self.assertEqual(self.seen, ["front-1", "front-2"])
+
+    async def test_instance_that_becomes_a_reader_waits_for_announcements(self):
+        """All others rely on it, and its own next read would be half a minute away."""
+        await self.start()
+        self.reads = True
+        await self.advance(1.5)
+        self.store.state.put(TOPIC, "front-2", b"2")
+        await self.advance(1.0)
+        self.assertIn("waitMs=30000", self.store.calls[-1][1])
+        self.reads = False
