--- a/carobladder/admin/api.py
+++ b/carobladder/admin/api.py
@@ -23,6 +23,7 @@
     UnknownPathError,
     UnknownResourceError,
 )
+from carobladder.headers import Headers
 from carobladder.resources import (
     ABSENT,
     KINDS,
@@ -63,7 +64,7 @@
     """
 
     status: int
-    headers: tuple[tuple[str, str], ...] = (_JSON,)
+    headers: Headers = (_JSON,)
     body: bytes = b""
     stream: AsyncIterator[bytes] | None = None
 
--- a/carobladder/admin/client.py
+++ b/carobladder/admin/client.py
@@ -20,6 +20,7 @@
     MissingResourceError,
     UnknownResourceError,
 )
+from carobladder.headers import Headers
 from carobladder.resources import parse_spec
 from carobladder.telemetry import log_event
 
@@ -251,7 +252,7 @@
             timeout_seconds=_TIMEOUT_SECONDS,
         )
 
-    def _headers(self) -> tuple[tuple[str, str], ...]:
+    def _headers(self) -> Headers:
         return (
             ("authorization", f"Bearer {self.key}"),
             ("content-type", "application/json"),
--- a/carobladder/admin/transport.py
+++ b/carobladder/admin/transport.py
@@ -9,12 +9,12 @@
 
 from carobladder.clients.ports import HttpAnswer
 from carobladder.exceptions import ConnectionBrokenError
+from carobladder.headers import Headers
 
 __all__ = ["SocketFetcher", "StreamedAnswer"]
 
 _READ_BYTES = 65_536
 _MAX_HEADER_BYTES = 65_536
-Headers = tuple[tuple[str, str], ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/bookings/claims.py
+++ b/carobladder/bookings/claims.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from carobladder.headers import Headers
+
 __all__ = [
     "MAX_RECORDED_BODY_BYTES",
     "Claim",
@@ -38,7 +40,7 @@
     key: str
     claim_id: str
     status: int
-    headers: tuple[tuple[str, str], ...]
+    headers: Headers
     body: bytes
     body_omitted: bool = False
 
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -13,11 +13,10 @@
 from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import Clock
 from carobladder.exceptions import ConnectionBrokenError, RequestWithheldError
+from carobladder.headers import Headers
 
 __all__ = ["AnswerStream", "HttpClient"]
 
-Headers = tuple[tuple[str, str], ...]
-
 _CONNECT_SECONDS = 2.0
 # Below the usual keep-alive limit of servers, so that few pooled connections are stale.
 _IDLE_SECONDS = 4.0
--- a/carobladder/clients/ports.py
+++ b/carobladder/clients/ports.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from carobladder.headers import Headers
+
 __all__ = ["HttpAnswer", "HttpFetcher"]
 
 
@@ -11,7 +13,7 @@
     """Carry a whole HTTP answer; header names are lower case."""
 
     status: int
-    headers: tuple[tuple[str, str], ...]
+    headers: Headers
     body: bytes
 
 
@@ -24,7 +26,7 @@
         address: str,
         path: str,
         *,
-        headers: tuple[tuple[str, str], ...] = (),
+        headers: Headers = (),
         body: bytes = b"",
         timeout_seconds: float,
     ) -> HttpAnswer:
--- a/carobladder/fleet/exchanges.py
+++ b/carobladder/fleet/exchanges.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-__all__ = ["AnswerFacts", "CallFacts", "ExchangeCodec", "PromptPart", "TargetLoad"]
+from carobladder.headers import Headers
 
-Fields = tuple[tuple[str, str], ...]
+__all__ = ["AnswerFacts", "CallFacts", "ExchangeCodec", "PromptPart", "TargetLoad"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +75,7 @@
 class ExchangeCodec(Protocol):
     """Translate headers; implemented for each platform."""
 
-    def read_call(self, fields: Fields) -> CallFacts:
+    def read_call(self, fields: Headers) -> CallFacts:
         """Return what the headers of a caller's request say."""
 
     def keep_field(self, name: str) -> bool:
@@ -91,14 +91,14 @@
         team: str,
         priority: int,
         prompt_source: str,
-    ) -> Fields:
+    ) -> Headers:
         """Return the headers that the fleet itself sets for a target.
 
         ``prompt_source`` is the address to copy the shared prompt from, or empty.
         """
 
-    def read_answer(self, status: int, fields: Fields) -> AnswerFacts:
+    def read_answer(self, status: int, fields: Headers) -> AnswerFacts:
         """Return what the headers of a target's answer say."""
 
-    def write_answer(self, request_id: str) -> Fields:
+    def write_answer(self, request_id: str) -> Headers:
         """Return the headers of an answer that the fleet makes itself."""
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -22,6 +22,7 @@
 )
 from carobladder.forwarding.attempts import OpenCall
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
+from carobladder.headers import Headers
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import (
     AttemptFailed,
@@ -31,8 +32,6 @@
 
 __all__ = ["CallSession", "Forwarder"]
 
-Headers = tuple[tuple[str, str], ...]
-
 # Further sends of a request that no target has run yet.
 _MAX_UNRUN_SENDS = 3
 _BUSY_RETRY_SECONDS = 0.25
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -22,7 +22,6 @@
     CallSession,
     ForwardedCall,
     Forwarder,
-    Headers,
 )
 from carobladder.forwarding.refusals import RefusalWriter
 from carobladder.gateway.ports import Answer, Request, Responder
@@ -32,6 +31,7 @@
     StreamObserver,
     StreamRelay,
 )
+from carobladder.headers import Headers
 from carobladder.placement.keys import choose_version, hash_parts
 from carobladder.retries import EventTracker
 from carobladder.routing import Route, RouteTable, Service
--- a/carobladder/forwarding/refusals.py
+++ b/carobladder/forwarding/refusals.py
@@ -8,6 +8,7 @@
 from carobladder.fleet import CallFacts
 from carobladder.gateway.ports import Answer
 from carobladder.gateway.problems import encode_problem
+from carobladder.headers import Headers
 
 __all__ = ["Refusal", "RefusalWriter"]
 
@@ -36,7 +37,7 @@
         error: CallerError,
         facts: CallFacts,
         passed_seconds: float,
-        fields: tuple[tuple[str, str], ...],
+        fields: Headers,
     ) -> Refusal:
         """Return the refusal; ``passed_seconds`` is the age of the request."""
         headers = [("Content-Type", "application/json"), *fields]
--- a/carobladder/gateway/attempts.py
+++ b/carobladder/gateway/attempts.py
@@ -26,6 +26,7 @@
     Team,
 )
 from carobladder.gateway.requests import is_other_request
+from carobladder.headers import Headers
 from carobladder.retries import (
     FailedAttempt,
     RetryBudget,
@@ -43,8 +44,6 @@
 # faults between fleet and target and not the caller's.
 _FAULT_STATUSES = frozenset({401, 403, 407, 408, 429})
 
-Headers = tuple[tuple[str, str], ...]
-
 
 @dataclass(frozen=True, slots=True)
 class TargetCall:
--- a/carobladder/gateway/chats.py
+++ b/carobladder/gateway/chats.py
@@ -15,7 +15,6 @@
 )
 from carobladder.gateway.attempts import (
     CallSession,
-    Headers,
     TargetCall,
     TargetCaller,
 )
@@ -38,6 +37,7 @@
     pick_content_type,
 )
 from carobladder.gateway.requests import authenticate, read_class, read_deadline
+from carobladder.headers import Headers
 from carobladder.targets import CLASS_PRIORITY, RequestClass, TargetState
 from carobladder.telemetry import GatewayMetrics
 
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -24,6 +24,7 @@
     explain_protocol_error,
     new_request_id,
 )
+from carobladder.headers import Headers
 from carobladder.telemetry import GatewayMetrics, log_event
 
 __all__ = ["CallerConnection", "Serving"]
@@ -352,9 +353,7 @@
         self._connection.write(h11.EndOfMessage())
         await self._connection.drain()
 
-    async def start_stream(
-        self, status: int, headers: tuple[tuple[str, str], ...]
-    ) -> None:
+    async def start_stream(self, status: int, headers: Headers) -> None:
         """Send the status and headers of a streamed answer."""
         self._start(status, list(headers))
 
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from carobladder.headers import Headers
 from carobladder.targets import RequestClass, TargetState
 
 __all__ = [
@@ -145,7 +146,7 @@
     """Carry the whole answer of a plain service."""
 
     status: int
-    headers: tuple[tuple[str, str], ...] = field(default=())
+    headers: Headers = field(default=())
     body: bytes = b""
 
 
@@ -252,7 +253,7 @@
     body: bytes
     request_id: str
     received: float
-    fields: tuple[tuple[str, str], ...] = ()
+    fields: Headers = ()
     target: str = ""
 
 
@@ -261,7 +262,7 @@
     """Carry a whole answer to a caller, without its framing headers."""
 
     status: int
-    headers: tuple[tuple[str, str], ...] = ()
+    headers: Headers = ()
     body: bytes = b""
 
 
@@ -278,9 +279,7 @@
     async def send_answer(self, answer: Answer) -> None:
         """Send a whole answer."""
 
-    async def start_stream(
-        self, status: int, headers: tuple[tuple[str, str], ...]
-    ) -> None:
+    async def start_stream(self, status: int, headers: Headers) -> None:
         """Send the status and headers of a streamed answer."""
 
     async def send_chunk(self, data: bytes) -> None:
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -8,6 +8,7 @@
 from carobladder.exceptions import CallerError, ConnectionBrokenError, TargetError
 from carobladder.gateway.ports import Answer, Responder
 from carobladder.gateway.problems import encode_problem
+from carobladder.headers import Headers
 from carobladder.retries import StreamFault, StreamTracker
 
 __all__ = [
@@ -24,7 +25,6 @@
 # Tells a target after which event of a stream to go on.
 LAST_EVENT_FIELD = "Last-Event-ID"
 EVENT_STREAM = "text/event-stream"
-Headers = tuple[tuple[str, str], ...]
 _Target = TypeVar("_Target")
 # The end of an answer directly follows its final event.
 _END_SECONDS = 1.0
--- a/carobladder/gateway/services.py
+++ b/carobladder/gateway/services.py
@@ -18,7 +18,6 @@
 )
 from carobladder.gateway.attempts import (
     CallSession,
-    Headers,
     TargetCall,
     TargetCaller,
 )
@@ -34,6 +33,7 @@
     Team,
 )
 from carobladder.gateway.requests import authenticate, read_class, read_deadline
+from carobladder.headers import Headers
 from carobladder.targets import RequestClass, TargetState
 
 __all__ = ["OUTCOME_PATH", "ServiceHandler", "ServiceOptions"]
--- a/carobladder/platform/exchanges.py
+++ b/carobladder/platform/exchanges.py
@@ -10,6 +10,7 @@
     PromptPart,
     TargetLoad,
 )
+from carobladder.headers import Headers
 from carobladder.platform.names import (
     COLD_HEADER,
     DEADLINE_HEADER,
@@ -32,8 +33,6 @@
 
 __all__ = ["PlatformCodec"]
 
-Fields = tuple[tuple[str, str], ...]
-
 _MS_PER_SECOND = 1000.0
 _LEAST_PRIORITY = 9
 
@@ -41,7 +40,7 @@
 class PlatformCodec:
     """Translate headers between the platform and the data path."""
 
-    def read_call(self, fields: Fields) -> CallFacts:
+    def read_call(self, fields: Headers) -> CallFacts:
         """Return what the headers of a caller's request say."""
         values = {name.lower(): value for name, value in fields}
         input_tokens, output_tokens = _read_tokens(values.get(TOKENS_HEADER, ""))
@@ -70,7 +69,7 @@
         team: str,
         priority: int,
         prompt_source: str,
-    ) -> Fields:
+    ) -> Headers:
         """Return the headers that the fleet itself sets for a target.
 
         ``prompt_source`` is the address to copy the shared prompt from, or empty.
@@ -87,7 +86,7 @@
             fields.append((PROMPT_SOURCE_HEADER, prompt_source))
         return tuple(fields)
 
-    def read_answer(self, status: int, fields: Fields) -> AnswerFacts:
+    def read_answer(self, status: int, fields: Headers) -> AnswerFacts:
         """Return what the headers of a target's answer say."""
         values = dict(fields)
         misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
@@ -102,7 +101,7 @@
             pause_seconds=_read_pause(status, values.get(RETRY_AFTER_HEADER)),
         )
 
-    def write_answer(self, request_id: str) -> Fields:
+    def write_answer(self, request_id: str) -> Headers:
         """Return the headers of an answer that the fleet makes itself."""
         return ((REQUEST_ID_HEADER, request_id),) if request_id else ()
 
