Ask the homes of a prompt which engines keep it

Change: a prompt's two homes follow from its key on a ring of the announced instances. An instance that sends a prompt to an engine for the first time tells both homes and, if it knows no other holder, waits at most 15 ms for the answer of one. A home that is silent is not waited for during two seconds; without an answer the source is guessed as before. Questions are bounded at 20 a second, under 4 KB/s. The reports to all are gone with their tests, which the tests of the homes replace: the bound of the simulation is a quarter of what the guess reads again instead of a half, also at 87 and 195 instances.

Ruled out: reports to all with longer datagrams (they grow with the fleet, these do not); asking for each request (what this instance sent or was told before is not asked again).

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -16,6 +16,7 @@
 )
 from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prober import TargetProber
+from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.shares import SHARE_PARTITIONS, ShareKeeper
 from carobladder.entry.versions import VersionMover
 from carobladder.fleet import (
@@ -24,8 +25,6 @@
     FailureSharing,
     KeyedRecord,
     LoadSharing,
-    PromptSharing,
-    PromptWarmth,
     ReaderRole,
     RouteTimes,
     ServiceBudgets,
@@ -120,13 +119,14 @@
             store_client, settings.store_address, _STORE_TIMEOUT_SECONDS
         )
         self._targets = TargetTable()
-        self._warmth = PromptWarmth(self._targets)
-        self._prompts = PromptSharing(self._targets, self._warmth)
         self._ledger = ShareLedger(SHARE_PARTITIONS)
         self._pacer = ColdPacer(self._ledger)
         self._moves = VersionMoves(settings.exposure_share)
         self._tallies = AnswerTallies(self._moves, self._targets, incarnation)
         self._directory = PeerDirectory(settings.instance, settings.peer_listen, clock)
+        self._prompts = PromptDirectory(
+            self._targets, self._directory, clock, self._generator
+        )
         self._role = ReaderRole(self._ledger, self._directory.count_peers)
         self._metrics = ForwardMetrics()
         self._server_metrics = GatewayMetrics()
@@ -278,7 +278,6 @@
         sender = TargetSender(
             self._client,
             codec,
-            self._warmth,
             self._prompts,
             self._tallies,
             RouteTimes(),
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -12,16 +12,18 @@
 from carobladder.clock import Clock
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.peers import Peer, PeerDirectory
+from carobladder.entry.prompts import PromptDirectory
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
     FailureSharing,
     FleetTarget,
+    HoldersAnswer,
+    HoldersQuestion,
     LoadReport,
     LoadSharing,
     PeerAnswer,
     PeerMessage,
     PeerNews,
-    PromptSharing,
     TopicWriter,
     open_message,
     pack_run,
@@ -57,7 +59,7 @@
     """Hold what instances tell each other of targets."""
 
     loads: LoadSharing
-    prompts: PromptSharing
+    prompts: PromptDirectory
     failures: FailureSharing
 
 
@@ -82,6 +84,7 @@
         self._address = address
         self._directory = directory
         self._shared = shared
+        shared.prompts.use_sender(self._send_to)
         self._topic = topic
         self._is_reader = is_reader
         self._clock = clock
@@ -127,7 +130,6 @@
         except ValueError:
             self.dropped += 1
             return
-        self._directory.note_reader(name, message.is_reader)
         peer = self._directory.find(name)
         assert peer is not None
         self._take(message, peer)
@@ -141,8 +143,8 @@
 
     @_take.register
     def _(self, message: PeerNews, peer: Peer) -> None:
+        self._directory.note_reader(peer.name, message.is_reader)
         self._shared.loads.take(message.reports, self._clock.monotonic())
-        self._shared.prompts.take(message.prompts)
         if self._shared.failures.take(message.failures, self._clock.monotonic()):
             self._warn()
         if message.question:
@@ -155,6 +157,7 @@
 
     @_take.register
     def _(self, message: PeerAnswer, peer: Peer) -> None:
+        self._directory.note_reader(peer.name, message.is_reader)
         asked_at = self._questions.pop(message.question, None)
         if asked_at is None:
             return
@@ -165,6 +168,10 @@
             if state is not None:
                 follower.take_peer_state(state, asked_at)
 
+    @_take.register
+    def _(self, message: HoldersQuestion | HoldersAnswer, peer: Peer) -> None:
+        self._shared.prompts.take(message, peer.name)
+
     def _choose_interval(self) -> float:
         wanted_seconds = self._directory.count_peers() * _INTERVAL_SECONDS_FOR_PEER
         return min(
@@ -172,18 +179,15 @@
         )
 
     def _tell(self) -> None:
-        """Tell a reader, if one is known, and others drawn at random.
-
-        Only the others are told of prompts, so that each report spreads evenly.
-        """
+        """Tell a reader, if one is known, and others drawn at random."""
         peers = self._directory.list_peers()
         if not peers:
             return
         readers = self._directory.list_readers()
-        asked = self._generator.sample(readers, min(1, len(readers)))
-        others = [peer for peer in peers if peer not in asked]
-        count = min(_FAN_OUT - len(asked), len(others))
-        chosen = asked + self._generator.sample(others, count)
+        chosen = self._generator.sample(readers, min(1, len(readers)))
+        others = [peer for peer in peers if peer not in chosen]
+        count = min(_FAN_OUT - len(chosen), len(others))
+        chosen += self._generator.sample(others, count)
         wanted = max(
             (follower.count_wanted_answers() for follower in self._followers), default=0
         )
@@ -195,13 +199,8 @@
         for index, peer in enumerate(chosen):
             question = self._draw_question() if index < wanted else 0
             news = self._build_news(question, reports)
-            if peer not in asked:
-                news = msgspec.structs.replace(
-                    news,
-                    prompts=self._shared.prompts.collect(),
-                    failures=self._shared.failures.collect(self._clock.monotonic()),
-                )
-            self._send(news, peer)
+            failures = self._shared.failures.collect(self._clock.monotonic())
+            self._send(msgspec.structs.replace(news, failures=failures), peer)
 
     def note_silence(self, target: FleetTarget, sent_at: float) -> None:
         """Warn others of a target that sent no byte since a request of this time."""
@@ -246,6 +245,11 @@
         answer = PeerAnswer(news.question, self._is_reader(), states, runs)
         self._send(answer, peer)
 
+    def _send_to(self, message: PeerMessage, name: str) -> None:
+        peer = self._directory.find(name)
+        if peer is not None:
+            self._send(message, peer)
+
     def _send(self, message: PeerMessage, peer: Peer) -> None:
         key = self._directory.own_key
         if self._transport is None or key is None:
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -12,6 +12,8 @@
 from carobladder.fleet.records import KeyedRecord, RecordRun
 
 __all__ = [
+    "HoldersAnswer",
+    "HoldersQuestion",
     "PeerAnswer",
     "PeerMessage",
     "PeerNews",
@@ -62,15 +64,13 @@
 
     ``ends`` are the offsets after the last known records of the topics in their order,
     0 if none is known. ``question`` asks for an answer with that number unless 0.
-    ``prompts`` are packed reports of where prompts were read, ``failures`` warn of
-    silent targets.
+    ``failures`` warn of silent targets.
     """
 
     question: int
     is_reader: bool
     reports: list[LoadReport]
     ends: list[int]
-    prompts: bytes = b""
     failures: list[FailureReport] = []
 
 
@@ -86,7 +86,25 @@
     runs: list[PackedRun | None]
 
 
-PeerMessage = PeerNews | PeerAnswer
+class HoldersQuestion(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
+    """Tell a home of a prompt that a target is about to read a prefix of it.
+
+    Asks for an answer with that number unless 0. Targets are named by their tags.
+    """
+
+    number: int
+    prefix: int
+    reader_tag: int
+
+
+class HoldersAnswer(msgspec.Struct, array_like=True, frozen=True, tag="held"):
+    """Name the targets that kept the prefix of a question before."""
+
+    number: int
+    holder_tags: list[int]
+
+
+PeerMessage = PeerNews | PeerAnswer | HoldersQuestion | HoldersAnswer
 
 
 class _Envelope(msgspec.Struct, array_like=True, frozen=True):
--- a/carobladder/fleet/warmth.py
+++ b/carobladder/fleet/warmth.py
@@ -12,8 +12,6 @@
 _MAX_PROMPTS = 20_000
 # Targets kept for a prompt, newest last.
 _MAX_HOLDERS = 6
-# Others are told of so many, which leaves one where another one leaves.
-_TOLD_HOLDERS = 2
 # A target that joined less than this time ago is not yet where others send a prompt.
 _SETTLING_SECONDS = 8.0
 
@@ -29,23 +27,25 @@
         self._table = table
         self._holders: OrderedDict[int, list[FleetTarget]] = OrderedDict()
 
-    def note_sent(self, prefix: int, target: FleetTarget) -> bool:
-        """Note that a request with this shared prefix goes to the target.
+    def keeps(self, prefix: int, target: FleetTarget) -> bool:
+        """Tell whether a target is known to keep a prefix."""
+        return target in self._holders.get(prefix, ())
 
-        Tell whether others have to know: it was not known, and few targets keep it.
-        """
-        known = self._list_registered(prefix)
-        kept = [holder for holder in known if holder is not target]
+    def find_holder(self, prefix: int, now: float) -> FleetTarget | None:
+        """Return the target that read a prefix last and can be copied from, or None."""
+        holders = self._list_holders(prefix, now)
+        return holders[-1] if holders else None
+
+    def note_read(self, prefix: int, target: FleetTarget) -> None:
+        """Note that a request with this shared prefix goes to the target."""
+        kept = [h for h in self._list_registered(prefix) if h is not target]
         self._keep(prefix, [*kept[1 - _MAX_HOLDERS :], target])
-        return target not in known and len(known) < _TOLD_HOLDERS
 
-    def note_told(self, prefix: int, target: FleetTarget) -> bool:
-        """Take from another instance that the target reads a prefix; as note_sent."""
+    def note_told(self, prefix: int, target: FleetTarget) -> None:
+        """Take from another instance that the target keeps a prefix."""
         known = self._list_registered(prefix)
-        if target in known or len(known) >= _TOLD_HOLDERS:
-            return False
-        self._keep(prefix, [*known, target])
-        return True
+        if target not in known and len(known) < _MAX_HOLDERS:
+            self._keep(prefix, [*known, target])
 
     def find_source(
         self, prefixes: Sequence[int], chosen: FleetTarget, now: float
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -1,9 +1,10 @@
 """One send of a call to a target, up to the head of its answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Protocol
 
 from carobladder.clients.http import AnswerStream, HttpClient
 from carobladder.clock import Clock
@@ -19,8 +20,6 @@
     CallFacts,
     ExchangeCodec,
     FleetTarget,
-    PromptSharing,
-    PromptWarmth,
     RouteTimes,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
@@ -34,7 +33,7 @@
     emit,
 )
 
-__all__ = ["ForwardedCall", "TargetSender"]
+__all__ = ["ForwardedCall", "PromptFinder", "TargetSender"]
 
 # A request whose own limit is this close to the time after which silence counts ends
 # without saying anything about its target.
@@ -74,6 +73,19 @@
         return self.prefixes[0] if self.prefixes else None
 
 
+class PromptFinder(Protocol):
+    """Know which targets keep which prompts."""
+
+    async def find_source(
+        self, prefixes: Sequence[int], sizes: Sequence[int], target: FleetTarget
+    ) -> FleetTarget | None:
+        """Return a target to copy a prompt from that ``target`` is about to read.
+
+        ``prefixes`` are the keys of the shared prefixes, the longest first, ``sizes``
+        the tokens of the parts that they end with.
+        """
+
+
 @dataclass(frozen=True, slots=True)
 class TargetSender:
     """Send calls to targets and note what each send tells of its target.
@@ -84,8 +96,7 @@
 
     client: HttpClient
     codec: ExchangeCodec
-    warmth: PromptWarmth
-    prompts: PromptSharing
+    prompts: PromptFinder
     tallies: AnswerTallies
     times: RouteTimes
     clock: Clock
@@ -113,11 +124,13 @@
         if self._left_seconds(call) > patience + _LIMIT_MARGIN_SECONDS:
             alarm = loop.call_later(patience, self._note_silence, target, sent_at)
         try:
+            source = await self._find_prompt_source(call, target)
+            self._log_placement(call, target, source, sends)
             answer = await self.client.open(
                 call.method,
                 target.entry.address,
                 call.target,
-                headers=self._build_fields(call, target, extra_headers, sends),
+                headers=self._build_fields(call, target, extra_headers, source),
                 body=call.body,
                 timeout_seconds=wait_seconds,
                 may_repeat=False,
@@ -227,12 +240,10 @@
         call: ForwardedCall,
         target: FleetTarget,
         extra_headers: Headers,
-        sends: int,
+        source: str,
     ) -> Headers:
         replaced = {name.lower() for name, _ in extra_headers}
         kept = [field for field in call.fields if field[0] not in replaced]
-        source = self._find_prompt_source(call, target)
-        self._log_placement(call, target, source, sends)
         own = self.codec.write_call(
             target.target_id,
             self._left_seconds(call),
@@ -263,12 +274,13 @@
             )
         )
 
-    def _find_prompt_source(self, call: ForwardedCall, target: FleetTarget) -> str:
+    async def _find_prompt_source(
+        self, call: ForwardedCall, target: FleetTarget
+    ) -> str:
         """Return the address to copy the shared prompt from, or nothing."""
-        prefixes, now = call.prefixes, self.clock.monotonic()
-        source = self.warmth.find_source(prefixes, target, now)
-        for prefix, tokens in zip(prefixes, call.prefix_tokens, strict=True):
-            self.prompts.note_read(prefix, tokens, target)
+        source = await self.prompts.find_source(
+            call.prefixes, call.prefix_tokens, target
+        )
         return source.entry.address if source else ""
 
     def _left_seconds(self, call: ForwardedCall) -> float:
--- a/tests/fleet/prompt_simulation.py
+++ b/tests/entry/prompt_simulation.py
@@ -1,8 +1,12 @@
-"""A fleet whose engines keep prompts, without network, on a clock of its own."""
+"""A fleet whose engines keep prompts, without network, on a virtual clock."""
 
+import asyncio
 import random
 
-from carobladder.fleet import PromptSharing, PromptWarmth, TargetTable
+from carobladder.clock import VirtualClock
+from carobladder.entry.peers import PeerDirectory
+from carobladder.entry.prompts import PromptDirectory
+from carobladder.fleet import KeyedRecord, TargetTable, seal_message
 from carobladder.placement.rendezvous import score_member
 from tests.fleet.builders import build_entry
 
@@ -11,35 +15,44 @@
 STEP_SECONDS = 0.1
 # A draining engine goes on serving for so long.
 DRAIN_SECONDS = 3.0
+PROMPT_TOKENS = 1000
+_KEY = b"k" * 32
 
 
 class Instance:
     """Hold what one instance knows of engines and prompts."""
 
-    def __init__(self) -> None:
+    def __init__(self, number: int, clock: VirtualClock, seed: int) -> None:
+        self.name = f"front-{number}"
         self.table = TargetTable()
-        self.warmth = PromptWarmth(self.table)
-        self.prompts = PromptSharing(self.table, self.warmth)
+        self.peers = PeerDirectory(self.name, f"{self.name}:1", clock)
+        self.prompts = PromptDirectory(
+            self.table, self.peers, clock, random.Random(seed)
+        )
 
 
 class PromptFleet:
     """Send requests for prompts through instances and count what engines read again.
 
-    With ``tells`` the instances exchange what they know; else each knows only its own
-    requests and guesses.
+    With ``asks`` the instances ask the homes of prompts; else each knows only its own
+    requests and guesses. Messages to and from instances that are ``away`` are lost.
     """
 
-    def __init__(self, instances: int, engines: int, seed: int, tells: bool) -> None:
-        self.now = 100.0
+    def __init__(self, instances: int, engines: int, seed: int, asks: bool) -> None:
+        self.clock = VirtualClock()
+        self.clock.advance(100.0)
         self.read_again = 0
-        self.sent_bytes = 0
-        self.instances = [Instance() for _ in range(instances)]
+        self.messages = 0
+        self.message_bytes = 0
+        self.away: set[str] = set()
+        self.instances = [Instance(n, self.clock, seed + n) for n in range(instances)]
+        self._by_name = {instance.name: instance for instance in self.instances}
         self._generator = random.Random(seed)
-        self._tells = tells
         self._held: dict[str, set[int]] = {}
-        self._read: set[int] = set()
         self._draining: dict[str, float] = {}
         self._added = 0
+        for instance in self.instances:
+            self._introduce(instance, asks)
         for _ in range(engines):
             self.add_engine(joined_at=0.0)
 
@@ -48,53 +61,36 @@
         self._added += 1
         engine = f"i-{self._added}"
         self._held[engine] = set()
+        seen_at = self.clock.monotonic() if joined_at is None else joined_at
         for instance in self.instances:
-            seen_at = self.now if joined_at is None else joined_at
             instance.table.apply(build_entry(engine), seen_at)
         return engine
 
     def drain_engine(self, engine: str) -> None:
         """Let an engine finish its work and leave."""
-        self._draining[engine] = self.now + DRAIN_SECONDS
+        now = self.clock.monotonic()
+        self._draining[engine] = now + DRAIN_SECONDS
         for instance in self.instances:
-            instance.table.apply(build_entry(engine, draining=True), self.now)
+            instance.table.apply(build_entry(engine, draining=True), now)
 
     def list_engines(self) -> list[str]:
         """Return the engines that take requests."""
         return [engine for engine in self._held if engine not in self._draining]
 
-    def advance(self, seconds: float, per_second: float, prompts: list[int]) -> None:
+    async def advance(
+        self, seconds: float, per_second: float, prompts: list[int]
+    ) -> None:
         """Send requests for prompts drawn from the list."""
         for _ in range(round(seconds / STEP_SECONDS)):
-            self.now += STEP_SECONDS
+            self.clock.advance(STEP_SECONDS)
             for engine, until in list(self._draining.items()):
-                if self.now >= until:
+                if self.clock.monotonic() >= until:
                     self._remove(engine)
             for _ in range(round(per_second * STEP_SECONDS)):
-                self._send(self._generator.choice(prompts))
-            if self._tells:
-                self.exchange()
+                await self.send(self._generator.choice(prompts))
 
-    def exchange(self) -> None:
-        """Let each instance tell another one, drawn at random."""
-        for instance in self.instances:
-            data = instance.prompts.collect()
-            self.sent_bytes += len(data)
-            peer = self._generator.choice(self.instances)
-            if peer is not instance:
-                peer.prompts.take(data)
-
-    def count_knowing(self, prompt: int, engine: str) -> int:
-        """Return the instances that know that an engine keeps a prompt."""
-        return sum(
-            any(
-                holder.target_id == engine
-                for holder in instance.warmth._list_holders(prompt, self.now)
-            )
-            for instance in self.instances
-        )
-
-    def _send(self, prompt: int) -> None:
+    async def send(self, prompt: int) -> None:
+        """Send one request through an instance drawn at random."""
         instance = self._generator.choice(self.instances)
         ranked = sorted(
             self.list_engines(), key=lambda e: score_member(prompt, e), reverse=True
@@ -102,14 +98,31 @@
         overflows = self._generator.random() < OVERFLOW_SHARE
         engine = ranked[min(int(overflows), len(ranked) - 1)]
         target = instance.table.find(engine)
-        source = instance.warmth.find_source((prompt,), target, self.now)
-        instance.prompts.note_read(prompt, 1000, target)
+        source = await instance.prompts.find_source((prompt,), (PROMPT_TOKENS,), target)
         held = self._held[engine]
         copied = source is not None and prompt in self._held.get(source.target_id, ())
         if prompt not in held and not copied and self._is_kept(prompt):
             self.read_again += 1
         held.add(prompt)
 
+    def _introduce(self, instance: Instance, asks: bool) -> None:
+        for other in self.instances:
+            if other is not instance:
+                value = f"{other.name}:1 {_KEY.hex()}".encode()
+                instance.peers.take_record(KeyedRecord(0, other.name, value))
+        if asks:
+            instance.prompts.use_sender(
+                lambda message, name: self._deliver(message, instance.name, name)
+            )
+
+    def _deliver(self, message: object, sender: str, receiver: str) -> None:
+        self.messages += 1
+        self.message_bytes += len(seal_message(message, sender, _KEY))
+        if sender in self.away or receiver in self.away:
+            return
+        take = self._by_name[receiver].prompts.take
+        asyncio.get_running_loop().call_soon(take, message, sender)
+
     def _is_kept(self, prompt: int) -> bool:
         return any(prompt in held for held in self._held.values())
 
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -29,8 +29,8 @@
         clock = SystemClock()
         address = f"127.0.0.1:{port}"
         self.table, self.targets = fill_table(2)
-        self.shared = build_shared(self.table)
         self.directory = PeerDirectory(name, address, clock)
+        self.shared = build_shared(self.table, self.directory)
         self.topic = KeyedTopic(store.client, TOPIC)
         self.announcements = TopicFollower(
             "instances",
@@ -109,13 +109,12 @@
         self.assertEqual(unknown.health.read_stated_load(0.0)[0], 5)
         self.assertEqual(len(second.directory.list_readers()), 1)
 
-    async def test_two_instances_exchange_where_prompts_were_read(self):
+    async def test_home_of_a_prompt_names_who_keeps_it(self):
         first, second = await self.start("a", "b")
-        warmth = second.shared.prompts._warmth
-        first.shared.prompts.note_read(7, 5000, first.targets[1])
-        async with asyncio.timeout(LONG_SECONDS):
-            while not (source := warmth.find_source((7,), second.targets[0], 0)):
-                await asyncio.sleep(0.02)
+        await first.shared.prompts.find_source((7,), (5000,), first.targets[1])
+        await asyncio.sleep(0.05)
+        prompts = second.shared.prompts
+        source = await prompts.find_source((7,), (5000,), second.targets[0])
         self.assertIs(source, second.targets[1])
 
     async def test_instance_warns_others_at_once(self):
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -2,13 +2,14 @@
 
 import random
 
+from carobladder.clock import SystemClock
 from carobladder.entry.exchange import SharedKnowledge
+from carobladder.entry.peers import PeerDirectory
+from carobladder.entry.prompts import PromptDirectory
 from carobladder.fleet import (
     FailureSharing,
     FleetTarget,
     LoadSharing,
-    PromptSharing,
-    PromptWarmth,
     TargetEntry,
     TargetTable,
 )
@@ -42,10 +43,21 @@
     return table, targets
 
 
-def build_shared(table: TargetTable) -> SharedKnowledge:
+def build_prompt_directory(
+    table: TargetTable, peers: PeerDirectory | None = None
+) -> PromptDirectory:
+    """Return what an instance with this table knows of prompts; alone by default."""
+    clock = SystemClock()
+    peers = peers or PeerDirectory("front-1", "127.0.0.1:1", clock)
+    return PromptDirectory(table, peers, clock, random.Random(1))
+
+
+def build_shared(
+    table: TargetTable, peers: PeerDirectory | None = None
+) -> SharedKnowledge:
     """Return what an instance with this table tells others."""
     return SharedKnowledge(
         LoadSharing(table),
-        PromptSharing(table, PromptWarmth(table)),
+        build_prompt_directory(table, peers),
         FailureSharing(table, random.Random(1)),
     )
--- a/tests/fleet/test_selection.py
+++ b/tests/fleet/test_selection.py
@@ -194,7 +194,7 @@
     def note_sent(self, prefixes, target):
         """Note a request with several shared prefixes."""
         for prefix in prefixes:
-            self.warmth.note_sent(prefix, target)
+            self.warmth.note_read(prefix, target)
 
     def test_first_of_the_ranking_needs_no_source(self):
         self.assertIsNone(self.warmth.find_source((7,), self.first, 100.0))
@@ -203,7 +203,7 @@
         self.assertIs(self.warmth.find_source((7,), self.other, 100.0), self.first)
 
     def test_target_that_has_the_prompt_needs_no_source(self):
-        self.warmth.note_sent(7, self.other)
+        self.warmth.note_read(7, self.other)
         self.assertIsNone(self.warmth.find_source((7,), self.other, 100.0))
 
     def test_new_target_copies_from_the_one_before(self):
@@ -215,7 +215,7 @@
         self.assertIsNot(source, added)
 
     def test_draining_target_is_a_source_and_a_lost_one_is_not(self):
-        self.warmth.note_sent(7, self.first)
+        self.warmth.note_read(7, self.first)
         entry = build_entry(self.first.target_id, draining=True)
         self.table.apply(entry, 100.0)
         self.assertIs(self.warmth.find_source((7,), self.other, 101.0), self.first)
@@ -226,7 +226,7 @@
 
     def test_memory_is_bounded(self):
         for key in range(20_500):
-            self.warmth.note_sent(key, self.first)
+            self.warmth.note_read(key, self.first)
         self.assertLessEqual(len(self.warmth._holders), 20_000)
 
     def test_shorter_prefix_is_copied_for_a_prompt_that_is_new(self):
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -10,8 +10,6 @@
     ColdPacer,
     FleetTarget,
     Freshness,
-    PromptSharing,
-    PromptWarmth,
     RouteTimes,
     ShareLedger,
     TargetEntry,
@@ -34,6 +32,7 @@
     TeamKeys,
 )
 from carobladder.telemetry import ForwardMetrics, GatewayMetrics
+from tests.fleet.builders import build_prompt_directory
 from tests.gateway.wires import ScriptedServer
 
 HOST = "shop.example"
@@ -149,12 +148,10 @@
         ledger = ShareLedger(96)
         ledger.assign(frozenset(range(96)))
         moves = VersionMoves(0.1)
-        warmth = PromptWarmth(self.targets)
         sender = TargetSender(
             self.client,
             codec,
-            warmth,
-            PromptSharing(self.targets, warmth),
+            build_prompt_directory(self.targets),
             AnswerTallies(moves, self.targets, incarnation=1),
             RouteTimes(),
             self.clock,
