Keep the paces of reading beside their plans

Change: ReadingPace moves to paces.py. No behaviour changes; the tests of the followers and of the exchange pass.

--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -4,9 +4,9 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from carobladder.clock import Clock
+from carobladder.entry.paces import ReadingPace
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import (
     Freshness,
@@ -22,7 +22,7 @@
     emit,
 )
 
-__all__ = ["ReadingPace", "TopicFollower"]
+__all__ = ["TopicFollower"]
 
 _MS_PER_SECOND = 1000
 # First and longest pause after a failed read.
@@ -49,31 +49,6 @@
 _MAX_RECENT_RUNS = 64
 
 
-@dataclass(frozen=True, slots=True)
-class ReadingPace:
-    """Say how often a topic is read.
-
-    A reader's read waits ``wait_seconds`` for records; after a change about
-    ``collect_seconds`` pass before the next read. A reader reads without waiting when
-    its knowledge is ``reader_age_seconds`` old, any other instance only when it is
-    ``listener_age_seconds`` old or ``catch_up_seconds`` after another instance told of
-    a record that it lacks. Without these ages each instance is a reader whose only
-    reads are those that wait. The second read follows ``settle_seconds`` after the
-    first. An answer
-    to another instance carries records of up to ``told_bytes``. ``records_lapse`` says
-    that the store drops records which were not renewed, also during an outage.
-    """
-
-    wait_seconds: float
-    collect_seconds: float
-    reader_age_seconds: float | None = None
-    listener_age_seconds: float | None = None
-    catch_up_seconds: float = 0.2
-    settle_seconds: float = 0.0
-    told_bytes: int = 4096
-    records_lapse: bool = False
-
-
 class TopicFollower:
     """Hand each change of a topic's keys to a callback, in order.
 
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -1,8 +1,13 @@
 """How often the topics of the store are read, from the bounds of a deployment."""
 
-from carobladder.entry.followers import ReadingPace
+from dataclasses import dataclass
 
-__all__ = ["plan_instances_pace", "plan_operator_pace", "plan_targets_pace"]
+__all__ = [
+    "ReadingPace",
+    "plan_instances_pace",
+    "plan_operator_pace",
+    "plan_targets_pace",
+]
 
 # Longest wait that the store allows for a read.
 _WAIT_SECONDS = 30.0
@@ -30,6 +35,31 @@
 _INSTANCES_SETTLE_SECONDS = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class ReadingPace:
+    """Say how often a topic is read.
+
+    A reader's read waits ``wait_seconds`` for records; after a change about
+    ``collect_seconds`` pass before the next read. A reader reads without waiting when
+    its knowledge is ``reader_age_seconds`` old, any other instance only when it is
+    ``listener_age_seconds`` old or ``catch_up_seconds`` after another instance told of
+    a record that it lacks. Without these ages each instance is a reader whose only
+    reads are those that wait. The second read follows ``settle_seconds`` after the
+    first. An answer
+    to another instance carries records of up to ``told_bytes``. ``records_lapse`` says
+    that the store drops records which were not renewed, also during an outage.
+    """
+
+    wait_seconds: float
+    collect_seconds: float
+    reader_age_seconds: float | None = None
+    listener_age_seconds: float | None = None
+    catch_up_seconds: float = 0.2
+    settle_seconds: float = 0.0
+    told_bytes: int = 4096
+    records_lapse: bool = False
+
+
 def plan_operator_pace(
     revocation_seconds: float, configuration_seconds: float
 ) -> ReadingPace:
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -8,8 +8,8 @@
 
 from carobladder.clock import VirtualClock
 from carobladder.entry.exchange import PeerExchange
-from carobladder.entry.followers import ReadingPace, TopicFollower
-from carobladder.entry.paces import plan_operator_pace, plan_targets_pace
+from carobladder.entry.followers import TopicFollower
+from carobladder.entry.paces import ReadingPace, plan_operator_pace, plan_targets_pace
 from carobladder.entry.peers import PeerDirectory
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -6,7 +6,8 @@
 
 from carobladder.clock import SystemClock
 from carobladder.entry.exchange import PeerExchange
-from carobladder.entry.followers import ReadingPace, TopicFollower
+from carobladder.entry.followers import TopicFollower
+from carobladder.entry.paces import ReadingPace
 from carobladder.entry.peers import PeerDirectory
 from carobladder.fleet import (
     PeerAnswer,
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -5,8 +5,8 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.followers import ReadingPace, TopicFollower
-from carobladder.entry.paces import plan_instances_pace
+from carobladder.entry.followers import TopicFollower
+from carobladder.entry.paces import ReadingPace, plan_instances_pace
 from carobladder.fleet import KeyedRecord, RecordRun, TopicState
 from carobladder.platform.store import KeyedTopic
 from tests.platform.fake_store import FakeStore
