--- a/tests/forwarding/test_target_wishes.py
+++ b/tests/forwarding/test_target_wishes.py
@@ -177,9 +177,13 @@
 
 
 class LateDecisionTest(ForwardingTest):
-    """Guard against a send that was decided before the target asked for none."""
+    """Guard against a send that was decided before the target asked for none.
 
-    async def test_target_that_left_while_the_connection_was_made(self):
+    The instance may have been paused between the decision and the send.
+    """
+
+    async def send_late(self, ask) -> None:
+        """Let the first target ask for nothing while connections to it are made."""
         instance = await self.start(echo, echo)
         first = instance.targets.list_all()[0]
         connect = instance.client._connect
@@ -187,7 +191,7 @@
         async def connect_slowly(address: str, limit_at: float):
             connection = await connect(address, limit_at)
             if address == first.entry.address:
-                first.note_leaving()
+                ask(first, instance.clock.monotonic())
             return connection
 
         with mock.patch.object(instance.client, "_connect", connect_slowly):
@@ -197,6 +201,12 @@
         self.assertEqual(self.targets[0].requests, [])
         self.assertEqual(first.health.failures, 0)
 
+    async def test_target_that_left_meanwhile(self):
+        await self.send_late(lambda target, now: target.note_leaving())
+
+    async def test_target_that_asked_for_a_pause_meanwhile(self):
+        await self.send_late(lambda target, now: target.note_pause(30.0, now))
+
 
 if __name__ == "__main__":
     unittest.main()
