--- a/carobladder/entry/listening.py
+++ b/carobladder/entry/listening.py
@@ -11,6 +11,7 @@
 
 __all__ = ["open_early_listener", "open_listener"]
 
+# Stands in settings.entry as well, which loads more than the standard library.
 _SETTINGS_VARIABLE = "CAROBLADDER_SETTINGS"
 _BACKLOG = 1024
 
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -45,9 +45,9 @@
     ``listener_age_seconds`` old or ``catch_up_seconds`` after another instance told of
     a record that it lacks. Without these ages each instance is a reader whose only
     reads are those that wait. The second read follows ``settle_seconds`` after the
-    first. An answer
-    to another instance carries records of up to ``told_bytes``. ``records_lapse`` says
-    that the store drops records which were not renewed, also during an outage.
+    first, unless 0. An answer to another instance carries records of up to
+    ``told_bytes``. ``records_lapse`` says that the store drops records which were not
+    renewed, also during an outage.
     """
 
     wait_seconds: float
--- a/tests/entry/test_listening.py
+++ b/tests/entry/test_listening.py
@@ -14,7 +14,9 @@
 from pathlib import Path
 from unittest import mock
 
+from carobladder.entry import listening
 from carobladder.entry.listening import open_early_listener, open_listener
+from carobladder.settings.entry import SETTINGS_VARIABLE
 from tests.entry.fixtures import EntryCase
 from tests.forwarding.fixtures import build_request
 
@@ -47,6 +49,9 @@
             os.environ.pop("CAROBLADDER_SETTINGS", None)
             self.assertIsNone(open_early_listener())
 
+    def test_settings_file_is_the_one_that_the_program_reads(self):
+        self.assertEqual(listening._SETTINGS_VARIABLE, SETTINGS_VARIABLE)
+
     def test_nothing_heavy_is_loaded_before(self):
         code = (
             "import sys, carobladder.entry.listening\n"
