Show requests to targets above the operators' load bound

request_placed has the field load_bound now.

The bound moved into a class of its own, LoadBounds; how targets are chosen is unchanged.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -24,6 +24,7 @@
     ColdPacer,
     FailureGossip,
     KeyedRecord,
+    LoadBounds,
     LoadGossip,
     ReaderRole,
     RouteLatencies,
@@ -33,7 +34,12 @@
     TargetTable,
     VersionMoves,
 )
-from carobladder.forwarding import Forwarder, ForwardHandler, TargetSender
+from carobladder.forwarding import (
+    Forwarder,
+    ForwardHandler,
+    LoadMonitor,
+    TargetSender,
+)
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.platform.documents import (
@@ -78,7 +84,7 @@
     targets: TargetTable
     ledger: ShareLedger
     budgets: ServiceBudgets
-    selector: TargetSelector
+    load_bounds: LoadBounds
     control_state: ControlState
     operator_follower: TopicFollower
     targets_follower: TopicFollower
@@ -125,6 +131,7 @@
         )
         self._targets = TargetTable()
         self._ledger = ShareLedger(SHARE_PARTITIONS)
+        self._load_bounds = LoadBounds(self._targets, settings.load_multiple)
         self._pacer = ColdPacer(self._ledger)
         self._moves = VersionMoves(settings.exposure_share)
         self._tallies = AnswerTallies(self._moves, self._targets, incarnation)
@@ -146,7 +153,7 @@
             self._targets,
             self._pacer,
             self._moves,
-            settings.load_multiple,
+            self._load_bounds,
             self._generator,
         )
         move_controller = self._build_move_controller()
@@ -177,7 +184,7 @@
             targets=self._targets,
             ledger=self._ledger,
             budgets=budgets,
-            selector=selector,
+            load_bounds=self._load_bounds,
             control_state=control_state,
             operator_follower=operator_follower,
             targets_follower=targets_follower,
@@ -297,6 +304,7 @@
             self._prompt_directory,
             self._tallies,
             RouteLatencies(),
+            LoadMonitor(self._load_bounds, self._metrics),
             self._clock,
             exchange.report_silent_target,
         )
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -111,7 +111,7 @@
         changes = compare_entry_settings(self._settings, settings)
         self._settings = changes.in_force
         self.parts.budgets.set_bounds(settings.retry_ratio, settings.retry_slack)
-        self.parts.selector.set_load_multiple(settings.load_multiple)
+        self.parts.load_bounds.load_multiple = settings.load_multiple
         set_log_level(settings.log_level)
         emit(
             SettingsReloaded(
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from carobladder.fleet.health import Condition
+from carobladder.fleet.loadbounds import LoadBounds
 from carobladder.fleet.shares import ColdPacer
 from carobladder.fleet.targets import FleetTarget, TargetTable
 from carobladder.fleet.versions import VersionMoves
@@ -20,8 +21,6 @@
 # with a delay.
 _LOAD_FRACTION = 0.6
 _LOAD_SLACK_REQUESTS = 2.0
-# Requests above the load multiple that a target may have.
-_TOLERATED_REQUESTS = 3.0
 # During the delay with which loads are known they change by about the square root of
 # their mean. With a headroom below this many roots, requests go by affinity only to
 # targets below the mean.
@@ -56,20 +55,15 @@
         table: TargetTable,
         pacer: ColdPacer,
         moves: VersionMoves,
-        load_multiple: float,
+        bounds: LoadBounds,
         generator: random.Random,
     ) -> None:
         self._table = table
         self._pacer = pacer
         self._moves = moves
+        self._bounds = bounds
         self._generator = generator
         self._popularity: dict[str, PromptPopularity] = {}
-        self.set_load_multiple(load_multiple)
-
-    def set_load_multiple(self, load_multiple: float) -> None:
-        """Limit the load of each target to this multiple of the mean load."""
-        self._load_multiple = load_multiple
-        self._load_factor = 1.0 + _LOAD_FRACTION * (load_multiple - 1.0)
 
     def choose(self, criteria: SelectionCriteria, now: float) -> FleetTarget | None:
         """Return the target for a request, or None; counts the request as sent."""
@@ -173,11 +167,12 @@
                 total_load += target.health.estimate_load(now) or 0.0
         usable_mean = usable_load / len(loads)
         mean = total_load / len(registered)
-        max_load = mean * self._load_multiple
-        headroom = max_load + _TOLERATED_REQUESTS - usable_mean
+        max_load = mean * self._bounds.load_multiple
+        headroom = self._bounds.derive(mean) - usable_mean
         if headroom < _MIN_HEADROOM_DEVIATIONS * math.sqrt(usable_mean):
             return min(max_load, usable_mean)
-        return min(usable_mean * self._load_factor + _LOAD_SLACK_REQUESTS, max_load)
+        load_factor = 1.0 + _LOAD_FRACTION * (self._bounds.load_multiple - 1.0)
+        return min(usable_mean * load_factor + _LOAD_SLACK_REQUESTS, max_load)
 
     def _choose_of_two(
         self, usable: list[FleetTarget], loads: dict[str, float]
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -1,9 +1,17 @@
 """Forwarding of callers' requests to the targets of the configured routes."""
 
-from carobladder.forwarding import attempts, calls, handler, refusals, sends
+from carobladder.forwarding import (
+    attempts,
+    calls,
+    handler,
+    loadmonitor,
+    refusals,
+    sends,
+)
 from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
+from carobladder.forwarding.loadmonitor import *  # noqa: F403
 from carobladder.forwarding.refusals import *  # noqa: F403
 from carobladder.forwarding.sends import *  # noqa: F403
 
@@ -11,6 +19,7 @@
     *attempts.__all__,
     *calls.__all__,
     *handler.__all__,
+    *loadmonitor.__all__,
     *refusals.__all__,
     *sends.__all__,
 ]
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -23,6 +23,7 @@
     RouteLatencies,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
+from carobladder.forwarding.loadmonitor import ExpectedLoad, LoadMonitor
 from carobladder.headers import Headers
 from carobladder.routing import Route, Service
 from carobladder.telemetry import (
@@ -100,6 +101,7 @@
     prompts: PromptSourceFinder
     tallies: AnswerTallies
     times: RouteLatencies
+    loads: LoadMonitor
     clock: Clock
     report_silence: Callable[[FleetTarget, float], None]
 
@@ -129,7 +131,8 @@
             )
         try:
             source = await self._find_prompt_source(call, target)
-            self._log_placement(call, target, source, send_count)
+            expected_load = self.loads.note_sent(target, self.clock.monotonic())
+            self._log_placement(call, target, source, send_count, expected_load)
             answer = await self.client.open(
                 call.method,
                 target.entry.address,
@@ -157,7 +160,7 @@
         finally:
             if silence_timer is not None:
                 silence_timer.cancel()
-        self._apply_facts(call, target, facts)
+        self._apply_facts(call, target, facts, expected_load)
         return OpenCall(
             answer,
             target,
@@ -213,7 +216,11 @@
         return target.is_available(self.clock.monotonic())
 
     def _apply_facts(
-        self, call: ForwardedCall, target: FleetTarget, facts: AnswerMetadata
+        self,
+        call: ForwardedCall,
+        target: FleetTarget,
+        facts: AnswerMetadata,
+        expected_load: ExpectedLoad,
     ) -> None:
         if facts.misdirected:
             # The response came from another target at the same address.
@@ -227,6 +234,7 @@
             pause_seconds = round(target.read_pause(now), 3)
             emit(TargetPaused(target.target_id, request_id, pause_seconds))
         if facts.load is not None:
+            self.loads.note_stated(target, expected_load, facts.load, request_id)
             target.health.note_load(facts.load, now)
         if facts.cold_seconds is not None:
             target.note_cold(facts.cold_seconds, now)
@@ -267,7 +275,12 @@
         return (*caller_headers, *fleet_headers, *extra_headers)
 
     def _log_placement(
-        self, call: ForwardedCall, target: FleetTarget, source: str, send_count: int
+        self,
+        call: ForwardedCall,
+        target: FleetTarget,
+        source: str,
+        send_count: int,
+        expected_load: ExpectedLoad,
     ) -> None:
         now = self.clock.monotonic()
         emit(
@@ -280,6 +293,7 @@
                 sends=send_count,
                 left_seconds=round(self._remaining_seconds(call), 3),
                 load=_round_load(target.health.estimate_load(now)),
+                load_bound=round(expected_load.bound, 1),
                 cold=target.is_cold(now),
                 prompt_source=source,
                 version=call.configuration_version,
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -20,8 +20,9 @@
 class RequestPlaced(Event):
     """A request goes to a target.
 
-    ``load`` is the believed number of requests there, ``None`` if unknown;
-    ``records_age_seconds`` the age of what the operator is known to want.
+    ``load`` is the believed number of requests there, ``None`` if unknown, and
+    ``load_bound`` the number that the operators allow; ``records_age_seconds`` the age
+    of what the operator is known to want.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     sends: int
     left_seconds: float
     load: float | None
+    load_bound: float
     cold: bool
     prompt_source: str
     version: int
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -7,6 +7,7 @@
 from carobladder.telemetry.events.base import Event
 
 __all__ = [
+    "TargetAboveLoadBound",
     "TargetChanged",
     "TargetChecked",
     "TargetDoubted",
@@ -83,6 +84,24 @@
     level: ClassVar[int] = logging.WARNING
 
 
+@dataclass(frozen=True, slots=True)
+class TargetAboveLoadBound(Event):
+    """A target answered with a load above the bound that was not expected.
+
+    ``expected`` and ``stated`` are the other requests at the target when this one was
+    sent, by the instance's estimate, and when the answer began; ``bound`` is the load
+    that the operators allow, estimated when the request was sent.
+    """
+
+    target: str
+    request_id: str
+    expected: float | None
+    stated: int
+    bound: float
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class TargetSuspected(Event):
     """A target failed and is left alone for a pause."""
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -11,6 +11,8 @@
 
 _MAX_LABELS = 50
 _OTHER_LABEL = "other"
+# Loads of targets, as fractions of the operators' bound.
+_LOAD_BUCKETS = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0)
 _BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
@@ -37,6 +39,7 @@
         self.registry = CollectorRegistry()
         self._route_labels = _BoundedLabels()
         self._team_labels = _BoundedLabels()
+        self._service_labels = _BoundedLabels()
         self._route_seconds = self._build_histogram("request_seconds", "route")
         self._team_seconds = self._build_histogram("team_request_seconds", "team")
         self._first_event_seconds = self._build_histogram(
@@ -49,6 +52,15 @@
         self._team_pause_seconds = self._build_histogram(
             "team_event_pause_seconds", "team"
         )
+        self._target_loads = build_histogram(
+            self.registry, "target_load_fraction", "service", _LOAD_BUCKETS
+        )
+        self._sent_above_bound = self._build_counter(
+            "requests_sent_above_load_bound", "service"
+        )
+        self._found_above_bound = self._build_counter(
+            "targets_found_above_load_bound", "service"
+        )
         self._refusals = self._build_counter("refusals", "reason")
         self._failed_attempts = self._build_counter("failed_attempts", "decision")
         self._broken_streams = self._build_counter("broken_streams", "reason")
@@ -93,6 +105,21 @@
 
         return observe
 
+    def observe_target_load(self, service: str, fraction: float) -> None:
+        """Record the estimated load of a request's target relative to its bound."""
+        label = self._service_labels.get_label(service)
+        self._target_loads.labels(label).observe(fraction)
+
+    def count_sent_above_bound(self, service: str) -> None:
+        """Count a request to a target that was known to be above its load bound."""
+        label = self._service_labels.get_label(service)
+        self._sent_above_bound.labels(label).inc()
+
+    def count_found_above_bound(self, service: str) -> None:
+        """Count an answer with a load above the bound that was not expected."""
+        label = self._service_labels.get_label(service)
+        self._found_above_bound.labels(label).inc()
+
     def count_refusal(self, reason: str) -> None:
         """Count a request that the instance rejected with a response of its own."""
         self._refusals.labels(reason).inc()
--- a/tests/fleet/load_simulation.py
+++ b/tests/fleet/load_simulation.py
@@ -10,6 +10,7 @@
 from carobladder.fleet import (
     ColdPacer,
     FleetTarget,
+    LoadBounds,
     LoadGossip,
     SelectionCriteria,
     ShareLedger,
@@ -52,7 +53,7 @@
             self.table,
             ColdPacer(ledger),
             VersionMoves(0.1),
-            LOAD_MULTIPLE,
+            LoadBounds(self.table, LOAD_MULTIPLE),
             random.Random(seed),
         )
         self.gossip = LoadGossip(self.table)
--- a/tests/fleet/test_selection.py
+++ b/tests/fleet/test_selection.py
@@ -6,6 +6,7 @@
 
 from carobladder.fleet import (
     ColdPacer,
+    LoadBounds,
     PromptLocations,
     SelectionCriteria,
     ShareLedger,
@@ -23,7 +24,11 @@
     ledger = ShareLedger(96)
     ledger.assign(held)
     return TargetSelector(
-        table, ColdPacer(ledger), VersionMoves(0.1), LOAD_MULTIPLE, random.Random(5)
+        table,
+        ColdPacer(ledger),
+        VersionMoves(0.1),
+        LoadBounds(table, LOAD_MULTIPLE),
+        random.Random(5),
     )
 
 
@@ -112,7 +117,7 @@
                 self.table,
                 ColdPacer(ledger),
                 VersionMoves(0.1),
-                1.2,
+                LoadBounds(self.table, 1.2),
                 random.Random(seed),
             )
             chosen[choose(selector, seed)] += 1
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -10,6 +10,7 @@
     ColdPacer,
     FleetTarget,
     Freshness,
+    LoadBounds,
     RouteLatencies,
     ShareLedger,
     TargetEntry,
@@ -21,6 +22,7 @@
     ConfigurationAgeLimits,
     Forwarder,
     ForwardHandler,
+    LoadMonitor,
     TargetSender,
 )
 from carobladder.gateway.requests import RequestLimits
@@ -158,17 +160,19 @@
         ledger = ShareLedger(96)
         ledger.assign(frozenset(range(96)))
         moves = VersionMoves(0.1)
+        bounds = LoadBounds(self.targets, 2.0)
         sender = TargetSender(
             self.client,
             codec,
             build_prompt_directory(self.targets),
             AnswerTallies(moves, self.targets, incarnation=1),
             RouteLatencies(),
+            LoadMonitor(bounds, self.metrics),
             self.clock,
             lambda target, sent_at: self.reported_silent.append(target),
         )
         selector = TargetSelector(
-            self.targets, ColdPacer(ledger), moves, 2.0, generator
+            self.targets, ColdPacer(ledger), moves, bounds, generator
         )
         forwarder = Forwarder(
             sender, selector, self.clock, lambda service: self.budget, self.metrics
