--- a/carobladder/forwarding/loadmonitor.py
+++ b/carobladder/forwarding/loadmonitor.py
@@ -55,11 +55,16 @@
         expected: ExpectedLoad,
         stated: TargetLoad,
         request_id: str,
+        now: float,
     ) -> None:
         """Record the load that a target states in its answer to a request."""
         others = stated.total - 1
         if others <= expected.bound or expected.exceeds_bound:
             return
+        # The mean may have grown since the request was sent.
+        bound = self._bounds.compute(target.entry.service, now)
+        if others <= bound:
+            return
         self._metrics.count_found_above_bound(target.entry.service)
         emit(
             TargetAboveLoadBound(
@@ -67,6 +72,6 @@
                 request_id=request_id,
                 expected=None if expected.load is None else round(expected.load, 1),
                 stated=others,
-                bound=round(expected.bound, 1),
+                bound=round(bound, 1),
             )
         )
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -234,8 +234,8 @@
             pause_seconds = round(target.read_pause(now), 3)
             emit(TargetPaused(target.target_id, request_id, pause_seconds))
         if facts.load is not None:
-            self.loads.note_stated(target, expected_load, facts.load, request_id)
             target.health.note_load(facts.load, now)
+            self.loads.note_stated(target, expected_load, facts.load, request_id, now)
         if facts.cold_seconds is not None:
             target.note_cold(facts.cold_seconds, now)
 
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -89,8 +89,8 @@
     """A target answered with a load above the bound that was not expected.
 
     ``expected`` and ``stated`` are the other requests at the target when this one was
-    sent, by the instance's estimate, and when the answer began; ``bound`` is the load
-    that the operators allow, estimated when the request was sent.
+    sent, by the instance's estimate, and when the answer began; ``bound`` is the
+    estimate of the load that the operators allow.
     """
 
     target: str
