--- a/tests/fleet/load_simulation.py
+++ b/tests/fleet/load_simulation.py
@@ -12,6 +12,9 @@
     FleetTarget,
     LoadBounds,
     LoadGossip,
+    MoveState,
+    MoveStep,
+    RolloutOrder,
     SelectionCriteria,
     ShareLedger,
     TargetLoad,
@@ -31,6 +34,8 @@
 HEADER_FRACTION = 0.2
 SLOTS = 128
 WINDOW_SECONDS = 5.0
+# Time between requests that arrive together.
+CLUMP_SPACING_SECONDS = 0.004
 REUSE_SECONDS = 10.0
 
 
@@ -49,10 +54,11 @@
         self.table = TargetTable()
         ledger = ShareLedger(SHARES)
         ledger.assign(frozenset(range(index, SHARES, count)))
+        self.moves = VersionMoves(0.1)
         self.selector = TargetSelector(
             self.table,
             ColdPacer(ledger),
-            VersionMoves(0.1),
+            self.moves,
             LoadBounds(self.table, LOAD_MULTIPLE),
             random.Random(seed),
         )
@@ -69,6 +75,7 @@
         requests_per_second: float = 65.0,
         hot_share: float = 0.0,
         mean_seconds: float = 0.35,
+        mean_clump: float = 1.0,
         gossip_interval_seconds: float = GOSSIP_INTERVAL_SECONDS,
         seed: int = 1,
     ) -> None:
@@ -83,6 +90,7 @@
         self._rate = requests_per_second
         self._hot_share = hot_share
         self._mean_seconds = mean_seconds
+        self._mean_clump = mean_clump
         self._random = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -99,10 +107,14 @@
         """Schedule an action at a time."""
         heapq.heappush(self._events, (seconds, next(self._order), action))
 
-    def add_target(self, target_id: str, data_centre: str, cold: float = 0.0) -> None:
+    def add_target(
+        self, target_id: str, data_centre: str, cold: float = 0.0, version: str = "v1"
+    ) -> None:
         """Register a target at all instances."""
         self.servers[target_id] = Server()
-        entry = build_entry(target_id, data_centre=data_centre, cold_seconds=cold)
+        entry = build_entry(
+            target_id, data_centre=data_centre, cold_seconds=cold, version=version
+        )
         for instance in self._instances:
             instance.table.apply(entry, self.now)
 
@@ -121,6 +133,14 @@
         for instance in self._instances:
             instance.table.drop(target_id, self.now)
 
+    def move_version(self, version: str, share: float) -> None:
+        """Send this share of the requests to the targets of a version."""
+        order = RolloutOrder("engine", version, 15.0, 1)
+        step = MoveStep("engine", version, 1, MoveState.RUNNING, share, 1.0)
+        for instance in self._instances:
+            instance.moves.take_order(order, self.now)
+            instance.moves.apply_step(step, self.now)
+
     def empty_data_centre(self, data_centre: str) -> None:
         """Block requests to a data centre."""
         for instance in self._instances:
@@ -153,8 +173,19 @@
         self.at(self.now + seconds, action)
 
     def _arrive(self) -> None:
-        self._after(self._random.expovariate(self._rate), self._arrive)
+        """Send the requests that arrive together at one instance."""
+        seconds = self._random.expovariate(self._rate / self._mean_clump)
+        self._after(seconds, self._arrive)
         instance = self._random.choice(self._instances)
+        self._send(instance)
+        delay = 0.0
+        while (
+            self._mean_clump > 1.0 and self._random.random() >= 1.0 / self._mean_clump
+        ):
+            delay += CLUMP_SPACING_SECONDS
+            self._after(delay, lambda: self._send(instance))
+
+    def _send(self, instance: Instance) -> None:
         hot = self._random.random() < self._hot_share
         key = 0 if hot else int(self._random.paretovariate(0.6)) % 400 + 1
         criteria = SelectionCriteria(ENGINES, key, may_repeat=True)
--- a/tests/fleet/test_load_simulation.py
+++ b/tests/fleet/test_load_simulation.py
@@ -19,6 +19,20 @@
     return simulation
 
 
+def build_small_fleet(seed: int) -> LoadSimulation:
+    """Return eight instances and six targets; callers send several requests at once."""
+    simulation = LoadSimulation(
+        instances=8,
+        requests_per_second=90.0,
+        mean_seconds=0.45,
+        mean_clump=2.5,
+        seed=seed,
+    )
+    for index in range(6):
+        simulation.add_target(f"i-{index}", DATA_CENTRES[index % 3])
+    return simulation
+
+
 def replace_targets(simulation: LoadSimulation, *moves: tuple[int, int, str]) -> None:
     """Replace targets one by one with cold ones, starting at 10 s."""
     for index, (old, new, data_centre) in enumerate(moves):
@@ -74,6 +88,43 @@
         simulation.run(20.0)
         self.assertLess(simulation.cache_misses, 0.06 * len(simulation.arrivals))
 
+    def test_requests_that_arrive_together_while_half_of_the_targets_are_idle(self):
+        """A version move idles the old targets, so that the bound is the mean plus 3.
+
+        A target states its load only when it begins to answer. Instances that know no
+        other loads all choose the same target until then.
+        """
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulation = build_small_fleet(seed)
+                simulation.at(
+                    4.0, lambda sim=simulation: self.start_second_version(sim)
+                )
+                simulation.at(10.0, lambda sim=simulation: sim.move_version("v2", 1.0))
+                simulation.run(20.0)
+                self.check(simulation, 4.0, 20.0)
+
+    def start_second_version(self, simulation: LoadSimulation) -> None:
+        for index in range(6, 12):
+            simulation.add_target(f"i-{index}", DATA_CENTRES[index % 3], version="v2")
+        simulation.move_version("v2", 0.04)
+
+    def test_requests_that_arrive_together_beside_cold_targets(self):
+        """Targets are replaced while a data centre is emptied; few remain in use.
+
+        When a cold target becomes warm, all instances know that it is idle. Those that
+        know no other loads all choose it until it states its load.
+        """
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulation = build_small_fleet(seed)
+                simulation.at(6.0, lambda sim=simulation: sim.empty_data_centre("dc-b"))
+                replace_targets(
+                    simulation, (0, 10, "dc-a"), (3, 11, "dc-a"), (2, 12, "dc-c")
+                )
+                simulation.run(24.0)
+                self.check(simulation, 8.0, 24.0)
+
     def test_burst_of_traffic_with_a_hot_prompt(self):
         simulation = build_fleet(hot_share=0.2, requests_per_second=110.0)
         simulation.run(15.0)
