Report requests in flight to the other instances at once

Cause: a target states its load when it begins to answer, 0.05 to 0.2 s after a request reached it, and the statement needs some rounds of 0.1 s to reach all instances. The class of the fault is uncoordinated control on delayed feedback.

Evidence: in three version moves none of 107 requests above the bound was expected to be above it by the instance that sent it. Ruled out for these: that no target was left below the bound, and plain services, which had none.

Instances of a fleet of at most 20 tell all others 5 ms after a request what they have in flight at each target. The estimate of a load is the sum of these reports and of what the target states beyond it, which decays as before. Larger fleets send no such reports; they keep the estimate that they had. With reports the least loaded of all usable targets takes a request that none accepts by affinity; without them it is still one of two random ones.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -23,6 +23,7 @@
     AnswerTallies,
     ColdPacer,
     FailureGossip,
+    InFlightGossip,
     KeyedRecord,
     LoadBounds,
     LoadGossip,
@@ -234,6 +235,7 @@
                 LoadGossip(self._targets),
                 self._prompt_directory,
                 FailureGossip(self._targets, self._generator),
+                InFlightGossip(self._targets),
             ),
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._reader_role.is_held,
@@ -307,6 +309,7 @@
             LoadMonitor(self._load_bounds, self._metrics),
             self._clock,
             exchange.report_silent_target,
+            exchange.report_sent_request,
         )
         forwarder = Forwarder(
             sender, selector, self._clock, budgets.find, self._metrics
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -19,6 +19,8 @@
     FleetTarget,
     HolderQuery,
     HolderReply,
+    InFlightGossip,
+    InFlightReport,
     LoadGossip,
     LoadReport,
     PeerMessage,
@@ -30,6 +32,7 @@
     pack_run,
     unpack_run,
 )
+from carobladder.retries import RetryBudget
 from carobladder.telemetry import InstanceNotAnnounced, emit
 
 __all__ = ["PeerExchange", "SharedState"]
@@ -49,8 +52,13 @@
 _MAX_PENDING_QUERIES = 64
 _QUERY_NUMBER_BITS = 30
 _MAX_DATAGRAM_BYTES = 16_384
-# Below this number of peers, readers also have the bandwidth to send loads.
+# Below this number of peers, readers also have the bandwidth to send loads, and each
+# instance reports the requests that it sends to all others.
 _SMALL_FLEET_PEERS = 20
+# Requests that arrive together are reported together.
+_REPORT_DELAY_SECONDS = 0.005
+# Limits the reports to all others. Beyond it, the periodic messages contain them.
+_MAX_REPORTS_PER_SECOND = 20.0
 _ANNOUNCE_RETRY_SECONDS = 1.0
 
 
@@ -61,6 +69,7 @@
     loads: LoadGossip
     prompts: PromptDirectory
     failures: FailureGossip
+    in_flight: InFlightGossip
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -98,6 +107,13 @@
         # that was sent after it.
         self._last_query_number = generator.getrandbits(_QUERY_NUMBER_BITS)
         self._last_query_at = float("-inf")
+        self._report_timer: asyncio.TimerHandle | None = None
+        self._report_budget = RetryBudget(
+            0.0,
+            clock.monotonic(),
+            burst=_MAX_REPORTS_PER_SECOND,
+            minimum_per_second=_MAX_REPORTS_PER_SECOND,
+        )
 
     def set_followers(
         self, instances_follower: TopicFollower, followers: Sequence[TopicFollower]
@@ -119,6 +135,9 @@
                 await self._clock.sleep(self._choose_interval())
                 self._gossip()
         finally:
+            if self._report_timer is not None:
+                self._report_timer.cancel()
+            self._transport = None
             transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -150,6 +169,8 @@
         self._shared.loads.take(message.reports, self._clock.monotonic())
         if self._shared.failures.take(message.failures, self._clock.monotonic()):
             self._send_failure_reports()
+        if message.in_flight is not None:
+            self._handle(message.in_flight, peer)
         if message.question:
             self._send_answer(message, peer)
         peer_ends = list(zip(self._followers, message.ends, strict=False))
@@ -175,12 +196,17 @@
     def _(self, message: HolderQuery | HolderReply, peer: Peer) -> None:
         self._shared.prompts.handle_message(message, peer.name)
 
+    @_handle.register
+    def _(self, message: InFlightReport, peer: Peer) -> None:
+        self._shared.in_flight.take(peer.name, message, self._clock.monotonic())
+
     def _choose_interval(self) -> float:
         interval_seconds = self._directory.count_peers() * _INTERVAL_SECONDS_PER_PEER
         return min(_MAX_INTERVAL_SECONDS, max(_MIN_INTERVAL_SECONDS, interval_seconds))
 
     def _gossip(self) -> None:
         """Send an update to a random reader, if one is known, and to random others."""
+        self._shared.in_flight.expire(self._clock.monotonic())
         peers = self._directory.list_peers()
         if not peers:
             return
@@ -193,15 +219,39 @@
             (follower.count_peers_to_ask() for follower in self._followers), default=0
         )
         # In a large fleet a reader answers many queries and has no bandwidth for loads.
-        includes_loads = len(peers) < _SMALL_FLEET_PEERS
+        is_small = self._is_small_fleet()
+        in_flight = self._shared.in_flight.collect() if is_small else None
         reports: list[LoadReport] = []
-        if includes_loads or not self._is_reader():
+        if is_small or not self._is_reader():
             reports = self._shared.loads.collect(self._clock.monotonic())
         for index, peer in enumerate(receivers):
             query_number = self._register_query() if index < asked_peers else 0
             message = self._build_gossip(query_number, reports)
             failures = self._shared.failures.collect(self._clock.monotonic())
-            self._send(msgspec.structs.replace(message, failures=failures), peer)
+            self._send(
+                msgspec.structs.replace(
+                    message, failures=failures, in_flight=in_flight
+                ),
+                peer,
+            )
+
+    def report_sent_request(self) -> None:
+        """Report shortly to all others what this instance has in flight."""
+        if self._report_timer is None and self._is_small_fleet():
+            self._report_timer = asyncio.get_running_loop().call_later(
+                _REPORT_DELAY_SECONDS, self._report_in_flight
+            )
+
+    def _report_in_flight(self) -> None:
+        self._report_timer = None
+        report = self._shared.in_flight.collect()
+        if report is None or not self._report_budget.withdraw(self._clock.monotonic()):
+            return
+        for peer in self._directory.list_peers():
+            self._send(report, peer)
+
+    def _is_small_fleet(self) -> bool:
+        return self._directory.count_peers() < _SMALL_FLEET_PEERS
 
     def report_silent_target(self, target: FleetTarget, sent_at: float) -> None:
         """Report a target that has sent no byte since a request at ``sent_at``."""
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -8,6 +8,7 @@
     failures,
     freshness,
     health,
+    inflight,
     loadbounds,
     loads,
     locations,
@@ -28,6 +29,7 @@
 from carobladder.fleet.failures import *  # noqa: F403
 from carobladder.fleet.freshness import *  # noqa: F403
 from carobladder.fleet.health import *  # noqa: F403
+from carobladder.fleet.inflight import *  # noqa: F403
 from carobladder.fleet.loadbounds import *  # noqa: F403
 from carobladder.fleet.loads import *  # noqa: F403
 from carobladder.fleet.locations import *  # noqa: F403
@@ -49,6 +51,7 @@
     *failures.__all__,
     *freshness.__all__,
     *health.__all__,
+    *inflight.__all__,
     *loadbounds.__all__,
     *loads.__all__,
     *messages.__all__,
--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -14,7 +14,7 @@
 _LOAD_EXPIRY_SECONDS = 2.5
 _INITIAL_LATENCY_SECONDS = 0.1
 # An overloaded target gets no requests and thus sends no load reports while its load
-# falls. The load from other instances is assumed to decay after this time without one.
+# falls. The part that no instance has reported is assumed to decay after this time.
 _LOAD_HOLD_SECONDS = 0.2
 _LOAD_HALF_LIFE_SECONDS = 0.5
 
@@ -44,9 +44,12 @@
 
     After a failure the target gets no requests for a pause that grows with each
     failure. It is then on trial until it responds. Times are monotonic seconds.
+    ``peers_in_flight`` are the requests of other instances, None if none has reported
+    any.
     """
 
     in_flight: int = 0
+    peers_in_flight: int | None = None
     first_byte_seconds: float = _INITIAL_LATENCY_SECONDS
     error_share: float = 0.0
     failures: int = 0
@@ -55,7 +58,7 @@
     reachable: bool = True
     _load: TargetLoad | None = None
     _load_at: float = 0.0
-    _load_in_flight: int = 0
+    _unreported_load: int = 0
     _report_weight: float = 0.0
     _last_report_at: float = float("-inf")
     _avoided_from: float = float("-inf")
@@ -137,7 +140,7 @@
         self._load = load
         self._load_at = reported_at
         self._end_avoidance(reported_at)
-        self._load_in_flight = self.in_flight
+        self._unreported_load = max(0, load.total - self._known_in_flight)
 
     def read_latest_load(self, now: float) -> tuple[int, float] | None:
         """Return the newest reported load and its age in seconds, or None."""
@@ -145,19 +148,21 @@
             return None
         return self._load.total, max(0.0, now - self._load_at)
 
+    @property
+    def _known_in_flight(self) -> int:
+        """Requests of this instance and those that others have reported."""
+        return self.in_flight + (self.peers_in_flight or 0)
+
     def estimate_load(self, now: float) -> float | None:
         """Return the estimated number of requests at the target, from all instances.
 
-        Returns None if the target has not reported its load recently.
+        Returns None if neither the target nor another instance has reported any
+        recently.
         """
-        load = self._load
-        if load is None:
-            return None
         age = now - self._load_at
-        if age > _LOAD_EXPIRY_SECONDS:
-            return None
-        other_load = max(0, load.total - self._load_in_flight)
+        if self._load is None or age > _LOAD_EXPIRY_SECONDS:
+            return None if self.peers_in_flight is None else self._known_in_flight
         remaining = 0.5 ** (
             max(0.0, age - _LOAD_HOLD_SECONDS) / _LOAD_HALF_LIFE_SECONDS
         )
-        return self.in_flight + other_load * remaining
+        return self._known_in_flight + self._unreported_load * remaining
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from carobladder.fleet.failures import FailureReport
+from carobladder.fleet.inflight import InFlightReport
 from carobladder.fleet.loads import LoadReport, is_usable_report
 from carobladder.fleet.records import KeyedRecord, RecordRun
 
@@ -65,6 +66,7 @@
     ``ends`` are the offsets after the last known records of the followed topics, in
     their fixed order, or 0 if none is known. ``question`` is the number of a request
     for a ``PeerReply``, or 0 for none. ``failures`` reports unresponsive targets.
+    ``in_flight`` is None in large fleets.
     """
 
     question: int
@@ -72,6 +74,7 @@
     reports: list[LoadReport]
     ends: list[int]
     failures: list[FailureReport] = []
+    in_flight: InFlightReport | None = None
 
 
 class PeerReply(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
@@ -107,7 +110,7 @@
     holder_tags: list[int]
 
 
-PeerMessage = PeerStatus | PeerReply | HolderQuery | HolderReply
+PeerMessage = PeerStatus | PeerReply | HolderQuery | HolderReply | InFlightReport
 
 
 class _Envelope(msgspec.Struct, array_like=True, frozen=True):
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -148,7 +148,7 @@
         for target in ranked:
             if loads[target.target_id] <= limit:
                 return target
-        return self._choose_of_two(usable, loads)
+        return self._choose_least_loaded(usable, loads)
 
     def _compute_load_limit(
         self, service: str, loads: dict[str, float], now: float
@@ -174,16 +174,18 @@
         load_factor = 1.0 + _LOAD_FRACTION * (self._bounds.load_multiple - 1.0)
         return min(usable_mean * load_factor + _LOAD_SLACK_REQUESTS, max_load)
 
-    def _choose_of_two(
+    def _choose_least_loaded(
         self, usable: list[FleetTarget], loads: dict[str, float]
     ) -> FleetTarget:
-        """Return the less loaded of two random targets.
+        """Return the least loaded target, or the less loaded of two random ones.
 
-        All instances know about the same loads, so without randomness they would all
-        choose the least loaded target.
+        Without reports of what other instances send, all of them know about the same
+        loads, so without randomness they would all choose the same target.
         """
-        pair = self._generator.sample(usable, min(2, len(usable)))
-        return min(pair, key=lambda target: loads[target.target_id])
+        is_fresh = any(t.health.peers_in_flight is not None for t in usable)
+        count = len(usable) if is_fresh else min(2, len(usable))
+        candidates = self._generator.sample(usable, count)
+        return min(candidates, key=lambda target: loads[target.target_id])
 
     def _score(self, target: FleetTarget) -> float:
         health = target.health
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -93,7 +93,8 @@
     """Sender of calls to targets, which updates the health of each target.
 
     ``report_silence`` is called with a target that has sent no byte since a request,
-    and with the time at which that request was sent.
+    and with the time at which that request was sent. ``report_sent`` is called when a
+    request has been counted at its target.
     """
 
     client: HttpClient
@@ -104,6 +105,7 @@
     loads: LoadMonitor
     clock: Clock
     report_silence: Callable[[FleetTarget, float], None]
+    report_sent: Callable[[], None]
 
     async def send(
         self,
@@ -123,6 +125,7 @@
         sent_at = self.clock.monotonic()
         loop = asyncio.get_running_loop()
         target.health.in_flight += 1
+        self.report_sent()
         silence_timeout = self.compute_silence_timeout(call, target)
         silence_timer = None
         if self._remaining_seconds(call) > silence_timeout + _DEADLINE_MARGIN_SECONDS:
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -110,6 +110,43 @@
         self.assertEqual(unknown.health.read_latest_load(0.0)[0], 5)
         self.assertEqual(len(second.directory.list_readers()), 1)
 
+    async def test_sent_requests_are_reported_at_once(self):
+        """A target that has not answered yet would look idle to the other instances."""
+        first, second = await self.start("a", "b")
+        first.exchange._choose_interval = lambda: 60.0
+        await asyncio.sleep(0.2)
+        for count in (1, 2):
+            first.targets[0].health.in_flight = count
+            first.exchange.report_sent_request()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while second.targets[0].health.peers_in_flight != 2:
+                await asyncio.sleep(0.005)
+        self.assertEqual(second.shared.in_flight.collect().counts, {})
+
+    async def test_reports_of_sent_requests_are_limited(self):
+        (first,) = await self.start("a")
+        sent = []
+        first.directory.list_peers = lambda: ["b"]
+        first.exchange._send = lambda message, peer: sent.append(message)
+        for _ in range(60):
+            first.exchange._report_in_flight()
+        self.assertGreaterEqual(len(sent), 20)
+        self.assertLess(len(sent), 30)
+
+    async def test_large_fleet_sends_no_reports_of_requests(self):
+        """Reports to hundreds of instances would exceed the bandwidth for control."""
+        (first,) = await self.start("a")
+        first.directory.count_peers = lambda: 20
+        first.directory.list_peers = lambda: ["b"]
+        first.directory.list_readers = list
+        sent = []
+        first.exchange._send = lambda message, peer: sent.append(message)
+        first.targets[0].health.in_flight = 1
+        first.exchange.report_sent_request()
+        self.assertIsNone(first.exchange._report_timer)
+        first.exchange._gossip()
+        self.assertEqual([message.in_flight for message in sent], [None])
+
     async def test_prompt_directory_names_the_holder(self):
         first, second = await self.start("a", "b")
         await first.shared.prompts.find_source((7,), (5000,), first.targets[1])
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -9,6 +9,7 @@
 from carobladder.fleet import (
     FailureGossip,
     FleetTarget,
+    InFlightGossip,
     LoadGossip,
     TargetEntry,
     TargetTable,
@@ -60,4 +61,5 @@
         LoadGossip(table),
         build_prompt_directory(table, peers),
         FailureGossip(table, random.Random(1)),
+        InFlightGossip(table),
     )
--- a/tests/fleet/load_simulation.py
+++ b/tests/fleet/load_simulation.py
@@ -10,6 +10,8 @@
 from carobladder.fleet import (
     ColdPacer,
     FleetTarget,
+    InFlightGossip,
+    InFlightReport,
     LoadBounds,
     LoadGossip,
     MoveState,
@@ -32,6 +34,9 @@
 FAN_OUT = 2
 # Fraction of a request's duration until its response headers, which report the load.
 HEADER_FRACTION = 0.2
+# Delay of a report of what an instance has in flight, and its way to the others.
+REPORT_DELAY_SECONDS = 0.005
+NETWORK_SECONDS = 0.0015
 SLOTS = 128
 WINDOW_SECONDS = 5.0
 # Time between requests that arrive together.
@@ -51,6 +56,7 @@
     """Instance with its own view of the targets' loads."""
 
     def __init__(self, index: int, count: int, seed: int) -> None:
+        self.name = f"front-{index}"
         self.table = TargetTable()
         ledger = ShareLedger(SHARES)
         ledger.assign(frozenset(range(index, SHARES, count)))
@@ -63,6 +69,8 @@
             random.Random(seed),
         )
         self.gossip = LoadGossip(self.table)
+        self.in_flight = InFlightGossip(self.table)
+        self.is_announcing = False
 
 
 class LoadSimulation:
@@ -204,6 +212,29 @@
             self.refused += 1
             return
         self._start(target, key)
+        self._announce(instance)
+
+    def _announce(self, instance: Instance) -> None:
+        """Report shortly to all other instances what this one has in flight."""
+        if instance.is_announcing:
+            return
+        instance.is_announcing = True
+        self._after(REPORT_DELAY_SECONDS, lambda: self._report_in_flight(instance))
+
+    def _report_in_flight(self, instance: Instance) -> None:
+        instance.is_announcing = False
+        report = instance.in_flight.collect()
+        for other in self._instances:
+            if other is not instance:
+                self._deliver(instance, report, other)
+
+    def _deliver(
+        self, sender: Instance, report: InFlightReport, receiver: Instance
+    ) -> None:
+        self._after(
+            NETWORK_SECONDS,
+            lambda: receiver.in_flight.take(sender.name, report, self.now),
+        )
 
     def _note_prompt(self, key: int, target_id: str) -> None:
         """Count a cache miss if only other targets have the prompt cached."""
@@ -248,5 +279,6 @@
             others = [other for other in self._instances if other is not instance]
             for other in self._random.sample(others, min(FAN_OUT, len(others))):
                 other.gossip.take(reports, self.now)
+                self._deliver(instance, instance.in_flight.collect(), other)
 
         return send_reports
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carobladder.fleet import (
+    InFlightReport,
     KeyedRecord,
     LoadReport,
     PeerReply,
@@ -31,7 +32,9 @@
             3, 6, (KeyedRecord(3, "i-1", b"x"), KeyedRecord(5, "i-2", None))
         )
         answer = PeerReply(7, False, [TopicState(6, 12), None], [None, pack_run(run)])
-        for message in (STATUS, answer):
+        report = InFlightReport(4, {77: 3})
+        with_report = msgspec.structs.replace(STATUS, in_flight=report)
+        for message in (STATUS, answer, report, with_report):
             data = encode_datagram(message, "a", KEYS["a"])
             self.assertEqual(decode_datagram(data, KEYS.get), ("a", message))
         self.assertEqual(unpack_run(answer.runs[1]), run)
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -170,6 +170,7 @@
             LoadMonitor(bounds, self.metrics),
             self.clock,
             lambda target, sent_at: self.reported_silent.append(target),
+            lambda: None,
         )
         selector = TargetSelector(
             self.targets, ColdPacer(ledger), moves, bounds, generator
