Let requests wait while planned work leaves no target below the load bound

Cause: a request was sent on at once although its instance knew that all targets it could go to were above the bound. Fewer targets in use than one in the load multiple cannot all stay below a bound that follows from the mean of all, however level their loads are.

A request now waits until a target is below the bound, at most half of its route's latency objective, so that it can still be answered in time. It does not wait while a target of the service fails: then the mean says little, and serving goes first. request_delayed tells of each wait.

The new test of the simulation fails without the wait on three of six seeds.

--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -71,6 +71,10 @@
             return Condition.SOUND
         return Condition.SUSPECT if now < self.paused_until else Condition.TRIAL
 
+    def is_failing(self, now: float) -> bool:
+        """Return whether this or another instance has seen the target fail lately."""
+        return self.failures > 0 or self.is_reported_failed(now)
+
     def note_probe(self, reachable: bool, now: float) -> None:
         """Record the result of a connection check after failures."""
         if not reachable:
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -80,6 +80,28 @@
             self._pacer.acquire(chosen.target_id, criteria.service.cold_per_second, now)
         return chosen
 
+    def is_overloaded(self, criteria: SelectionCriteria, now: float) -> bool:
+        """Return whether every target that could be chosen exceeds its load bound.
+
+        Returns False while a target of the service fails: the mean load, from which the
+        bound follows, then says little.
+        """
+        service = criteria.service.name
+        registered = self._table.list_registered(service)
+        in_use = self._moves.filter_in_use(
+            service, self._list_available(criteria, now), registered
+        )
+        if len(in_use) * self._bounds.load_multiple >= len(registered):
+            # The least loaded one is at most at the mean of all times the multiple.
+            return False
+        if any(target.health.is_failing(now) for target in registered):
+            return False
+        usable = self._filter_trusted(in_use, criteria, now)
+        bound = self._bounds.compute(service, now)
+        return bool(usable) and all(
+            (target.health.estimate_load(now) or 0.0) > bound for target in usable
+        )
+
     def find_pause(self, service: str, now: float) -> float | None:
         """Return the seconds until the first target accepts requests again.
 
@@ -91,17 +113,28 @@
     def _list_usable(
         self, criteria: SelectionCriteria, now: float
     ) -> list[FleetTarget]:
-        open_targets = [
+        service = criteria.service.name
+        candidates = self._moves.filter_by_version(
+            service,
+            self._list_available(criteria, now),
+            self._table.list_registered(service),
+        )
+        return self._filter_trusted(candidates, criteria, now)
+
+    def _list_available(
+        self, criteria: SelectionCriteria, now: float
+    ) -> list[FleetTarget]:
+        return [
             target
             for target in self._table.list_open(criteria.service.name)
             if target.target_id not in criteria.excluded
             and target.is_available(now)
             and self._is_within_cold_rate(target, criteria.service, now)
         ]
-        service = criteria.service.name
-        candidates = self._moves.filter_by_version(
-            service, open_targets, self._table.list_registered(service)
-        )
+
+    def _filter_trusted(
+        self, candidates: list[FleetTarget], criteria: SelectionCriteria, now: float
+    ) -> list[FleetTarget]:
         trusted = [t for t in candidates if self._is_trusted(t, criteria, now)]
         return _exclude_reported(trusted, now) or candidates
 
--- a/carobladder/fleet/versions.py
+++ b/carobladder/fleet/versions.py
@@ -234,13 +234,13 @@
             step.share,
         )
 
-    def filter_by_version(
+    def filter_in_use(
         self,
         service: str,
         targets: list[FleetTarget],
         registered: list[FleetTarget],
     ) -> list[FleetTarget]:
-        """Return those of the usable targets whose version the next request goes to.
+        """Return those of the usable targets whose version gets any requests now.
 
         ``registered`` are all targets of the service, including unusable ones.
         """
@@ -255,6 +255,26 @@
             return old
         if all(move.is_new_version(t) for t in registered):
             return new
+        return new if new and move.share >= 1.0 else targets
+
+    def filter_by_version(
+        self,
+        service: str,
+        targets: list[FleetTarget],
+        registered: list[FleetTarget],
+    ) -> list[FleetTarget]:
+        """Return those of the usable targets whose version the next request goes to.
+
+        Counts the request towards the shares of the versions.
+        """
+        in_use = self.filter_in_use(service, targets, registered)
+        move = self._moves.get(service)
+        if move is None or not move.active or move.fault:
+            return in_use
+        if all(move.is_new_version(t) for t in registered):
+            return in_use
+        new = [t for t in in_use if move.is_new_version(t)]
+        old = [t for t in in_use if not move.is_new_version(t)]
         return self._split_traffic(move, old, new)
 
     def _split_traffic(
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -27,6 +27,7 @@
 from carobladder.telemetry import (
     AttemptFailed,
     ForwardMetrics,
+    RequestDelayed,
     emit,
 )
 
@@ -36,6 +37,10 @@
 _MAX_SENDS_NOT_RUN = 3
 _BUSY_RETRY_SECONDS = 0.25
 _NO_TARGET_RETRY_SECONDS = 0.7
+# Longest wait for a target below its load bound, as a fraction of the route's latency
+# objective, and the interval in which loads are looked at.
+_MAX_LOAD_WAIT_FRACTION = 0.5
+_LOAD_POLL_SECONDS = 0.02
 # Statuses that imply that the request was not run. Unless the target also states this
 # in its own header, the request may have run, and the caller of a request that may run
 # only once must not receive them.
@@ -91,6 +96,7 @@
 
         Raises CallerError when no further attempt is allowed.
         """
+        await self._wait_for_load()
         while True:
             target = self._choose_target()
             try:
@@ -231,14 +237,38 @@
             return "the retry budget is used up"
         return None
 
-    def _choose_target(self) -> FleetTarget:
+    async def _wait_for_load(self) -> None:
+        """Wait shortly while all targets exceed their load bound.
+
+        Does nothing unless this is the first send of the call.
+        """
+        if self._send_count or not self._is_overloaded():
+            return
+        call, clock = self._call, self._forwarder.clock
+        start = clock.monotonic()
+        longest = _MAX_LOAD_WAIT_FRACTION * call.route.latency_objective_seconds
+        end = min(start + longest, call.deadline)
+        while clock.monotonic() < end and self._is_overloaded():
+            await clock.sleep(_LOAD_POLL_SECONDS)
+        seconds = round(clock.monotonic() - start, 3)
+        emit(RequestDelayed(call.facts.request_id, call.service.name, seconds))
+
+    def _is_overloaded(self) -> bool:
+        now = self._forwarder.clock.monotonic()
+        return self._forwarder.selector.is_overloaded(self._build_criteria(), now)
+
+    def _build_criteria(self) -> SelectionCriteria:
         call = self._call
-        selection = SelectionCriteria(
+        return SelectionCriteria(
             service=call.service,
             affinity=call.affinity,
             may_repeat=call.route.may_repeat,
             excluded=self._tried_ids,
         )
+
+    def _choose_target(self) -> FleetTarget:
+        call = self._call
+        selection = self._build_criteria()
         now = self._forwarder.clock.monotonic()
         selector = self._forwarder.selector
         target = selector.choose(selection, now)
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -10,6 +10,7 @@
     "AttemptFailed",
     "CallerLeft",
     "RequestAnswered",
+    "RequestDelayed",
     "RequestPlaced",
     "RequestRefused",
     "StreamBroken",
@@ -42,6 +43,17 @@
     limited: ClassVar[bool] = True
 
 
+@dataclass(frozen=True, slots=True)
+class RequestDelayed(Event):
+    """A request waited before it was sent, as all targets exceeded their load bound."""
+
+    request_id: str
+    service: str
+    seconds: float
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptFailed(Event):
     """An attempt gave no answer for the caller.
--- a/tests/fleet/load_simulation.py
+++ b/tests/fleet/load_simulation.py
@@ -37,6 +37,7 @@
 # Delay of a report of what an instance has in flight, and its way to the others.
 REPORT_DELAY_SECONDS = 0.005
 NETWORK_SECONDS = 0.0015
+POLL_SECONDS = 0.02
 SLOTS = 128
 WINDOW_SECONDS = 5.0
 # Time between requests that arrive together.
@@ -79,6 +80,7 @@
     ``mean_clump`` is the mean number of requests that arrive together at an instance. A
     request takes twice as long beside ``doubling_requests`` others. The mean load, from
     which the bound follows, is that of all targets or only of those that do not drain.
+    A request waits at most ``max_wait_seconds`` while all targets are overloaded.
     """
 
     def __init__(
@@ -91,11 +93,13 @@
         mean_clump: float = 1.0,
         doubling_requests: float = 16.0,
         counts_draining: bool = True,
+        max_wait_seconds: float = 0.0,
         gossip_interval_seconds: float = GOSSIP_INTERVAL_SECONDS,
         seed: int = 1,
     ) -> None:
         self.now = 0.0
         self._counts_draining = counts_draining
+        self._max_wait_seconds = max_wait_seconds
         self.servers: dict[str, Server] = {}
         self.refused = 0
         self.cache_misses = 0
@@ -206,7 +210,16 @@
     def _send(self, instance: Instance) -> None:
         hot = self._random.random() < self._hot_share
         key = 0 if hot else int(self._random.paretovariate(0.6)) % 400 + 1
+        self._place(instance, key, self.now + self._max_wait_seconds)
+
+    def _place(self, instance: Instance, key: int, wait_until: float) -> None:
+        """Start a request, after a wait while all targets are overloaded."""
         criteria = SelectionCriteria(ENGINES, key, may_repeat=True)
+        if self.now < wait_until and instance.selector.is_overloaded(
+            criteria, self.now
+        ):
+            self._after(POLL_SECONDS, lambda: self._place(instance, key, wait_until))
+            return
         target = instance.selector.choose(criteria, self.now)
         if target is None:
             self.refused += 1
--- a/tests/fleet/test_load_simulation.py
+++ b/tests/fleet/test_load_simulation.py
@@ -19,16 +19,19 @@
     return simulation
 
 
-def build_small_fleet(seed: int) -> LoadSimulation:
+def build_small_fleet(
+    seed: int, requests_per_second: float = 90.0, **options
+) -> LoadSimulation:
     """Return eight instances and six targets; callers send several requests at once."""
     simulation = LoadSimulation(
         instances=8,
-        requests_per_second=90.0,
+        requests_per_second=requests_per_second,
         mean_seconds=0.45,
         mean_clump=2.5,
         doubling_requests=64.0,
         counts_draining=False,
         seed=seed,
+        **options,
     )
     for index in range(6):
         simulation.add_target(f"i-{index}", DATA_CENTRES[index % 3])
@@ -127,6 +130,23 @@
                 simulation.run(24.0)
                 self.check(simulation, 8.0, 24.0)
 
+    def test_requests_wait_while_no_target_is_below_the_bound(self):
+        """For two seconds one warm target is left beside cold and idle ones.
+
+        Requests that were sent on at once all went to the warm target.
+        """
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                simulation = build_small_fleet(
+                    seed, requests_per_second=80.0, max_wait_seconds=0.25
+                )
+                simulation.at(6.0, lambda sim=simulation: sim.empty_data_centre("dc-b"))
+                simulation.at(8.0, lambda sim=simulation: sim.drain_target("i-2"))
+                simulation.at(12.0, lambda sim=simulation: sim.drop_target("i-2"))
+                replace_targets(simulation, (0, 10, "dc-a"), (5, 11, "dc-c"))
+                simulation.run(24.0)
+                self.check(simulation, 8.0, 24.0)
+
     def test_burst_of_traffic_with_a_hot_prompt(self):
         simulation = build_fleet(hot_share=0.2, requests_per_second=110.0)
         simulation.run(15.0)
--- a/tests/fleet/test_selection.py
+++ b/tests/fleet/test_selection.py
@@ -7,7 +7,10 @@
 from carobladder.fleet import (
     ColdPacer,
     LoadBounds,
+    MoveState,
+    MoveStep,
     PromptLocations,
+    RolloutOrder,
     SelectionCriteria,
     ShareLedger,
     TargetLoad,
@@ -19,14 +22,14 @@
 LOAD_MULTIPLE = 2.0
 
 
-def build_selector(table, held=frozenset(range(96))):
+def build_selector(table, held=frozenset(range(96)), moves=None):
     """Return the selector of an instance that holds these partitions."""
     ledger = ShareLedger(96)
     ledger.assign(held)
     return TargetSelector(
         table,
         ColdPacer(ledger),
-        VersionMoves(0.1),
+        moves or VersionMoves(0.1),
         LoadBounds(table, LOAD_MULTIPLE),
         random.Random(5),
     )
@@ -186,6 +189,56 @@
         self.assertGreater(min(chosen["i-2"], chosen["i-3"]), 100)
 
 
+class OverloadTest(unittest.TestCase):
+    """Guard against requests that wait although a target could take them."""
+
+    def setUp(self):
+        self.table, self.targets = fill_table(9)
+        self.selector = build_selector(self.table)
+        for target in self.targets[3:]:
+            self.table.apply(build_entry(target.target_id, draining=True), 100.0)
+        for target in self.targets[:3]:
+            target.health.note_load(TargetLoad(20, 0, 128), 100.0)
+
+    def is_overloaded(self, **criteria) -> bool:
+        criteria = SelectionCriteria(ENGINES, 7, may_repeat=False, **criteria)
+        return self.selector.is_overloaded(criteria, 100.0)
+
+    def test_few_targets_above_the_bound_are_overloaded(self):
+        self.assertTrue(self.is_overloaded())
+
+    def test_one_target_below_the_bound_is_enough(self):
+        self.targets[0].health.note_load(TargetLoad(10, 0, 128), 100.1)
+        self.assertFalse(self.is_overloaded())
+
+    def test_level_targets_are_not_overloaded_while_half_of_them_are_in_use(self):
+        for target in self.targets[3:5]:
+            self.table.apply(build_entry(target.target_id), 100.0)
+            target.health.note_load(TargetLoad(500, 0, 128), 100.0)
+        self.assertFalse(self.is_overloaded())
+
+    def test_nothing_waits_while_a_target_fails(self):
+        self.targets[8].health.note_failure(100.0)
+        self.assertFalse(self.is_overloaded())
+
+    def test_nothing_waits_without_a_usable_target(self):
+        excluded = [target.target_id for target in self.targets]
+        self.assertFalse(self.is_overloaded(excluded=excluded))
+
+    def test_check_does_not_use_up_the_share_of_a_new_version(self):
+        for target in self.targets[:2]:
+            self.table.apply(build_entry(target.target_id, version="v2"), 100.0)
+        moves = VersionMoves(0.1)
+        moves.take_order(RolloutOrder("engine", "v2", 30.0, 5), 100.0)
+        moves.apply_step(
+            MoveStep("engine", "v2", 5, MoveState.RUNNING, 0.5, 1.0), 100.0
+        )
+        self.selector = build_selector(self.table, moves=moves)
+        for _ in range(8):
+            self.is_overloaded()
+        self.assertEqual(moves.services["engine"].credit, 0.0)
+
+
 class PromptLocationsTest(unittest.TestCase):
     """Guard against prompts that are computed again although a target has them."""
 
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -63,6 +63,7 @@
     build_route("unsafe", RouteKind.UNSAFE),
     build_route("short", RouteKind.UNSAFE, timeout_seconds=0.2),
     build_route("open", RouteKind.SAFE, public=True),
+    build_route("patient", RouteKind.UNSAFE, latency_objective_seconds=40.0),
     build_route("stream", RouteKind.STREAMING),
     build_route("resumable", RouteKind.STREAMING, attempts=2, resumable=True),
     build_route("lost", RouteKind.SAFE, services=(ServiceWeight("nobody"),)),
@@ -233,7 +234,9 @@
         return status, headers, response_body
 
 
-def build_target(target_id: str, address: str) -> TargetEntry:
+def build_target(
+    target_id: str, address: str, *, draining: bool = False
+) -> TargetEntry:
     """Return the entry of a target of the service ``stock``."""
     return TargetEntry(
         target_id=target_id,
@@ -242,7 +245,7 @@
         data_centre="dc-1",
         version="v1",
         slots=6,
-        draining=False,
+        draining=draining,
         cold_seconds=0.0,
         started_ms=1,
     )
