Judge a new version by the pace of its streams, and before it gets all requests

Cause: answers of the two versions were compared by failures and by the time to the first byte. The slow version begins its answers in time and sends their events five times slower: 110 ms an event where the old version takes 30. An answer counted only at its end, a request that ended with the caller's deadline before its first byte not at all, and at 0.7 of the time all requests were switched to the version whatever was known of it. The class of the fault is a decision by default: no evidence counted as good evidence.

Changed: - The mean time between the first events of a stream is compared like the first byte. The total before the switch stays below half of what is allowed.

The first step of a move has the share 0.04, as the plan states now; its test asked for 0.02. A row of the old version with no slow stream is expected where one is counted.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -22,6 +22,7 @@
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
+    ExposureLimit,
     FailureGossip,
     InFlightGossip,
     KeyedRecord,
@@ -213,7 +214,7 @@
             KeyedTopic(self._store, STATUS_TOPIC),
             KeyedTopic(self._store, MOVE_EVIDENCE_TOPIC),
             encode_move_status,
-            self._settings.exposure_share,
+            ExposureLimit(self._settings.exposure_share, self._settings.exposure_slack),
             self._clock,
             self._generator,
         )
--- a/carobladder/entry/versions.py
+++ b/carobladder/entry/versions.py
@@ -9,7 +9,10 @@
 from carobladder.entry.followers import ReadPolicy, TopicFollower
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
+    NEW_ARM,
+    OLD_ARM,
     AnswerTallies,
+    ExposureLimit,
     InstanceEvidence,
     KeyedRecord,
     MoveObservation,
@@ -29,7 +32,7 @@
     encode_evidence,
     encode_step,
 )
-from carobladder.moves.evidence import EvidenceStore
+from carobladder.moves.evidence import EvidenceStore, sum_requests
 from carobladder.telemetry import (
     MoveEvidenceLost,
     VersionFaultFound,
@@ -71,7 +74,7 @@
         status_topic: ReadWriteTopic,
         evidence_topic: ReadWriteTopic,
         encode_status: Callable[[MoveStep], tuple[str, bytes]],
-        exposure_share: float,
+        exposure: ExposureLimit,
         clock: Clock,
         generator: random.Random,
     ) -> None:
@@ -83,7 +86,7 @@
         self._status_topic = status_topic
         self._evidence_topic = evidence_topic
         self._encode_status = encode_status
-        self._exposure_share = exposure_share
+        self._exposure = exposure
         self._clock = clock
         self._generator = generator
         self._book = EvidenceStore()
@@ -213,8 +216,10 @@
             fault=move.fault,
             new_targets=self._count_new_targets(move),
             old_requests=self._count_old_requests(move),
+            old_answers=sum_requests(self._book, move.move_id, OLD_ARM),
+            new_answers=sum_requests(self._book, move.move_id, NEW_ARM),
         )
-        return decide_step(move.order, move.step, situation, self._exposure_share)
+        return decide_step(move.order, move.step, situation, self._exposure)
 
     def _encode_steps(self, steps: Iterable[MoveStep]) -> list[tuple[str, bytes]]:
         """Return two records for each step, one for instances and one for operators."""
--- a/carobladder/fleet/tallies.py
+++ b/carobladder/fleet/tallies.py
@@ -17,8 +17,12 @@
 ]
 
 _PROTOCOL_VERSION = 1
-# A target is slow for this time after its start, whatever its version.
+# First bytes are late for this time after the start of a target, whatever its version.
 _WARMUP_SECONDS = 5.0
+# Time by which a slow answer exceeds the multiple of the usual one. The first bytes of
+# prompts that the new targets have not cached yet stay below this limit.
+_FIRST_BYTE_MARGIN_SECONDS = 0.05
+_PACE_MARGIN_SECONDS = 0.01
 _REQUEST_CLASSES = {
     RouteKind.SAFE: RequestClass.SHORT,
     RouteKind.UNSAFE: RequestClass.BOOKING,
@@ -34,6 +38,9 @@
     requests: int
     errors: int
     slow: int
+    slow_gap: int = 0
+    paced: int = 0
+    bad: int = 0
 
 
 class InstanceEvidence(msgspec.Struct, array_like=True, frozen=True):
@@ -53,7 +60,12 @@
         """Return the counts as a report for an ``EvidenceBook``."""
         counts = {
             EvidenceKey(row.move_id, row.arm, row.route, row.request_class): Counts(
-                requests=row.requests, errors=row.errors, slow_first=row.slow
+                requests=row.requests,
+                errors=row.errors,
+                slow_first=row.slow,
+                slow_gap=row.slow_gap,
+                paced=row.paced,
+                bad=row.bad,
             )
             for row in self.rows
         }
@@ -89,7 +101,8 @@
         self._table = table
         self._incarnation = incarnation
         self._sequence = 0
-        self._baseline = LatencyBaseline()
+        self._first_bytes = LatencyBaseline(_FIRST_BYTE_MARGIN_SECONDS)
+        self._paces = LatencyBaseline(_PACE_MARGIN_SECONDS)
         self._counts: dict[EvidenceKey, Counts] = {}
 
     def note_answer(
@@ -100,26 +113,81 @@
         failed: bool,
         first_byte_seconds: float,
         now: float,
-    ) -> None:
-        """Count an answer; ``failed`` marks a failure of the target itself."""
+    ) -> bool:
+        """Count an answer; ``failed`` marks a failure of the target itself.
+
+        Returns whether the answer is failed or slow.
+        """
+        slow = not failed and self._is_slow(target, route, first_byte_seconds, now)
+        if not failed:
+            self._learn(self._first_bytes, target, route, first_byte_seconds)
+        counts = Counts(requests=1, errors=int(failed), slow_first=int(slow))
+        self._count(target, route, counts)
+        return failed or slow
+
+    def note_pace(
+        self, target: FleetTarget, route: Route, seconds: float, now: float
+    ) -> bool:
+        """Count the pace of a stream whose answer was counted, in seconds per event.
+
+        Returns whether the stream is slow.
+        """
+        slow = not target.is_cold(now) and self._paces.is_slow(route.name, seconds)
+        self._count(target, route, Counts(slow_gap=int(slow), paced=1))
+        self._learn(self._paces, target, route, seconds)
+        return slow
+
+    def note_break(self, target: FleetTarget, route: Route) -> None:
+        """Count the failure of an answer that was counted when it began."""
+        self._count(target, route, Counts(errors=1))
+
+    def note_bad(self, target: FleetTarget, route: Route) -> None:
+        """Count a request with a fault of any kind; call it once for each request."""
+        self._count(target, route, Counts(bad=1))
+
+    def note_silence(
+        self, target: FleetTarget, route: Route, seconds: float, now: float
+    ) -> bool:
+        """Count a request without an answer as slow if it has waited long enough.
+
+        Returns whether it was counted and is slow.
+        """
+        slow = self._is_slow(target, route, seconds, now)
+        if slow:
+            self._count(target, route, Counts(requests=1, slow_first=1))
+        return slow
+
+    def _find_move(self, target: FleetTarget) -> VersionMove | None:
+        """Return the active move of the target's service, or None."""
         move = self._moves.services.get(target.entry.service)
-        if move is None or not move.active:
+        return move if move is not None and move.active else None
+
+    def _learn(
+        self,
+        baseline: LatencyBaseline,
+        target: FleetTarget,
+        route: Route,
+        seconds: float,
+    ) -> None:
+        """Add a sample to a baseline unless it is of a version that is introduced."""
+        move = self._find_move(target)
+        if move is None or not move.is_new_version(target):
+            baseline.add_sample(route.name, seconds)
+
+    def _count(self, target: FleetTarget, route: Route, counts: Counts) -> None:
+        move = self._find_move(target)
+        if move is None:
             return
-        is_new = move.is_new_version(target)
-        slow = not failed and self._is_slow(target, route, first_byte_seconds, now)
-        if not (failed or is_new):
-            self._baseline.add_sample(route.name, first_byte_seconds)
-        arm = NEW_ARM if is_new else OLD_ARM
+        arm = NEW_ARM if move.is_new_version(target) else OLD_ARM
         key = EvidenceKey(move.move_id, arm, route.name, _REQUEST_CLASSES[route.kind])
-        outcome = Counts(requests=1, errors=int(failed), slow_first=int(slow))
-        self._counts[key] = self._counts.get(key, Counts()) + outcome
+        self._counts[key] = self._counts.get(key, Counts()) + counts
 
     def _is_slow(
         self, target: FleetTarget, route: Route, seconds: float, now: float
     ) -> bool:
         if target.is_cold(now) or now - target.seen_at < _WARMUP_SECONDS:
             return False
-        return self._baseline.is_slow(route.name, seconds)
+        return self._first_bytes.is_slow(route.name, seconds)
 
     def collect(self) -> InstanceEvidence:
         """Return the counts of active moves and delete those of ended ones."""
@@ -135,6 +203,9 @@
                 counts.requests,
                 counts.errors,
                 counts.slow_first,
+                counts.slow_gap,
+                counts.paced,
+                counts.bad,
             )
             for key, counts in self._counts.items()
         ]
--- a/carobladder/fleet/versions.py
+++ b/carobladder/fleet/versions.py
@@ -10,6 +10,7 @@
 from carobladder.fleet.targets import FleetTarget
 
 __all__ = [
+    "ExposureLimit",
     "MoveObservation",
     "MoveState",
     "MoveStep",
@@ -24,8 +25,20 @@
 # Fractions of a move's duration, each with the share of requests from then on, as a
 # multiple of the allowed exposure: the share that a faulty version may receive in
 # total. Before the switch the total is half of the allowed exposure.
-_SHARE_PLAN = ((0.0, 0.2), (0.15, 0.4), (0.65, 2.0))
+_SHARE_PLAN = ((0.0, 0.4), (0.15, 0.6), (0.65, 2.0))
 _SWITCH_FRACTION = 0.7
+# With little traffic the allowed exposure is mostly its slack. The shares then grow by
+# up to this factor, in steps, so that enough answers are known before the switch.
+_MAX_SLACK_FACTOR = 2.0
+_SLACK_FACTOR_STEP = 0.5
+_MIN_COUNTED_ANSWERS = 20
+# Estimates of the traffic vary. A share between these multiples of the current one does
+# not replace it; those of the plan differ by more.
+_SIMILAR_SHARE_RATIOS = (0.55, 1.45)
+# Answers of the new version that must be known before the switch: this number, or this
+# fraction of all answers of the service if that is less.
+_MIN_NEW_ANSWERS = 12
+_MIN_NEW_ANSWER_FRACTION = 0.02
 # The old targets stop when the move ends. From the earliest end on, the move waits for
 # their requests to finish, but not beyond the latest end.
 _EARLIEST_END_FRACTION = 0.78
@@ -84,12 +97,47 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveObservation:
-    """Observed state of a move, from which the next step is decided."""
+    """Observed state of a move, from which the next step is decided.
+
+    ``old_answers`` and ``new_answers`` are the numbers of known answers by version.
+    """
 
     elapsed_seconds: float
     fault: str
     new_targets: int
     old_requests: int
+    old_answers: int
+    new_answers: int
+
+    @property
+    def verified(self) -> bool:
+        """Whether enough answers of the new version are known to switch to it."""
+        answers = self.old_answers + self.new_answers
+        needed = min(_MIN_NEW_ANSWERS, answers * _MIN_NEW_ANSWER_FRACTION)
+        return self.new_answers >= needed
+
+
+@dataclass(frozen=True, slots=True)
+class ExposureLimit:
+    """Number of requests that a faulty version may receive in total.
+
+    This is the fraction ``share`` of the requests of its service, plus ``slack``.
+    """
+
+    share: float
+    slack: float
+
+    def estimate_share(self, answers: int, progress: float) -> float:
+        """Return the limit as a fraction of the requests of the whole move.
+
+        ``answers`` are known after the fraction ``progress`` of the move's duration.
+        """
+        if answers < _MIN_COUNTED_ANSWERS:
+            return self.share
+        slack_share = self.slack * min(1.0, progress) / answers
+        factor = min(_MAX_SLACK_FACTOR, 1.0 + slack_share / self.share)
+        steps = (factor - 1.0) // _SLACK_FACTOR_STEP
+        return self.share * (1.0 + steps * _SLACK_FACTOR_STEP)
 
 
 def plan_share(progress: float, exposure_share: float) -> float:
@@ -104,7 +152,7 @@
     order: RolloutOrder,
     step: MoveStep | None,
     observation: MoveObservation,
-    exposure_share: float,
+    exposure: ExposureLimit,
 ) -> MoveStep | None:
     """Return the step to write next, or None if there is none or the move has ended."""
     if step is not None and step.final:
@@ -116,7 +164,7 @@
         version=order.version,
         order_id=order.order_id,
         state=MoveState.RUNNING,
-        share=plan_share(progress, exposure_share),
+        share=_choose_share(observation, progress, exposure),
         elapsed_seconds=elapsed,
     )
     ended = _decide_end(order, observation, progress)
@@ -124,12 +172,30 @@
         state, reason = ended
         share = 1.0 if state is MoveState.COMPLETED else 0.0
         return replace(planned, state=state, share=share, reason=reason)
-    if step is None or step.share != planned.share:
+    if step is None or not _is_similar(planned.share, step.share):
         return planned
+    planned = replace(planned, share=step.share)
     renewal_seconds = order.duration_seconds * _RENEWAL_FRACTION
     return planned if elapsed - step.elapsed_seconds >= renewal_seconds else None
 
 
+def _is_similar(share: float, current: float) -> bool:
+    """Return whether a share is too close to the current one to be worth a step."""
+    if share == current or share >= 1.0 or current <= 0.0:
+        return share == current
+    low, high = _SIMILAR_SHARE_RATIOS
+    return low < share / current < high
+
+
+def _choose_share(
+    observation: MoveObservation, progress: float, exposure: ExposureLimit
+) -> float:
+    answers = observation.old_answers + observation.new_answers
+    if not observation.verified:
+        progress = min(progress, _SHARE_PLAN[-1][0])
+    return plan_share(progress, exposure.estimate_share(answers, progress))
+
+
 def _decide_end(
     order: RolloutOrder, observation: MoveObservation, progress: float
 ) -> tuple[MoveState, str] | None:
@@ -139,10 +205,14 @@
         return MoveState.ROLLED_BACK, observation.fault
     if progress >= _LATEST_END_FRACTION and not observation.new_targets:
         return MoveState.ROLLED_BACK, "no target of the version takes requests"
+    if progress >= _LATEST_END_FRACTION and not observation.verified:
+        return MoveState.ROLLED_BACK, "too few answers of the version are known"
     if progress >= _LATEST_END_FRACTION:
         return MoveState.COMPLETED, "its time is over and no fault was found"
     if progress < _EARLIEST_END_FRACTION or not observation.new_targets:
         return None
+    if not observation.verified:
+        return None
     if observation.old_requests:
         return None
     return MoveState.COMPLETED, "no fault was found and the old targets are idle"
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -5,6 +5,7 @@
     calls,
     handler,
     loadmonitor,
+    outcomes,
     refusals,
     sends,
 )
@@ -12,6 +13,7 @@
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.loadmonitor import *  # noqa: F403
+from carobladder.forwarding.outcomes import *  # noqa: F403
 from carobladder.forwarding.refusals import *  # noqa: F403
 from carobladder.forwarding.sends import *  # noqa: F403
 
@@ -20,6 +22,7 @@
     *calls.__all__,
     *handler.__all__,
     *loadmonitor.__all__,
+    *outcomes.__all__,
     *refusals.__all__,
     *sends.__all__,
 ]
--- a/carobladder/forwarding/attempts.py
+++ b/carobladder/forwarding/attempts.py
@@ -1,23 +1,26 @@
 """Open responses and their effect on the recorded health of a target."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from carobladder.clients.http import AnswerStream
 from carobladder.clock import Clock
 from carobladder.fleet import AnswerMetadata, FleetTarget
+from carobladder.forwarding.outcomes import SendOutcome
 from carobladder.telemetry import TargetSuspected, TargetTrusted, emit
 
 __all__ = ["OpenCall", "suspect_target"]
 
 
+# Gaps between the first events of a stream from which its pace is known.
+_PACE_GAPS = 4
+
+
 @dataclass(slots=True)
 class OpenCall:
     """Response of one attempt, whose body may still be arriving.
 
-    ``on_close`` is called once, with this object and whether the response ended
-    prematurely. ``sent_at`` is in monotonic seconds.
+    ``sent_at`` is in monotonic seconds.
     """
 
     answer: AnswerStream
@@ -25,15 +28,31 @@
     facts: AnswerMetadata
     sent_at: float
     clock: Clock
-    on_close: Callable[["OpenCall", bool], None]
+    outcome: SendOutcome
     first_byte_seconds: float | None = None
     _is_open: bool = field(default=True)
+    _event_count: int = field(default=0)
+    _first_event_at: float = field(default=0.0)
 
     def note_first_byte(self) -> None:
         """Record the time that the target took to send its first byte."""
         now = self.clock.monotonic()
         self.first_byte_seconds = now - self.sent_at
         self.target.health.note_first_byte(self.first_byte_seconds, now)
+        if not self.facts.not_run:
+            self.outcome.note_first_byte(
+                self.first_byte_seconds, failed=self._is_server_error()
+            )
+
+    def note_event(self) -> None:
+        """Record that an event of the response arrived."""
+        now = self.clock.monotonic()
+        self.target.health.last_byte_at = now
+        self._event_count += 1
+        if self._event_count == 1:
+            self._first_event_at = now
+        elif self._event_count == 1 + _PACE_GAPS:
+            self.outcome.note_pace((now - self._first_event_at) / _PACE_GAPS)
 
     def close(self, *, failed: bool = False) -> None:
         """Close the response and update the target's health; do nothing if closed."""
@@ -43,13 +62,25 @@
         self._is_open = False
         health = self.target.health
         health.in_flight -= 1
-        self.on_close(self, failed)
+        self._record_end(failed)
         if failed:
             suspect_target(self.target, "its answer broke off", self.clock.monotonic())
         elif self.first_byte_seconds is not None:
             if health.failures:
                 emit(TargetTrusted(self.target.target_id, health.failures))
-            health.note_answer(self.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR)
+            health.note_answer(self._is_server_error())
+
+    def _record_end(self, failed: bool) -> None:
+        seconds = self.clock.monotonic() - self.sent_at
+        if self.facts.not_run:
+            return
+        if failed:
+            self.outcome.note_break(seconds)
+        elif self.first_byte_seconds is None:
+            self.outcome.note_silence(seconds)
+
+    def _is_server_error(self) -> bool:
+        return self.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
 
 
 def suspect_target(target: FleetTarget, reason: str, now: float) -> None:
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -77,6 +77,7 @@
         self._send_count = 0
         self._outcome_pending = False
         self._relayed_from: FleetTarget | None = None
+        self._opened: OpenCall | None = None
         self._tried_ids: set[str] = set()
         # Tried targets that sent an error response of their own.
         self._failed_response_ids: set[str] = set()
@@ -114,6 +115,7 @@
                 continue
             self.possible_runs += 1
             if self._accept_response(opened):
+                self._opened = opened
                 return opened
 
     async def fetch(self) -> tuple[OpenCall, bytes]:
@@ -137,9 +139,8 @@
 
     def note_event(self) -> None:
         """Record that an event of the relayed stream arrived."""
-        if self._relayed_from is not None:
-            now = self._forwarder.clock.monotonic()
-            self._relayed_from.health.last_byte_at = now
+        if self._opened is not None:
+            self._opened.note_event()
 
     def handle_failure(
         self, target: FleetTarget, error: TargetError, *, resumable: bool = False
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -24,6 +24,7 @@
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
 from carobladder.forwarding.loadmonitor import ExpectedLoad, LoadMonitor
+from carobladder.forwarding.outcomes import SendOutcome
 from carobladder.headers import Headers
 from carobladder.routing import Route, Service
 from carobladder.telemetry import (
@@ -123,6 +124,7 @@
         withheld if it returns False. Raises TargetError if no response arrives.
         """
         sent_at = self.clock.monotonic()
+        outcome = SendOutcome(call.route, target, self.tallies, self.times, self.clock)
         loop = asyncio.get_running_loop()
         target.health.in_flight += 1
         self.report_sent()
@@ -130,7 +132,7 @@
         silence_timer = None
         if self._remaining_seconds(call) > silence_timeout + _DEADLINE_MARGIN_SECONDS:
             silence_timer = loop.call_later(
-                silence_timeout, self._handle_silence, target, sent_at
+                silence_timeout, self._handle_silence, outcome, sent_at
             )
         try:
             source = await self._find_prompt_source(call, target)
@@ -152,28 +154,20 @@
             target.health.in_flight -= 1
             seconds = self.clock.monotonic() - sent_at
             if error.request_written and seconds >= silence_timeout:
-                self._record_result(call, target, seconds, failed=False)
+                outcome.note_silence(seconds)
             if seconds >= silence_timeout or not isinstance(error, _NON_TARGET_ERRORS):
                 suspect_target(target, str(error), self.clock.monotonic())
             raise
         except BaseException:
             target.health.in_flight -= 1
             self._record_unanswered(call, target, sent_at)
+            outcome.note_silence(self.clock.monotonic() - sent_at)
             raise
         finally:
             if silence_timer is not None:
                 silence_timer.cancel()
         self._apply_facts(call, target, facts, expected_load)
-        return OpenCall(
-            answer,
-            target,
-            facts,
-            sent_at,
-            self.clock,
-            lambda opened, ended_early: self._record_response(
-                call, opened, ended_early
-            ),
-        )
+        return OpenCall(answer, target, facts, sent_at, self.clock, outcome)
 
     def compute_silence_timeout(
         self, call: ForwardedCall, target: FleetTarget
@@ -242,8 +236,10 @@
         if facts.cold_seconds is not None:
             target.note_cold(facts.cold_seconds, now)
 
-    def _handle_silence(self, target: FleetTarget, sent_at: float) -> None:
+    def _handle_silence(self, outcome: SendOutcome, sent_at: float) -> None:
         """Suspect and report a target that has sent no byte since this request."""
+        outcome.note_silence(self.clock.monotonic() - sent_at)
+        target = outcome.target
         if target.health.last_byte_at < sent_at:
             reason = "it sent no byte within the silence timeout"
             suspect_target(target, reason, self.clock.monotonic())
@@ -316,33 +312,6 @@
     def _remaining_seconds(self, call: ForwardedCall) -> float:
         return max(0.0, call.deadline - self.clock.monotonic())
 
-    def _record_response(
-        self, call: ForwardedCall, opened: OpenCall, ended_early: bool
-    ) -> None:
-        seconds = opened.first_byte_seconds
-        if opened.facts.not_run or seconds is None:
-            return
-        self.times.note_answer(call.route.name, seconds)
-        failed = ended_early or opened.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        self._record_result(call, opened.target, seconds, failed=failed)
-
-    def _record_result(
-        self,
-        call: ForwardedCall,
-        target: FleetTarget,
-        seconds: float,
-        *,
-        failed: bool,
-    ) -> None:
-        """Record a response, or its absence, for the comparison of target versions."""
-        self.tallies.note_answer(
-            target,
-            call.route,
-            failed=failed,
-            first_byte_seconds=seconds,
-            now=self.clock.monotonic(),
-        )
-
 
 def _round_load(load: float | None) -> float | None:
     return None if load is None else round(load, 1)
--- a/carobladder/moves/evidence.py
+++ b/carobladder/moves/evidence.py
@@ -39,12 +39,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Counts:
-    """Numbers of requests and of their faults by kind."""
+    """Numbers of requests and of their faults by kind.
+
+    ``paced`` are the requests whose gaps are known, and ``bad`` those with any fault;
+    both are 0 where they are not counted.
+    """
 
     requests: int = 0
     errors: int = 0
     slow_first: int = 0
     slow_gap: int = 0
+    paced: int = 0
+    bad: int = 0
 
     def __add__(self, other: "Counts") -> "Counts":
         return Counts(
@@ -52,6 +58,8 @@
             self.errors + other.errors,
             self.slow_first + other.slow_first,
             self.slow_gap + other.slow_gap,
+            self.paced + other.paced,
+            self.bad + other.bad,
         )
 
     def __sub__(self, other: "Counts") -> "Counts":
@@ -60,6 +68,8 @@
             self.errors - other.errors,
             self.slow_first - other.slow_first,
             self.slow_gap - other.slow_gap,
+            self.paced - other.paced,
+            self.bad - other.bad,
         )
 
     def faults(self, kind: FaultKind) -> int:
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -38,8 +38,9 @@
     ``memory_mb`` is the memory that the process may use.
     ``share_partitions`` is the number of partitions of one topic of the store.
     In a window, all instances together may retry at most ``retry_ratio`` times the
-    number of requests, plus ``retry_slack``. ``exposure_share`` is the fraction of a
-    service's requests that a faulty version may receive.
+    number of requests, plus ``retry_slack``. A faulty version may receive
+    at most the fraction ``exposure_share`` of the requests of its service, plus
+    ``exposure_slack``.
     """
 
     instance: Name
@@ -60,6 +61,7 @@
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     load_multiple: Annotated[float, msgspec.Meta(gt=1)] = 2.0
     exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
+    exposure_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     log_level: LogLevel = "info"
 
 
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -1,6 +1,7 @@
 """Tests of version moves that a fleet of instances executes through the store."""
 
 import asyncio
+import dataclasses
 import json
 import random
 import unittest
@@ -10,6 +11,7 @@
 from carobladder.entry.versions import VersionMoveController
 from carobladder.fleet import (
     AnswerTallies,
+    ExposureLimit,
     RolloutOrder,
     ShareLedger,
     TargetTable,
@@ -29,7 +31,9 @@
 DURATION_SECONDS = 30.0
 ORDER = RolloutOrder("engine", "v2", DURATION_SECONDS, 5)
 ROUTE = Route("r", "h", "/", RouteKind.SAFE, (ServiceWeight("engine"),), 1.0, 0.5)
+STREAM_ROUTE = dataclasses.replace(ROUTE, name="s", kind=RouteKind.STREAMING)
 STEP_SECONDS = 0.05
+USUAL_PACE_SECONDS = 0.03
 POLL_SECONDS = 0.1
 
 
@@ -73,7 +77,7 @@
             KeyedTopic(client, STATUS_TOPIC),
             KeyedTopic(client, MOVE_EVIDENCE_TOPIC),
             encode_move_status,
-            EXPOSURE,
+            ExposureLimit(EXPOSURE, EXPOSURE_SLACK),
             fleet.clock,
             random.Random(1),
         )
@@ -90,6 +94,9 @@
 
     ``failure_chance`` returns the probability that a request to the new version fails,
     given the time in seconds and the new version's share of the last requests.
+    ``stream_share`` of the answers are streams, in which the new version sends an event
+    every ``new_pace_seconds``. An instance sends a request in a step with
+    ``send_chance``.
     """
 
     def __init__(self, count: int = 9, seed: int = 1) -> None:
@@ -98,6 +105,9 @@
         self.instances = [Instance(f"front-{n}", self) for n in range(count)]
         self.instances[0].ledger.assign(frozenset({0}))
         self.failure_chance = lambda seconds, share: 0.0
+        self.stream_share = 0.0
+        self.send_chance = 1.0
+        self.new_pace_seconds = USUAL_PACE_SECONDS
         self.sent: list[tuple[float, bool, bool]] = []
         self._generator = random.Random(seed)
 
@@ -114,7 +124,7 @@
         end = self.clock.monotonic() + seconds
         while self.clock.monotonic() < end:
             for instance in self.instances:
-                if not instance.task.done():
+                if not instance.task.done() and self._draw(self.send_chance):
                     self._send(instance)
             self.clock.advance(STEP_SECONDS)
             for _ in range(12):
@@ -133,9 +143,18 @@
             now, self.compute_new_share()
         )
         self.sent.append((now, is_new, failed))
+        is_stream = self._draw(self.stream_share)
+        route = STREAM_ROUTE if is_stream else ROUTE
         instance.tallies.note_answer(
-            target, ROUTE, failed=failed, first_byte_seconds=0.1, now=now
+            target, route, failed=failed, first_byte_seconds=0.1, now=now
         )
+        if is_stream:
+            pace = self.new_pace_seconds if is_new else USUAL_PACE_SECONDS
+            instance.tallies.note_pace(target, route, pace, now)
+
+    def _draw(self, chance: float) -> bool:
+        """Return True with this probability; draws nothing if it is certain."""
+        return chance >= 1.0 or (chance > 0.0 and self._generator.random() < chance)
 
     def compute_new_share(self) -> float:
         """Return the new version's share of the last requests."""
@@ -212,6 +231,27 @@
                 self.check_statuses(fleet, "rolled_back")
                 self.check_exposure(fleet)
 
+    async def test_version_with_slow_streams_is_rolled_back_before_the_switch(self):
+        """Its answers begin in time, and there are only 23 requests a second.
+
+        Before the events of streams were compared, such a version was completed.
+        """
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                fleet = self.start(count=6, seed=seed)
+                fleet.send_chance = 23 * STEP_SECONDS / 6
+                fleet.stream_share = 0.45
+                fleet.new_pace_seconds = 0.13
+                order = RolloutOrder("engine", "v2", 15.0, 5)
+                await fleet.order(order)
+                await fleet.run(15.0)
+                self.check_statuses(fleet, "rolled_back")
+                exposed = [at for at, is_new, _ in fleet.sent if is_new]
+                self.assertLess(max(exposed), 0.7 * 15.0)
+                self.assertLessEqual(
+                    len(exposed), EXPOSURE * len(fleet.sent) + EXPOSURE_SLACK
+                )
+
     async def test_version_that_fails_later_is_rolled_back(self):
         for start in (8.0, 15.0, 20.0):
             with self.subTest(start=start):
--- a/tests/fleet/test_comparison.py
+++ b/tests/fleet/test_comparison.py
@@ -19,6 +19,7 @@
 from carobladder.targets import RequestClass
 
 MOVE = "engine/v2/5"
+ARMS = (OLD_ARM, NEW_ARM)
 
 
 class Traffic:
@@ -34,17 +35,25 @@
         self._sequence = 0
 
     def run(
-        self, seconds: float, *, share=0.04, old=0.01, new=0.01, slow=0.0, routes="abc"
+        self,
+        seconds: float,
+        *,
+        share=0.04,
+        old=0.01,
+        new=0.01,
+        slow=0.0,
+        slow_gap=0.0,
+        routes="abc",
     ):
         """Run 100 requests per second; ``old`` and ``new`` are the failure rates.
 
-        ``slow`` is the rate of slow responses of the new version, and ``routes`` are
-        the routes on which it fails.
+        ``slow`` is the rate of slow responses of the new version, ``slow_gap`` that of
+        responses with slow events, and ``routes`` are the routes on which it fails.
         """
         for _ in range(int(seconds)):
             self.now += 1.0
             for _ in range(100):
-                self._add(share, old, new, slow, routes)
+                self._add(share, old, new, slow, slow_gap, routes)
             self._sequence += 1
             report = EvidenceReport("a", 1, self._sequence, dict(self._totals))
             self._book.merge(report)
@@ -52,17 +61,25 @@
             if self.comparison.faulty:
                 return
 
-    def _add(self, share, old, new, slow, routes):
+    def _add(self, share, old, new, slow, slow_gap, routes):
         draw = self._generator.random
         route = self._generator.choice("abc")
         is_new = draw() < share
         failure_rate = new if is_new and route in routes else old
         failed = draw() < failure_rate
         delayed = is_new and draw() < slow
-        self.bad_answers += is_new and (failed or delayed)
+        lagging = is_new and draw() < slow_gap if slow_gap else False
+        self.bad_answers += is_new and (failed or delayed or lagging)
         arm = NEW_ARM if is_new else OLD_ARM
         key = EvidenceKey(MOVE, arm, route, RequestClass.SHORT)
-        outcome = Counts(1, int(failed), int(delayed and not failed))
+        outcome = Counts(
+            requests=1,
+            errors=int(failed),
+            slow_first=int(delayed and not failed),
+            slow_gap=int(lagging),
+            paced=1,
+            bad=int(failed or delayed or lagging),
+        )
         self._totals[key] = self._totals.get(key, Counts()) + outcome
 
 
@@ -87,6 +104,25 @@
         traffic.run(40, slow=0.5)
         self.assertIn("slow", traffic.comparison.reason)
 
+    def test_version_with_slow_events_is_detected(self):
+        traffic = Traffic()
+        traffic.run(40, slow_gap=0.5)
+        self.assertIn("slow_gap", traffic.comparison.reason)
+        self.assertLess(traffic.bad_answers, 15)
+
+    def test_faults_that_are_known_later_than_their_requests_count(self):
+        """A window may hold the faults of requests of the window before it."""
+        book, comparison = EvidenceStore(), VersionComparison()
+        keys = {arm: EvidenceKey(MOVE, arm, "a", RequestClass.SHORT) for arm in ARMS}
+        for now, late in ((0.0, 0), (1.0, 6)):
+            counts = {
+                keys[OLD_ARM]: Counts(requests=500),
+                keys[NEW_ARM]: Counts(requests=6, errors=late),
+            }
+            book.merge(EvidenceReport("a", 1, int(now) + 1, counts))
+            comparison.update(book, MOVE, now)
+        self.assertTrue(comparison.faulty)
+
     def test_fault_is_detected_while_old_versions_get_no_requests(self):
         traffic = Traffic()
         traffic.run(20)
--- a/tests/fleet/test_tallies.py
+++ b/tests/fleet/test_tallies.py
@@ -54,6 +54,53 @@
         self.note(self.new, failed=True, seconds=0.9)
         self.assertEqual(self.count(), {OLD_ARM: (21, 1, 0), NEW_ARM: (2, 1, 1)})
 
+    def count_slow_paces(self) -> dict[str, int]:
+        """Return the streams of each version whose events came slowly."""
+        report = self.tallies.collect().to_report("front-1")
+        return {key.arm: counts.slow_gap for key, counts in report.counts.items()}
+
+    def test_slow_paces_are_counted_for_the_answers_that_have_begun(self):
+        """A version can begin its answers in time and send their events slowly."""
+        self.moves.take_order(ORDER, 0.0)
+        for _ in range(20):
+            self.tallies.note_pace(self.old, ROUTE, 0.03, 200.0)
+        self.note(self.old)
+        self.note(self.new, count=2)
+        self.tallies.note_pace(self.new, ROUTE, 0.06, 200.0)
+        self.tallies.note_pace(self.new, ROUTE, 0.13, 200.0)
+        self.assertEqual(self.count_slow_paces(), {OLD_ARM: 0, NEW_ARM: 1})
+        self.assertEqual(self.count()[NEW_ARM], (2, 0, 0))
+
+    def test_pace_of_a_newly_started_target_counts_unless_it_is_cold(self):
+        self.moves.take_order(ORDER, 0.0)
+        self.tallies.note_pace(self.old, ROUTE, 0.03, 200.0)
+        self.tallies.note_pace(self.new, ROUTE, 0.3, 101.0)
+        self.new.note_cold(50.0, 180.0)
+        self.tallies.note_pace(self.new, ROUTE, 0.3, 200.0)
+        self.assertEqual(self.count_slow_paces(), {OLD_ARM: 0, NEW_ARM: 1})
+
+    def test_usual_latencies_are_known_before_the_order(self):
+        self.note(self.old, count=20)
+        self.tallies.note_pace(self.old, ROUTE, 0.03, 200.0)
+        self.moves.take_order(ORDER, 0.0)
+        self.note(self.new, seconds=0.9)
+        self.tallies.note_pace(self.new, ROUTE, 0.2, 200.0)
+        self.assertEqual(self.count(), {NEW_ARM: (1, 0, 1)})
+        self.assertEqual(self.count_slow_paces(), {NEW_ARM: 1})
+
+    def test_answer_that_breaks_after_its_start_is_one_failed_request(self):
+        self.moves.take_order(ORDER, 0.0)
+        self.note(self.new)
+        self.tallies.note_break(self.new, ROUTE)
+        self.assertEqual(self.count(), {NEW_ARM: (1, 1, 0)})
+
+    def test_silence_counts_only_once_it_is_longer_than_usual(self):
+        self.moves.take_order(ORDER, 0.0)
+        self.note(self.old, count=20)
+        self.assertFalse(self.tallies.note_silence(self.new, ROUTE, 0.2, 200.0))
+        self.assertTrue(self.tallies.note_silence(self.new, ROUTE, 0.9, 200.0))
+        self.assertEqual(self.count()[NEW_ARM], (1, 0, 1))
+
     def test_newly_started_or_cold_target_is_not_counted_as_slow(self):
         self.moves.take_order(ORDER, 0.0)
         self.note(self.old, count=20)
--- a/tests/fleet/test_versions.py
+++ b/tests/fleet/test_versions.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from carobladder.fleet import (
+    ExposureLimit,
     MoveObservation,
     MoveState,
     MoveStep,
@@ -17,19 +18,27 @@
 from tests.fleet.builders import fill_table
 
 EXPOSURE = 0.1
+LIMIT = ExposureLimit(EXPOSURE, 0.0)
 ORDER = RolloutOrder("engine", "v2", 30.0, 5)
 STEP = MoveStep("engine", "v2", 5, MoveState.RUNNING, plan_share(0.2, EXPOSURE), 6.0)
 
 
 def build_observation(elapsed: float, **changes) -> MoveObservation:
     """Return the observation of a move without a fault."""
-    values = {"fault": "", "new_targets": 3, "old_requests": 4, **changes}
+    values = {
+        "fault": "",
+        "new_targets": 3,
+        "old_requests": 4,
+        "old_answers": 1000,
+        "new_answers": 50,
+        **changes,
+    }
     return MoveObservation(elapsed_seconds=elapsed, **values)
 
 
 def decide(elapsed: float, step=STEP, order=ORDER, **changes) -> MoveStep | None:
     """Return the next step, or None."""
-    return decide_step(order, step, build_observation(elapsed, **changes), EXPOSURE)
+    return decide_step(order, step, build_observation(elapsed, **changes), LIMIT)
 
 
 class SharePlanTest(unittest.TestCase):
@@ -44,13 +53,43 @@
         self.assertEqual(plan_share(0.7, EXPOSURE), 1.0)
 
 
+class ExposureLimitTest(unittest.TestCase):
+    """Guard against shares that are too small to judge a version before the switch."""
+
+    def setUp(self):
+        self.limit = ExposureLimit(EXPOSURE, 50.0)
+
+    def test_slack_counts_for_much_of_little_traffic(self):
+        """At 350 requests in a move the slack is more than the fraction."""
+        self.assertAlmostEqual(self.limit.estimate_share(70, 0.2), 0.2)
+        self.assertAlmostEqual(self.limit.estimate_share(200, 0.2), 0.15)
+        self.assertAlmostEqual(self.limit.estimate_share(2000, 0.2), 0.1)
+
+    def test_slack_does_not_count_until_the_traffic_is_known(self):
+        self.assertAlmostEqual(self.limit.estimate_share(0, 0.0), EXPOSURE)
+        self.assertAlmostEqual(self.limit.estimate_share(19, 0.5), EXPOSURE)
+
+    def test_total_before_the_switch_is_at_most_half_of_the_exposure(self):
+        for requests in (100, 350, 1000, 10_000):
+            with self.subTest(requests=requests):
+                parts = [part / 1000 for part in range(700)]
+                sent = sum(
+                    plan_share(
+                        part, self.limit.estimate_share(int(requests * part), part)
+                    )
+                    for part in parts
+                )
+                allowed = EXPOSURE * requests + 50
+                self.assertLessEqual(sent * requests / 1000, allowed / 2)
+
+
 class StepTest(unittest.TestCase):
     """Guard against moves that end late, end twice or resume after their end."""
 
     def test_first_step_is_written_at_once(self):
         step = decide(0.0, step=None)
         self.assertIs(step.state, MoveState.RUNNING)
-        self.assertAlmostEqual(step.share, 0.02)
+        self.assertAlmostEqual(step.share, 0.04)
 
     def test_unchanged_step_is_renewed_only_after_a_tenth_of_the_duration(self):
         self.assertIsNone(decide(8.9))
@@ -76,6 +115,34 @@
             self.assertEqual(step.share, 0.0)
             self.assertTrue(step.reason)
 
+    def test_small_changes_of_the_share_are_not_written(self):
+        """Estimates of the traffic vary, and each step is a call to the store."""
+        slack = ExposureLimit(EXPOSURE, 50.0)
+        step = MoveStep("engine", "v2", 5, MoveState.RUNNING, 0.09, 6.0)
+        for answers in (70, 130, 400, 130, 70):
+            observation = build_observation(6.5, old_answers=answers, new_answers=8)
+            self.assertIsNone(decide_step(ORDER, step, observation, slack))
+
+    def test_switch_is_written_whatever_the_share_before(self):
+        step = MoveStep("engine", "v2", 5, MoveState.RUNNING, 0.9, 20.0)
+        self.assertEqual(decide(21.1, step=step).share, 1.0)
+
+    def test_switch_waits_until_answers_of_the_new_version_are_known(self):
+        """A version that never answers would get all requests."""
+        waiting = decide(21.1, new_answers=11)
+        self.assertAlmostEqual(waiting.share, 0.2)
+        self.assertIsNone(decide(23.9, step=waiting, new_answers=11, old_requests=0))
+        self.assertEqual(decide(24.0, step=waiting, new_answers=12).share, 1.0)
+        ended = decide(27.0, step=waiting, new_answers=11)
+        self.assertIs(ended.state, MoveState.ROLLED_BACK)
+        self.assertIn("too few answers", ended.reason)
+
+    def test_move_of_a_service_with_few_requests_does_not_wait(self):
+        for old, new in ((0, 0), (50, 2), (400, 9)):
+            with self.subTest(old=old, new=new):
+                step = decide(21.1, old_answers=old, new_answers=new)
+                self.assertEqual(step.share, 1.0)
+
     def test_missing_targets_do_not_end_the_move_early(self):
         self.assertIs(decide(9.0, new_targets=0).state, MoveState.RUNNING)
 
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -160,13 +160,14 @@
         generator = random.Random(3)
         ledger = ShareLedger(96)
         ledger.assign(frozenset(range(96)))
-        moves = VersionMoves(0.1)
+        self.moves = VersionMoves(0.1)
+        self.tallies = AnswerTallies(self.moves, self.targets, incarnation=1)
         bounds = LoadBounds(self.targets, 2.0)
         sender = TargetSender(
             self.client,
             codec,
             build_prompt_directory(self.targets),
-            AnswerTallies(moves, self.targets, incarnation=1),
+            self.tallies,
             RouteLatencies(),
             LoadMonitor(bounds, self.metrics),
             self.clock,
@@ -174,7 +175,7 @@
             lambda: None,
         )
         selector = TargetSelector(
-            self.targets, ColdPacer(ledger), moves, bounds, generator
+            self.targets, ColdPacer(ledger), self.moves, bounds, generator
         )
         forwarder = Forwarder(
             sender, selector, self.clock, lambda service: self.budget, self.metrics
@@ -235,7 +236,7 @@
 
 
 def build_target(
-    target_id: str, address: str, *, draining: bool = False
+    target_id: str, address: str, *, draining: bool = False, version: str = "v1"
 ) -> TargetEntry:
     """Return the entry of a target of the service ``stock``."""
     return TargetEntry(
@@ -243,7 +244,7 @@
         service="stock",
         address=address,
         data_centre="dc-1",
-        version="v1",
+        version=version,
         slots=6,
         draining=draining,
         cold_seconds=0.0,
