Log the parts of a prompt and how much of an answer came before it broke off

attempt_failed has the fields parts (those that other requests may share) and progress (waiting, begun, streaming); broken_answers_total counts answers that broke off by progress. No decision changes.

Ruled out: a label of the metric for the part, since its values have no bound.

--- a/carobladder/forwarding/attempts.py
+++ b/carobladder/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """Open responses and their effect on the recorded health of a target."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from http import HTTPStatus
 
 from carobladder.clients.http import AnswerStream
@@ -9,13 +10,21 @@
 from carobladder.forwarding.outcomes import SendOutcome
 from carobladder.telemetry import TargetSuspected, TargetTrusted, emit
 
-__all__ = ["OpenCall", "suspect_target"]
+__all__ = ["AnswerProgress", "OpenCall", "suspect_target"]
 
 
 # Gaps between the first events of a stream from which its pace is known.
 _PACE_GAPS = 4
 
 
+class AnswerProgress(StrEnum):
+    """How much of the answer to an attempt has come from the target."""
+
+    WAITING = "waiting"
+    BEGUN = "begun"
+    STREAMING = "streaming"
+
+
 @dataclass(slots=True)
 class OpenCall:
     """Response of one attempt, whose body may still be arriving.
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -20,7 +20,7 @@
     SelectionCriteria,
     TargetSelector,
 )
-from carobladder.forwarding.attempts import OpenCall
+from carobladder.forwarding.attempts import AnswerProgress, OpenCall
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.headers import Headers
 from carobladder.retries import RetryBudget
@@ -41,6 +41,8 @@
 # objective, and the interval in which loads are looked at.
 _MAX_LOAD_WAIT_FRACTION = 0.5
 _LOAD_POLL_SECONDS = 0.02
+# Limits the parts of a prompt in a log line.
+_MAX_LOGGED_PARTS = 8
 # Statuses that imply that the request was not run. Unless the target also states this
 # in its own header, the request may have run, and the caller of a request that may run
 # only once must not receive them.
@@ -148,13 +150,19 @@
         """Record a failed attempt; raise CallerError unless the call may be retried."""
         self._tried_ids.add(target.target_id)
         denial_reason = self._find_denial_reason(error.request_written, resumable)
-        self._forwarder.metrics.count_failed_attempt(denial_reason or "sent again")
+        progress = self._read_progress()
+        metrics = self._forwarder.metrics
+        metrics.count_failed_attempt(denial_reason or "sent again")
+        if error.request_written and not isinstance(error, TargetRefusedError):
+            metrics.count_broken_answer(progress)
         emit(
             AttemptFailed(
                 request_id=self._call.facts.request_id,
                 target=target.target_id,
                 sends=self._send_count,
                 written=error.request_written,
+                progress=progress,
+                parts=self._format_parts(),
                 why=str(error),
                 decision=denial_reason or "send again",
             )
@@ -162,6 +170,18 @@
         if denial_reason is not None:
             raise self._build_final_error(f"{error}; not sent again: {denial_reason}")
 
+    def _read_progress(self) -> AnswerProgress:
+        """Return how much of the answer to the newest send has come."""
+        if self._opened is None:
+            return AnswerProgress.WAITING
+        if self._relayed_from is self._opened.target:
+            return AnswerProgress.STREAMING
+        return AnswerProgress.BEGUN
+
+    def _format_parts(self) -> str:
+        parts = self._call.facts.shared_parts[:_MAX_LOGGED_PARTS]
+        return ",".join(part.part_id for part in parts)
+
     def _accept_response(self, opened: OpenCall) -> bool:
         """Return whether to relay the response; otherwise the call is retried.
 
@@ -187,6 +207,7 @@
     async def _send(self, target: FleetTarget, extra_headers: Headers) -> OpenCall:
         call, sender = self._call, self._forwarder.sender
         self._send_count += 1
+        self._opened = None
         timeout_seconds = self.remaining_seconds
         if call.route.may_repeat and self.possible_runs + 1 < call.route.attempts:
             timeout_seconds = min(
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -58,14 +58,17 @@
 class AttemptFailed(Event):
     """An attempt gave no answer for the caller.
 
-    ``written`` tells whether the target may have run it; ``decision`` is "send
-    again" or why that is not done.
+    ``written`` tells whether the target may have run it, ``progress`` how much of the
+    answer had come, and ``parts`` the parts of the prompt that other requests may
+    share; ``decision`` is "send again" or why that is not done.
     """
 
     request_id: str
     target: str
     sends: int
     written: bool
+    progress: str
+    parts: str
     why: str
     decision: str
 
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -64,6 +64,7 @@
         self._refusals = self._build_counter("refusals", "reason")
         self._failed_attempts = self._build_counter("failed_attempts", "decision")
         self._broken_streams = self._build_counter("broken_streams", "reason")
+        self._broken_answers = self._build_counter("broken_answers", "progress")
 
     @property
     def content_type(self) -> str:
@@ -128,6 +129,10 @@
         """Count a failed attempt by the retry decision that followed."""
         self._failed_attempts.labels(decision).inc()
 
+    def count_broken_answer(self, progress: str) -> None:
+        """Count an answer of a target that broke off, by how much of it had come."""
+        self._broken_answers.labels(progress).inc()
+
     def count_broken_stream(self, reason: str) -> None:
         """Count a stream that was aborted."""
         self._broken_streams.labels(reason).inc()
