Quarantine parts of prompts that crash each target that begins to answer them

Cause: the end of a target was seen as a fault of the target alone, and the next request with the part went to the next one. Instances told each other about targets only, so none saw more than a few of the ends. The class of the fault: a failure that follows the work is attributed to the worker.

Change: when a target ends, instances share the parts of the requests that it was answering. A whole answer refutes all earlier evidence against its parts, so hot sound parts are cleared between two crashes; targets that end together count once, so that a power loss says nothing. A part with three crashes is refused with the time to come back, kept in the store over restarts, and tried with one request after 15 s, 60 s and so on. A repeat that could cost another target is not sent.

Ruled out: decisions of each instance alone (an instance of six sees one crash in two, one of 195 next to none); keys of leading parts, which differ when the guilty part stands behind different ones; a ban for good.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -365,4 +365,5 @@
         return kind(
             f"{self.address}: {reason}; try another target",
             request_written=self.request_written,
+            answer_started=self.answer_started,
         )
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -34,6 +34,7 @@
 # of them that one body may take.
 _MAX_BUFFERED_BYTES = 67_108_864
 _MAX_ANSWER_FRACTION = 0.5
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
@@ -54,6 +55,11 @@
         self._connection: ClientConnection | None = connection
         connection.idle_seconds = _read_idle_seconds(self.headers)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection tells the end of the body."""
+        return not any(name in _FRAMING_HEADERS for name, _ in self.headers)
+
     async def __aenter__(self) -> Self:
         """Return the stream itself."""
         return self
--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -17,6 +17,7 @@
 from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prober import TargetProber
 from carobladder.entry.prompts import PromptDirectory
+from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
 from carobladder.entry.shares import SHARE_PARTITIONS, ShareMembership
 from carobladder.entry.versions import VersionMoveController
 from carobladder.fleet import (
@@ -37,6 +38,7 @@
     VersionMoves,
 )
 from carobladder.forwarding import (
+    CrashWatch,
     Forwarder,
     ForwardHandler,
     LoadMonitor,
@@ -58,6 +60,7 @@
     TARGETS_TOPIC,
 )
 from carobladder.platform.store import KeyedTopic, PlatformStore
+from carobladder.quarantine import PartQuarantine
 from carobladder.routing import CallerLimits
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import ForwardMetrics, GatewayMetrics
@@ -94,6 +97,8 @@
     share_membership: ShareMembership
     exchange: PeerExchange
     prober: TargetProber
+    quarantine: PartQuarantine
+    quarantine_keeper: QuarantineKeeper
     move_controller: VersionMoveController
     fence: FenceMonitor
     metrics: ForwardMetrics
@@ -141,6 +146,15 @@
         self._prompt_directory = PromptDirectory(
             self._targets, self._peers, clock, self._generator
         )
+        self._quarantine = PartQuarantine(
+            lambda key: self._peers.find_owners(key, 1) == [settings.instance]
+        )
+        self._quarantine_keeper = QuarantineKeeper(
+            self._quarantine,
+            KeyedTopic(self._store, INSTANCES_TOPIC),
+            self._peers,
+            clock,
+        )
         self._reader_role = ReaderRole(self._ledger, self._peers.count_peers)
         self._metrics = ForwardMetrics()
         self._server_metrics = GatewayMetrics()
@@ -194,6 +208,8 @@
             share_membership=self._build_share_membership(),
             exchange=exchange,
             prober=TargetProber(self._targets, self._client, clock),
+            quarantine=self._quarantine,
+            quarantine_keeper=self._quarantine_keeper,
             move_controller=move_controller,
             fence=FenceMonitor(
                 operator_follower.freshness, self._revocation_seconds, clock
@@ -237,6 +253,7 @@
                 self._prompt_directory,
                 FailureGossip(self._targets, self._generator),
                 InFlightGossip(self._targets),
+                QuarantineSharing(self._quarantine, self._clock),
             ),
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._reader_role.is_held,
@@ -281,12 +298,16 @@
         )
 
     def _build_instances_follower(self) -> TopicFollower:
+        def apply_record(record: KeyedRecord) -> None:
+            if not self._quarantine_keeper.apply_record(record):
+                self._peers.apply_record(record)
+
         return TopicFollower(
             "instances",
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._clock,
             build_instances_policy(),
-            self._peers.apply_record,
+            apply_record,
             lambda outage_seconds: None,
             self._generator,
             self._reader_role.is_held,
@@ -313,7 +334,12 @@
             exchange.report_sent_request,
         )
         forwarder = Forwarder(
-            sender, selector, self._clock, budgets.find, self._metrics
+            sender,
+            selector,
+            self._clock,
+            budgets.find,
+            self._metrics,
+            CrashWatch(self._quarantine, self._client, self._clock),
         )
         handler = ForwardHandler(
             forwarder,
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -13,6 +13,7 @@
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.peers import Peer, PeerDirectory
 from carobladder.entry.prompts import PromptDirectory
+from carobladder.entry.quarantine import QuarantineSharing
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
     FailureGossip,
@@ -32,6 +33,7 @@
     pack_run,
     unpack_run,
 )
+from carobladder.quarantine import QuarantineNews
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import InstanceNotAnnounced, emit
 
@@ -46,6 +48,8 @@
 _GOSSIP_FANOUT = 2
 # Receivers of an immediate report of a silent target; each forwards it to as many.
 _FAILURE_REPORT_FANOUT = 4
+# Receivers of news about the quarantine in a large fleet.
+_NEWS_FANOUT = 4
 # Limits the immediate queries for records that another instance has.
 _MIN_QUERY_INTERVAL_SECONDS = 0.03
 # The oldest queries are dropped beyond this; answers to them are ignored.
@@ -70,6 +74,7 @@
     prompts: PromptDirectory
     failures: FailureGossip
     in_flight: InFlightGossip
+    quarantine: QuarantineSharing
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -95,6 +100,7 @@
         self._directory = directory
         self._shared = shared
         shared.prompts.set_sender(self._send_to)
+        shared.quarantine.set_sender(self._spread_news)
         self._topic = topic
         self._is_reader = is_reader
         self._clock = clock
@@ -137,6 +143,7 @@
         finally:
             if self._report_timer is not None:
                 self._report_timer.cancel()
+            self._shared.quarantine.stop()
             self._transport = None
             transport.close()
 
@@ -169,6 +176,7 @@
         self._shared.loads.take(message.reports, self._clock.monotonic())
         if self._shared.failures.take(message.failures, self._clock.monotonic()):
             self._send_failure_reports()
+        self._shared.quarantine.take_holds(message.holds)
         if message.in_flight is not None:
             self._handle(message.in_flight, peer)
         if message.question:
@@ -200,6 +208,10 @@
     def _(self, message: InFlightReport, peer: Peer) -> None:
         self._shared.in_flight.take(peer.name, message, self._clock.monotonic())
 
+    @_handle.register
+    def _(self, message: QuarantineNews, peer: Peer) -> None:
+        self._shared.quarantine.take(message)
+
     def _choose_interval(self) -> float:
         interval_seconds = self._directory.count_peers() * _INTERVAL_SECONDS_PER_PEER
         return min(_MAX_INTERVAL_SECONDS, max(_MIN_INTERVAL_SECONDS, interval_seconds))
@@ -226,14 +238,13 @@
             reports = self._shared.loads.collect(self._clock.monotonic())
         for index, peer in enumerate(receivers):
             query_number = self._register_query() if index < asked_peers else 0
-            message = self._build_gossip(query_number, reports)
-            failures = self._shared.failures.collect(self._clock.monotonic())
-            self._send(
-                msgspec.structs.replace(
-                    message, failures=failures, in_flight=in_flight
-                ),
-                peer,
+            message = msgspec.structs.replace(
+                self._build_gossip(query_number, reports),
+                failures=self._shared.failures.collect(self._clock.monotonic()),
+                in_flight=in_flight,
+                holds=self._shared.quarantine.collect_holds(),
             )
+            self._send(message, peer)
 
     def report_sent_request(self) -> None:
         """Report shortly to all others what this instance has in flight."""
@@ -269,6 +280,14 @@
             message = self._build_gossip()
             self._send(msgspec.structs.replace(message, failures=failures), peer)
 
+    def _spread_news(self, news: QuarantineNews) -> None:
+        """Send news to all others of a small fleet, else to some, who pass them on."""
+        peers = self._directory.list_peers()
+        if not self._is_small_fleet():
+            peers = self._generator.sample(peers, _NEWS_FANOUT)
+        for peer in peers:
+            self._send(news, peer)
+
     def _query_missing_records(self, peer: Peer) -> None:
         """Ask an instance for records that are missing here."""
         if self._clock.boottime() - self._last_query_at < _MIN_QUERY_INTERVAL_SECONDS:
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -137,6 +137,7 @@
             parts.share_membership.run(),
             parts.exchange.run(),
             parts.prober.run(),
+            parts.quarantine_keeper.run(),
             parts.move_controller.run(),
             self._run_housekeeping(),
         ]
--- a/carobladder/entry/status.py
+++ b/carobladder/entry/status.py
@@ -71,6 +71,11 @@
         lambda: parts.exchange.dropped,
     )
     add("targets", "Registered targets", lambda: len(parts.targets))
+    add(
+        "quarantined_parts",
+        "Parts of prompts whose requests are refused, since they crash targets",
+        parts.quarantine.count_held,
+    )
     add("fleet_share", "Held part of sums", lambda: parts.ledger.share)
     add("ready", "Whether callers may be sent here", lambda: float(is_ready()))
 
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -34,6 +34,7 @@
     "Outcome",
     "OutcomeUnknownError",
     "PeerMessageError",
+    "PromptQuarantinedError",
     "RecordVersionError",
     "RequestTimeoutError",
     "RequestWithheldError",
@@ -106,7 +107,16 @@
 
 
 class ConnectionBrokenError(TargetError):
-    """Report a connection to a target that failed or closed too early."""
+    """Report a connection to a target that failed or closed too early.
+
+    ``answer_started`` is true if a byte of the answer had arrived.
+    """
+
+    def __init__(
+        self, message: str, request_written: bool, answer_started: bool = False
+    ) -> None:
+        super().__init__(message, request_written)
+        self.answer_started = answer_started
 
 
 class AnswerOverdueError(ConnectionBrokenError):
@@ -252,6 +262,15 @@
     code = "targets_paused"
 
 
+class PromptQuarantinedError(NotReadyError):
+    """Report a prompt with a part that has crashed the targets that answered it.
+
+    ``retry_after_seconds`` is the time until a request with the part may be tried.
+    """
+
+    code = "prompt_quarantined"
+
+
 class DeadlineExceededError(CallerError):
     """Report a request whose deadline passed before it was started."""
 
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -11,6 +11,7 @@
 from carobladder.fleet.inflight import InFlightReport
 from carobladder.fleet.loads import LoadReport, is_usable_report
 from carobladder.fleet.records import KeyedRecord, RecordRun
+from carobladder.quarantine import HoldReport, QuarantineNews
 
 __all__ = [
     "HolderQuery",
@@ -66,7 +67,8 @@
     ``ends`` are the offsets after the last known records of the followed topics, in
     their fixed order, or 0 if none is known. ``question`` is the number of a request
     for a ``PeerReply``, or 0 for none. ``failures`` reports unresponsive targets.
-    ``in_flight`` is None in large fleets.
+    ``in_flight`` is None in large fleets. ``holds`` are the parts of prompts in
+    quarantine, for instances that have just started.
     """
 
     question: int
@@ -75,6 +77,7 @@
     ends: list[int]
     failures: list[FailureReport] = []
     in_flight: InFlightReport | None = None
+    holds: list[HoldReport] = []
 
 
 class PeerReply(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
@@ -110,7 +113,9 @@
     holder_tags: list[int]
 
 
-PeerMessage = PeerStatus | PeerReply | HolderQuery | HolderReply | InFlightReport
+PeerMessage = (
+    PeerStatus | PeerReply | HolderQuery | HolderReply | InFlightReport | QuarantineNews
+)
 
 
 class _Envelope(msgspec.Struct, array_like=True, frozen=True):
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from carobladder.forwarding import (
     attempts,
     calls,
+    crashwatch,
     handler,
     loadmonitor,
     outcomes,
@@ -11,6 +12,7 @@
 )
 from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
+from carobladder.forwarding.crashwatch import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.loadmonitor import *  # noqa: F403
 from carobladder.forwarding.outcomes import *  # noqa: F403
@@ -20,6 +22,7 @@
 __all__ = [
     *attempts.__all__,
     *calls.__all__,
+    *crashwatch.__all__,
     *handler.__all__,
     *loadmonitor.__all__,
     *outcomes.__all__,
--- a/carobladder/forwarding/attempts.py
+++ b/carobladder/forwarding/attempts.py
@@ -15,6 +15,8 @@
 
 # Gaps between the first events of a stream from which its pace is known.
 _PACE_GAPS = 4
+# A stream that has sent events for this long is not what ends its target.
+_SOUND_SECONDS = 1.0
 
 
 class AnswerProgress(StrEnum):
@@ -63,6 +65,12 @@
         elif self._event_count == 1 + _PACE_GAPS:
             self.outcome.note_pace((now - self._first_event_at) / _PACE_GAPS)
 
+    def has_gone_on(self) -> bool:
+        """Return whether the stream has sent several events over some time."""
+        if self._event_count <= _PACE_GAPS:
+            return False
+        return self.clock.monotonic() - self._first_event_at >= _SOUND_SECONDS
+
     def close(self, *, failed: bool = False) -> None:
         """Close the response and update the target's health; do nothing if closed."""
         self.answer.close()
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -6,9 +6,12 @@
 
 from carobladder.clock import Clock
 from carobladder.exceptions import (
+    AnswerOverdueError,
     AnswerTimeoutError,
     CallerError,
+    ConnectionBrokenError,
     NoTargetError,
+    PromptQuarantinedError,
     TargetError,
     TargetFailedError,
     TargetRefusedError,
@@ -21,8 +24,10 @@
     TargetSelector,
 )
 from carobladder.forwarding.attempts import AnswerProgress, OpenCall
+from carobladder.forwarding.crashwatch import CrashWatch
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.headers import Headers
+from carobladder.quarantine import compute_part_tags
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import (
     AttemptFailed,
@@ -58,6 +63,7 @@
     clock: Clock
     find_budget: Callable[[str], RetryBudget]
     metrics: ForwardMetrics
+    crashes: CrashWatch
 
     def start(self, call: ForwardedCall) -> "CallSession":
         """Return the session of a new call without sending anything yet."""
@@ -83,6 +89,12 @@
         self._tried_ids: set[str] = set()
         # Tried targets that sent an error response of their own.
         self._failed_response_ids: set[str] = set()
+        # The last part of a prompt is its own, so other requests cannot have it.
+        self._parts = call.facts.prompt[:-1]
+        self._part_tags = compute_part_tags(
+            call.service.name, (part.part_id for part in self._parts)
+        )
+        self._is_trial = False
 
     @property
     def may_have_run(self) -> bool:
@@ -101,6 +113,7 @@
         """
         await self._wait_for_load()
         while True:
+            self._check_quarantine()
             target = self._choose_target()
             try:
                 opened = await self._send(target, extra_headers)
@@ -135,6 +148,18 @@
                 opened.close()
             return opened, body
 
+    def note_whole_answer(self) -> None:
+        """Record that the caller got the whole answer of a target."""
+        opened, crashes = self._opened, self._forwarder.crashes
+        if opened is None or not self._part_tags:
+            return
+        if opened.answer.status >= HTTPStatus.MULTIPLE_CHOICES:
+            return
+        if opened.answer.ends_with_connection:
+            crashes.note_unframed(opened.target, self._part_tags)
+        else:
+            crashes.note_sound(self._part_tags)
+
     def note_relayed(self, target: FleetTarget) -> None:
         """Record that the caller received a part of the response from this target."""
         self._relayed_from = target
@@ -149,7 +174,10 @@
     ) -> None:
         """Record a failed attempt; raise CallerError unless the call may be retried."""
         self._tried_ids.add(target.target_id)
+        is_suspect = self._note_broken_answer(target, error)
         denial_reason = self._find_denial_reason(error.request_written, resumable)
+        if denial_reason is None and is_suspect and not self._may_repeat(target):
+            denial_reason = "a part of its prompt may crash targets"
         progress = self._read_progress()
         metrics = self._forwarder.metrics
         metrics.count_failed_attempt(denial_reason or "sent again")
@@ -170,6 +198,45 @@
         if denial_reason is not None:
             raise self._build_final_error(f"{error}; not sent again: {denial_reason}")
 
+    def _check_quarantine(self) -> None:
+        """Raise CallerError if a part of the prompt is in quarantine."""
+        if self._is_trial or not self._part_tags:
+            return
+        decision = self._forwarder.crashes.decide(self._part_tags)
+        self._is_trial = decision.is_trial
+        if decision.held_index is None:
+            return
+        part_id = self._parts[decision.held_index].part_id
+        reason = f"part {part_id} of the prompt crashes targets"
+        if self.may_have_run:
+            raise self._build_final_error(reason)
+        raise PromptQuarantinedError(
+            f"the call was not run: {reason}", decision.retry_seconds
+        )
+
+    def _note_broken_answer(self, target: FleetTarget, error: TargetError) -> bool:
+        """Record an answer that broke off; return whether it may end its target.
+
+        Only a request whose answer had begun and had not gone on may do so.
+        """
+        if not (self._part_tags and isinstance(error, ConnectionBrokenError)):
+            return False
+        if isinstance(error, AnswerOverdueError) or not error.request_written:
+            return False
+        crashes, opened = self._forwarder.crashes, self._opened
+        if opened is not None and opened.has_gone_on():
+            crashes.note_sound(self._part_tags)
+            return False
+        begun = opened is not None or error.answer_started
+        crashes.note_broken(target, self._part_tags, begun=begun)
+        if self._is_trial:
+            crashes.note_failed_trial(self._part_tags)
+        return begun
+
+    def _may_repeat(self, target: FleetTarget) -> bool:
+        crashes = self._forwarder.crashes
+        return not self._is_trial and crashes.may_repeat(self._part_tags, target)
+
     def _read_progress(self) -> AnswerProgress:
         """Return how much of the answer to the newest send has come."""
         if self._opened is None:
@@ -229,7 +296,9 @@
         return opened
 
     def _mark_write_started(self) -> bool:
-        """Record that the request is about to be written."""
+        """Record that the request is about to be written, unless it must not be."""
+        if not self._is_trial and self._forwarder.crashes.is_held(self._part_tags):
+            return False
         self._outcome_pending = True
         return True
 
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -239,6 +239,7 @@
     ) -> None:
         opened, body = await session.fetch()
         answer = opened.answer
+        session.note_whole_answer()
         self._log_response(call, request, answer.status, opened.target.target_id)
         await responder.send_answer(
             Answer(answer.status, _drop_hop_by_hop_headers(answer.headers), body)
@@ -291,6 +292,7 @@
         if error is not None:
             self._log_broken_stream(call, request, error)
         elif relay.served_by is not None:
+            session.note_whole_answer()
             served_by = relay.served_by.target_id
             self._log_response(call, request, HTTPStatus.OK, served_by)
 
--- a/carobladder/forwarding/refusals.py
+++ b/carobladder/forwarding/refusals.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from carobladder.exceptions import CallerError, TargetsPausedError
+from carobladder.exceptions import (
+    CallerError,
+    PromptQuarantinedError,
+    TargetsPausedError,
+)
 from carobladder.fleet import CallMetadata
 from carobladder.gateway.ports import Answer
 from carobladder.gateway.problems import encode_error
@@ -15,6 +19,8 @@
 _DEFAULT_RETRY_SECONDS = 0.3
 # Upper bound of the retry delay, as a fraction of the caller's remaining time.
 _MAX_RETRY_FRACTION = 0.3
+# Errors whose time is known; an earlier retry would be refused too.
+_KNOWN_TIME_ERRORS = (PromptQuarantinedError, TargetsPausedError)
 _RETRYABLE_STATUSES = frozenset(
     {HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS}
 )
@@ -58,7 +64,7 @@
     ) -> float:
         seconds = error.retry_after_seconds or _DEFAULT_RETRY_SECONDS
         seconds *= 1.0 + self._generator.random()
-        if facts.time_left_seconds is None or isinstance(error, TargetsPausedError):
+        if facts.time_left_seconds is None or isinstance(error, _KNOWN_TIME_ERRORS):
             return seconds
         remaining_seconds = max(0.0, facts.time_left_seconds - elapsed_seconds)
         return min(seconds, remaining_seconds * _MAX_RETRY_FRACTION)
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -7,9 +7,14 @@
 from carobladder.telemetry.events.base import Event
 
 __all__ = [
+    "PartQuarantined",
+    "PartReleased",
+    "PartTried",
+    "QuarantineNotStored",
     "TargetAboveLoadBound",
     "TargetChanged",
     "TargetChecked",
+    "TargetCrashed",
     "TargetDoubted",
     "TargetEntryUnreadable",
     "TargetGone",
@@ -138,3 +143,53 @@
     reachable: bool
 
     limited: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCrashed(Event):
+    """A target ended while it answered requests.
+
+    ``begun`` and ``waiting`` are the numbers of different parts in the prompts of the
+    requests whose answer had begun and of those without a byte of an answer.
+    """
+
+    target: str
+    begun: int
+    waiting: int
+
+
+@dataclass(frozen=True, slots=True)
+class PartQuarantined(Event):
+    """A part of prompts crashes targets; requests with it are refused.
+
+    ``times`` counts the quarantines in a row; ``seconds`` is the time until one request
+    is tried.
+    """
+
+    level: ClassVar[int] = logging.WARNING
+
+    part: str
+    times: int
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class PartTried(Event):
+    """One request with a part in quarantine is sent, to see if it still crashes."""
+
+    part: str
+
+
+@dataclass(frozen=True, slots=True)
+class PartReleased(Event):
+    """A target has served a part in quarantine; requests with it are sent again."""
+
+    part: str
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineNotStored(Event):
+    """A record of the quarantine could not be written and is tried again."""
+
+    part: str
+    why: str
--- a/tests/entry/crash_simulation.py
+++ b/tests/entry/crash_simulation.py
@@ -156,6 +156,8 @@
             while True:
                 request = await reader.readuntil(b"\r\n\r\n")
                 await self._answer(request, writer)
+                if writer.is_closing():
+                    return
         writer.close()
 
     async def _answer(self, request: bytes, writer) -> None:
@@ -168,23 +170,31 @@
         for part in parts:
             self._simulation.note_arrival(part)
         await asyncio.sleep(_PREFILL_SECONDS)
-        writer.write(build_stream_head(request))
+        is_framed = self._simulation.is_framed
+        head = build_stream_head(request)
+        if not is_framed:
+            head = head.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        writer.write(head)
         if parts:
             await asyncio.sleep(_CRASH_SECONDS)
             self._simulation.note_crash(parts[0])
             self.crash()
         first = int(read_header(request, "last-event-id") or 0) + 1
         for number in range(first, EVENTS + 1):
-            writer.write(encode_chunk(encode_event(number)))
+            event = encode_event(number)
+            writer.write(encode_chunk(event) if is_framed else event)
             await asyncio.sleep(_EVENT_SECONDS)
-        writer.write(encode_chunk(b""))
+        if is_framed:
+            writer.write(encode_chunk(b""))
+        else:
+            writer.close()
 
 
 class CrashSimulation:
     """Fleet of instances, its store, engines and callers over loopback.
 
     It runs in the virtual time of its loop. ``bad_parts`` are the parts that crash
-    engines.
+    engines. Without ``is_framed``, answers end with their connections.
     """
 
     def __init__(
@@ -194,8 +204,10 @@
         *,
         bad_parts: Collection[str] = (),
         resumable: bool = False,
+        is_framed: bool = True,
         seed: int = 1,
     ) -> None:
+        self.is_framed = is_framed
         self.clock = LoopClock(asyncio.get_running_loop())
         self.state = StoreState()
         self.seen = Observations()
@@ -269,6 +281,16 @@
             await self._instances[name].parts.server.close()
             self.start_instance(name)
 
+    def cut_power(self) -> None:
+        """End all engines at once."""
+        for engine in self.engines:
+            engine.crash()
+
+    def count_held(self) -> int:
+        """Return the number of parts that any instance has in quarantine."""
+        quarantines = [i.parts.quarantine for i in self._instances.values()]
+        return max(quarantine.count_held() for quarantine in quarantines)
+
     def spawn(self, coroutine) -> None:
         """Run a coroutine until the end of the simulation."""
         task = asyncio.create_task(coroutine)
--- a/tests/entry/test_crashing_parts.py
+++ b/tests/entry/test_crashing_parts.py
@@ -67,3 +67,52 @@
                 late_arrivals = seen.count_late_arrivals(part)
                 self.assertLessEqual(late_arrivals, MAX_LATE_ARRIVALS)
                 self.check_sound_requests_are_served(seen, "a")
+
+    def test_quarantine_outlives_a_restart_of_all_instances(self):
+        """What only processes know is lost with them, and targets would crash anew."""
+
+        async def restart(simulation: CrashSimulation) -> None:
+            await simulation.run(CALM_SECONDS, sound=SOUND_PER_SECOND)
+            rates = {"sound": SOUND_PER_SECOND, "bad": BAD_PER_SECOND}
+            await simulation.run(6.0, **rates)
+            await simulation.restart_instances()
+            await simulation.run(8.0, **rates)
+
+        seen = self.simulate(restart, bad_parts=[SECOND_OF_THREE], seed=2)
+        crashes = [crash.at for crash in seen.crashes]
+        restarted_at = seen.sound[0].sent_at + CALM_SECONDS + 6.0
+        self.assertGreaterEqual(len(crashes), 3)
+        self.assertEqual([at for at in crashes if at > restarted_at], [])
+        self.check_sound_requests_are_served(seen, "a")
+
+    def test_two_parts_at_a_time_are_found(self):
+        parts = [FIRST_OF_THREE, SECOND_OF_THREE]
+        seen = self.simulate(self.send_bad_requests, bad_parts=parts, seed=2)
+        for part in parts:
+            self.assertLessEqual(seen.count_late_arrivals(part), MAX_LATE_ARRIVALS)
+        self.check_sound_requests_are_served(seen, "a")
+
+    def test_answers_that_end_with_their_connection_are_evidence_too(self):
+        seen = self.simulate(
+            self.send_bad_requests, bad_parts=[SECOND_OF_THREE], is_framed=False
+        )
+        self.assertGreaterEqual(len(seen.crashes), 3)
+        late_arrivals = seen.count_late_arrivals(SECOND_OF_THREE)
+        self.assertLessEqual(late_arrivals, MAX_LATE_ARRIVALS)
+        self.check_sound_requests_are_served(seen, "a")
+
+    def test_targets_that_lose_power_together_hold_no_part(self):
+        """A flood of crashes with another cause must not hold sound requests back."""
+        held = []
+
+        async def cut_power(simulation: CrashSimulation) -> None:
+            await simulation.run(CALM_SECONDS, sound=SOUND_PER_SECOND)
+            for _ in range(4):
+                simulation.cut_power()
+                await simulation.run(5.0, sound=SOUND_PER_SECOND)
+                held.append(simulation.count_held())
+
+        seen = self.simulate(cut_power)
+        self.assertEqual(held, [0, 0, 0, 0])
+        end = seen.sound[-1].sent_at
+        self.assertGreater(seen.compute_begun_share(end - 2.0, end - 0.5), 0.95)
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -6,6 +6,7 @@
 from carobladder.entry.exchange import SharedState
 from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prompts import PromptDirectory
+from carobladder.entry.quarantine import QuarantineSharing
 from carobladder.fleet import (
     FailureGossip,
     FleetTarget,
@@ -14,6 +15,7 @@
     TargetEntry,
     TargetTable,
 )
+from carobladder.quarantine import PartQuarantine
 from carobladder.routing import Service
 
 ENGINES = Service("engine", cold_per_second=18.0, batch_slots=128)
@@ -62,4 +64,5 @@
         build_prompt_directory(table, peers),
         FailureGossip(table, random.Random(1)),
         InFlightGossip(table),
+        QuarantineSharing(PartQuarantine(lambda key: False), SystemClock()),
     )
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -20,6 +20,7 @@
 )
 from carobladder.forwarding import (
     ConfigurationAgeLimits,
+    CrashWatch,
     Forwarder,
     ForwardHandler,
     LoadMonitor,
@@ -28,6 +29,7 @@
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.platform.exchanges import PlatformCodec
+from carobladder.quarantine import PartQuarantine
 from carobladder.retries import RetryBudget
 from carobladder.routing import (
     Configuration,
@@ -156,6 +158,7 @@
         self.metrics = ForwardMetrics()
         self.budget = RetryBudget(0.2, 0.0, burst=10.0)
         self.client = HttpClient(self.clock, connect_timeout_seconds=0.3)
+        self.quarantine = PartQuarantine(lambda key: True)
         codec = PlatformCodec()
         generator = random.Random(3)
         ledger = ShareLedger(96)
@@ -178,7 +181,12 @@
             self.targets, ColdPacer(ledger), self.moves, bounds, generator
         )
         forwarder = Forwarder(
-            sender, selector, self.clock, lambda service: self.budget, self.metrics
+            sender,
+            selector,
+            self.clock,
+            lambda service: self.budget,
+            self.metrics,
+            CrashWatch(self.quarantine, self.client, self.clock),
         )
         handler = ForwardHandler(
             forwarder,
