Take no error of a target for events, and no unnamed refusal for the present one

The relay looked at the content type of an answer, not at its status: an error with the type of a stream was sent to the caller with the status 200, or its text was joined to a stream that another target had begun. And a refusal that names no request was believed on a connection that had been in use before, although a faulty target may have written an earlier one again.

Only an answer with status 200 is relayed as a stream; every other one keeps its status, or ends a stream that had begun. A refusal without a request id on a pooled connection promises nothing. On a new one it is believed as before.

Ruled out: an answer whose head is cut (tried before at each byte: an error), and a refusal written again with the id of its request (it is skipped; the test passed before).

Tests that failed before: error_of_the_next_target_is_not_joined_to_a_stream (500, 404, 206), error_with_the_type_of_a_stream_keeps_its_status (500, 404, 418) and refusal_without_an_id_promises_nothing_on_a_kept_connection.

--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -43,7 +43,8 @@
     """Response to one request, whose body is read in chunks.
 
     Leaving the context before the end closes the connection, so that the rest of
-    the response can never reach another request.
+    the response can never reach another request. ``on_kept_connection`` tells whether
+    the request went out on a pooled connection.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
     ) -> None:
         self.status = response.status_code
         self.headers: Headers = _decode_headers(response)
+        self.on_kept_connection = connection.reused
         self._client = client
         self._connection: ClientConnection | None = connection
         connection.idle_seconds = _read_idle_seconds(self.headers)
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -186,7 +186,8 @@
     ) -> AnswerMetadata:
         """Return the facts of the response to this request; skip other responses.
 
-        Raises ConnectionBrokenError for a successful response without a signature.
+        Raises ConnectionBrokenError for a successful response without a signature, and
+        for a refusal that may be that of an earlier request on the connection.
         """
         codec, request_id = self.codec, call.facts.request_id
         facts = codec.read_answer(answer.status, answer.headers)
@@ -198,6 +199,12 @@
             )
             await answer.skip_to_next(deadline)
             facts = codec.read_answer(answer.status, answer.headers)
+        if facts.not_run and not facts.request_id and answer.on_kept_connection:
+            answer.close()
+            raise ConnectionBrokenError(
+                "the refusal names no request and may be that of an earlier one",
+                request_written=True,
+            )
         if answer.status < HTTPStatus.MULTIPLE_CHOICES and not (
             facts.signed and facts.request_id
         ):
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import Generic, Protocol, TypeVar
 
 from carobladder.clients.http import AnswerStream
@@ -173,7 +174,7 @@
         return ((LAST_EVENT_HEADER, str(last_index)),)
 
     async def _relay_answer(self, opened: StreamAttempt[_Target]) -> TargetError | None:
-        if find_content_type(opened.answer.headers).startswith(EVENT_STREAM):
+        if _is_event_stream(opened.answer):
             return await self._relay_events(opened)
         if self._tracker.relayed:
             return _build_broken_error(
@@ -306,5 +307,11 @@
     return "application/octet-stream"
 
 
+def _is_event_stream(answer: AnswerStream) -> bool:
+    """Return whether events may follow; errors can have the same content type."""
+    content_type = find_content_type(answer.headers)
+    return answer.status == HTTPStatus.OK and content_type.startswith(EVENT_STREAM)
+
+
 def _build_broken_error(reason: str) -> ConnectionBrokenError:
     return ConnectionBrokenError(f"{reason}; try another target", request_written=True)
