--- a/tests/entry/crash_simulation.py
+++ b/tests/entry/crash_simulation.py
@@ -41,6 +41,7 @@
 _DEADLINE_SECONDS = 6.0
 _FIRST_PARTS = 4
 _SECOND_PARTS = 12
+_PORT_RANGE = (20_000, 30_000)
 _STARTED_MS = 1_700_000_000_000
 
 
@@ -397,11 +398,26 @@
 
 
 def _find_free_ports(count: int) -> list[int]:
-    """Return ports that are free for TCP and UDP."""
-    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for found in sockets:
-        found.bind(("127.0.0.1", 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
-    return ports
+    """Return ports that are free for TCP and UDP.
+
+    They are outside the range from which the system chooses ports by itself, so that
+    no other socket takes one before it is used.
+    """
+    generator = random.SystemRandom()
+    found: set[int] = set()
+    while len(found) < count:
+        port = generator.randrange(*_PORT_RANGE)
+        if all(
+            _is_free(port, kind) for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+        ):
+            found.add(port)
+    return sorted(found)
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as tried:
+        try:
+            tried.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
