Withhold a trial of a quarantined part that is delayed beyond its time

Cause: an instance that is paused between its decision to try a part and the write would send the trial late, when another instance already makes the next one; each costs a target if the part still crashes them. A permission was checked when it was given and not when it was used.

A trial may be written for 2 s, by the clock that runs on in a suspension. The outcome is awaited for 5 s before another instance may try.

Ruled out: the monotonic clock, which stands still in a suspension.

The test failed before (the request was sent, 200 instead of 503).

--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -27,7 +27,7 @@
 from carobladder.forwarding.crashwatch import CrashWatch
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.headers import Headers
-from carobladder.quarantine import compute_part_tags
+from carobladder.quarantine import QuarantineDecision, compute_part_tags
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import (
     AttemptFailed,
@@ -94,7 +94,7 @@
         self._part_tags = compute_part_tags(
             call.service.name, (part.part_id for part in self._parts)
         )
-        self._is_trial = False
+        self._decision = QuarantineDecision()
 
     @property
     def may_have_run(self) -> bool:
@@ -200,10 +200,10 @@
 
     def _check_quarantine(self) -> None:
         """Raise CallerError if a part of the prompt is in quarantine."""
-        if self._is_trial or not self._part_tags:
+        if not self._part_tags or self._may_be_sent_as_trial():
             return
         decision = self._forwarder.crashes.decide(self._part_tags)
-        self._is_trial = decision.is_trial
+        self._decision = decision
         if decision.held_index is None:
             return
         part_id = self._parts[decision.held_index].part_id
@@ -229,13 +229,18 @@
             return False
         begun = opened is not None or error.answer_started
         crashes.note_broken(target, self._part_tags, begun=begun)
-        if self._is_trial:
+        if self._decision.is_trial:
             crashes.note_failed_trial(self._part_tags)
         return begun
 
     def _may_repeat(self, target: FleetTarget) -> bool:
-        crashes = self._forwarder.crashes
-        return not self._is_trial and crashes.may_repeat(self._part_tags, target)
+        if self._decision.is_trial:
+            return False
+        return self._forwarder.crashes.may_repeat(self._part_tags, target)
+
+    def _may_be_sent_as_trial(self) -> bool:
+        until = self._decision.trial_until
+        return until is not None and self._forwarder.clock.boottime() < until
 
     def _read_progress(self) -> AnswerProgress:
         """Return how much of the answer to the newest send has come."""
@@ -297,7 +302,8 @@
 
     def _mark_write_started(self) -> bool:
         """Record that the request is about to be written, unless it must not be."""
-        if not self._is_trial and self._forwarder.crashes.is_held(self._part_tags):
+        is_held = self._forwarder.crashes.is_held(self._part_tags)
+        if is_held and not self._may_be_sent_as_trial():
             return False
         self._outcome_pending = True
         return True
--- a/carobladder/quarantine/holds.py
+++ b/carobladder/quarantine/holds.py
@@ -14,6 +14,9 @@
 _MAX_HOLD_SECONDS = 3600.0
 # Time in which the outcome of a trial becomes known.
 _TRIAL_SECONDS = 5.0
+# A request of a trial that is delayed for longer must not be sent any more, since
+# another instance may already make the next trial when its outcome becomes known.
+_TRIAL_SENDING_SECONDS = 2.0
 # In each of these spans another instance may make the trial, and only in the middle of
 # it, since instances know the end of a quarantine with small differences.
 _TURN_SECONDS = 2.0
@@ -116,11 +119,15 @@
             return False
         return self._has_turn(xxhash.xxh3_64_intdigest(f"{part}/{turn:.0f}".encode()))
 
-    def start_trial(self, part: int, now: float) -> None:
-        """Let nobody else try the part until the outcome is known."""
+    def start_trial(self, part: int, now: float) -> float:
+        """Let nobody else try the part until the outcome is known.
+
+        Return the time until which the request may be sent.
+        """
         hold = self._holds[part]
         hold.until = now + _TRIAL_SECONDS
         hold.provisional = False
+        return now + _TRIAL_SENDING_SECONDS
 
     def _put(
         self,
--- a/carobladder/quarantine/registry.py
+++ b/carobladder/quarantine/registry.py
@@ -36,13 +36,19 @@
     """Decision on a request with these parts.
 
     ``held_index`` is the index of a part in quarantine, None if the request may be
-    sent; ``retry_seconds`` is the time until the part may be tried. ``is_trial`` marks
-    a request that is sent although a part is in quarantine.
+    sent; ``retry_seconds`` is the time until the part may be tried. A request that is
+    sent although a part is in quarantine is a trial, which must be sent before
+    ``trial_until``.
     """
 
     held_index: int | None = None
     retry_seconds: float = 0.0
-    is_trial: bool = False
+    trial_until: float | None = None
+
+    @property
+    def is_trial(self) -> bool:
+        """Whether the request tries a part in quarantine."""
+        return self.trial_until is not None
 
 
 class PartQuarantine:
@@ -79,11 +85,12 @@
         for index, part in held:
             if not self._holds.may_try(part, now):
                 return QuarantineDecision(index, self._find_seconds(part, now))
+        trial_until = None
         for _, part in held:
-            self._holds.start_trial(part, now)
+            trial_until = self._holds.start_trial(part, now)
             emit(PartTried(_format_tag(part)))
             self._note_hold(part)
-        return QuarantineDecision(is_trial=bool(held))
+        return QuarantineDecision(trial_until=trial_until)
 
     def may_repeat(self, parts: Iterable[int], crash_id: int) -> bool:
         """Return whether a request that broke off when its answer had begun may repeat.
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -71,6 +71,34 @@
         self.assertEqual(status, 503)
         self.assertEqual(self.count_requests(), 0)
 
+    async def test_trial_is_not_sent_once_its_time_is_over(self):
+        """An instance that was paused must not use a permission that has run out."""
+        await self.start_with_prompt(echo)
+        self.hold(FIRST)
+        clock = self.instance.clock
+        # The quarantine has ended, and this instance has the turn for the trial.
+        self.instance.quarantine._holds.find(FIRST).until = clock.boottime() - 0.6
+        connect = self.instance.client._connect
+        boottime = clock.boottime
+
+        async def connect_late(address: str, deadline: float):
+            connection = await connect(address, deadline)
+            clock.boottime = lambda: boottime() + 10.0
+            return connection
+
+        with mock.patch.object(self.instance.client, "_connect", connect_late):
+            status, _, _ = await self.call("/unsafe/x")
+        self.assertEqual((status, self.count_requests()), (503, 0))
+
+    async def test_trial_is_sent(self):
+        await self.start_with_prompt(echo)
+        self.hold(FIRST)
+        now = self.instance.clock.boottime()
+        self.instance.quarantine._holds.find(FIRST).until = now - 0.6
+        status, _, _ = await self.call("/unsafe/x")
+        self.assertEqual((status, self.count_requests()), (200, 1))
+        self.assertEqual(self.instance.quarantine.count_held(), 0)
+
     async def test_suspect_of_two_crashes_is_not_sent_again(self):
         await self.start_with_prompt(break_off_at_head, break_off_at_head)
         now = self.instance.clock.boottime()
