Move the checks of a call's prompt parts out of its retry loop

PartGuard holds what a call knows of its parts; the loop asks it. The denial comes before the budget.

Ruled out: to pay the repeat back, which leaves the wrong order in place.

The added assertion failed before (9 repeats left instead of 10). Measured: tests of quarantine, forwarding and entry.test_crashing_parts, 130 passed, 0 failed.

--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -7,6 +7,7 @@
     handler,
     loadmonitor,
     outcomes,
+    partguard,
     refusals,
     sends,
 )
@@ -16,6 +17,7 @@
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.loadmonitor import *  # noqa: F403
 from carobladder.forwarding.outcomes import *  # noqa: F403
+from carobladder.forwarding.partguard import *  # noqa: F403
 from carobladder.forwarding.refusals import *  # noqa: F403
 from carobladder.forwarding.sends import *  # noqa: F403
 
@@ -26,6 +28,7 @@
     *handler.__all__,
     *loadmonitor.__all__,
     *outcomes.__all__,
+    *partguard.__all__,
     *refusals.__all__,
     *sends.__all__,
 ]
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -6,10 +6,8 @@
 
 from carobladder.clock import Clock
 from carobladder.exceptions import (
-    AnswerOverdueError,
     AnswerTimeoutError,
     CallerError,
-    ConnectionBrokenError,
     NoTargetError,
     PromptQuarantinedError,
     TargetError,
@@ -25,9 +23,9 @@
 )
 from carobladder.forwarding.attempts import AnswerProgress, OpenCall
 from carobladder.forwarding.crashwatch import CrashWatch
+from carobladder.forwarding.partguard import PartGuard
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.headers import Headers
-from carobladder.quarantine import QuarantineDecision, compute_part_tags
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import (
     AttemptFailed,
@@ -89,12 +87,7 @@
         self._tried_ids: set[str] = set()
         # Tried targets that sent an error response of their own.
         self._failed_response_ids: set[str] = set()
-        # The last part of a prompt is its own, so other requests cannot have it.
-        self._parts = call.facts.prompt[:-1]
-        self._part_tags = compute_part_tags(
-            call.service.name, (part.part_id for part in self._parts)
-        )
-        self._decision = QuarantineDecision()
+        self._guard = PartGuard(call, forwarder.crashes, forwarder.clock)
 
     @property
     def may_have_run(self) -> bool:
@@ -150,15 +143,8 @@
 
     def note_whole_answer(self) -> None:
         """Record that the caller got the whole answer of a target."""
-        opened, crashes = self._opened, self._forwarder.crashes
-        if opened is None or not self._part_tags:
-            return
-        if opened.answer.status >= HTTPStatus.MULTIPLE_CHOICES:
-            return
-        if opened.answer.ends_with_connection:
-            crashes.note_unframed(opened.target, self._part_tags)
-        else:
-            crashes.note_sound(self._part_tags)
+        if self._opened is not None:
+            self._guard.note_whole_answer(self._opened)
 
     def note_relayed(self, target: FleetTarget) -> None:
         """Record that the caller received a part of the response from this target."""
@@ -174,10 +160,8 @@
     ) -> None:
         """Record a failed attempt; raise CallerError unless the call may be retried."""
         self._tried_ids.add(target.target_id)
-        is_suspect = self._note_broken_answer(target, error)
+        self._guard.note_failure(target, error, self._opened)
         denial_reason = self._find_denial_reason(error.request_written, resumable)
-        if denial_reason is None and is_suspect and not self._may_repeat(target):
-            denial_reason = "a part of its prompt may crash targets"
         progress = self._read_progress()
         metrics = self._forwarder.metrics
         metrics.count_failed_attempt(denial_reason or "sent again")
@@ -200,47 +184,14 @@
 
     def _check_quarantine(self) -> None:
         """Raise CallerError if a part of the prompt is in quarantine."""
-        if not self._part_tags or self._may_be_sent_as_trial():
-            return
-        decision = self._forwarder.crashes.decide(self._part_tags)
-        self._decision = decision
-        if decision.held_index is None:
+        held = self._guard.find_held()
+        if held is None:
             return
-        part_id = self._parts[decision.held_index].part_id
+        part_id, seconds = held
         reason = f"part {part_id} of the prompt crashes targets"
         if self.may_have_run:
             raise self._build_final_error(reason)
-        raise PromptQuarantinedError(
-            f"the call was not run: {reason}", decision.retry_seconds
-        )
-
-    def _note_broken_answer(self, target: FleetTarget, error: TargetError) -> bool:
-        """Record an answer that broke off; return whether it may end its target.
-
-        Only a request whose answer had begun and had not gone on may do so.
-        """
-        if not (self._part_tags and isinstance(error, ConnectionBrokenError)):
-            return False
-        if isinstance(error, AnswerOverdueError) or not error.request_written:
-            return False
-        crashes, opened = self._forwarder.crashes, self._opened
-        if opened is not None and opened.has_gone_on():
-            crashes.note_sound(self._part_tags)
-            return False
-        begun = opened is not None or error.answer_started
-        crashes.note_broken(target, self._part_tags, begun=begun)
-        if self._decision.is_trial:
-            crashes.note_failed_trial(self._part_tags)
-        return begun
-
-    def _may_repeat(self, target: FleetTarget) -> bool:
-        if self._decision.is_trial:
-            return False
-        return self._forwarder.crashes.may_repeat(self._part_tags, target)
-
-    def _may_be_sent_as_trial(self) -> bool:
-        until = self._decision.trial_until
-        return until is not None and self._forwarder.clock.boottime() < until
+        raise PromptQuarantinedError(f"the call was not run: {reason}", seconds)
 
     def _read_progress(self) -> AnswerProgress:
         """Return how much of the answer to the newest send has come."""
@@ -302,11 +253,8 @@
 
     def _mark_write_started(self) -> bool:
         """Record that the request is about to be written, unless it must not be."""
-        is_held = self._forwarder.crashes.is_held(self._part_tags)
-        if is_held and not self._may_be_sent_as_trial():
-            return False
-        self._outcome_pending = True
-        return True
+        self._outcome_pending = self._guard.may_write()
+        return self._outcome_pending
 
     def _find_denial_reason(
         self, written: bool, resumable: bool, *, use_budget: bool = True
@@ -327,6 +275,8 @@
             return "its attempts are used up"
         if self._send_count - self.possible_runs > _MAX_SENDS_NOT_RUN:
             return "too many targets refused it"
+        if not self._guard.may_repeat():
+            return "a part of its prompt may crash targets"
         if not written or not use_budget:
             return None
         budget = self._forwarder.find_budget(call.service.name)
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -106,6 +106,8 @@
         status, _, _ = await self.call("/resumable/x")
         self.assertEqual(status, 502)
         self.assertEqual(self.count_requests(), 1)
+        # A repeat that is not sent leaves the retry budget to others.
+        self.assertEqual(self.instance.budget.available_retries, 10.0)
 
     async def test_suspect_of_one_crash_is_sent_again(self):
         await self.start_with_prompt(break_off_at_head, break_off_at_head)
