Do not put the trial of a quarantined part off by the periodic messages

What callers would see: a sound part that was put in quarantine by mistake stays there, although it should be tried after 15 s.

Cause: a periodic message told a time until the trial of 0 once it had passed. Its receiver took it for a trial that is due now, later than its own, and passed that on, so the end of the quarantine moved with the clock.

The time is negative once it has passed. The tests of trials send periodic messages now, as instances do.

Ruled out: a margin in the comparison, which only slows the drift.

The new test failed before (end moved by 44.7 s in 60 s).

--- a/carobladder/quarantine/messages.py
+++ b/carobladder/quarantine/messages.py
@@ -29,7 +29,7 @@
     """Part in quarantine, for the ``level``-th time in a row.
 
     ``age_ms`` is the age of the newest evidence against it, and ``left_ms`` the time
-    until it may be tried.
+    until it may be tried, which is negative once it may.
     """
 
     part: int
--- a/carobladder/quarantine/registry.py
+++ b/carobladder/quarantine/registry.py
@@ -152,7 +152,7 @@
         for report in reports:
             if not (
                 _is_credible(report.age_ms)
-                and _is_credible(report.left_ms)
+                and _is_credible(abs(report.left_ms))
                 and 0 < report.level <= _MAX_LEVEL
             ):
                 continue
@@ -191,7 +191,7 @@
                 hold.part,
                 hold.level,
                 _find_age(hold.since, now),
-                _find_age(now, hold.until),
+                round((hold.until - now) * _MS_PER_SECOND),
             )
             for hold in self._holds
             if not hold.provisional
--- a/tests/quarantine/test_registry.py
+++ b/tests/quarantine/test_registry.py
@@ -58,11 +58,26 @@
         """Let each instance tell the quarantines to some others for a time."""
         for _ in range(int(seconds / PERIODIC_SECONDS)):
             self.now += PERIODIC_SECONDS
-            for member in self.members:
-                holds = member.collect_holds(self.now)
-                for other in self._generator.sample(self.members, PERIODIC_FANOUT):
-                    if self._generator.random() >= self._loss_rate:
-                        other.take_holds(holds, self.now)
+            self._send_periodic_messages()
+
+    def wait_for_trial(self, part: int, seconds: float) -> int | None:
+        """Ask all instances for a time; return the number of one that may try."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += PERIODIC_SECONDS
+            self._send_periodic_messages()
+            for number, member in enumerate(self.members):
+                if member.decide([part], self.now).is_trial:
+                    self.settle()
+                    return number
+        return None
+
+    def _send_periodic_messages(self) -> None:
+        for member in self.members:
+            holds = member.collect_holds(self.now)
+            for other in self._generator.sample(self.members, PERIODIC_FANOUT):
+                if self._generator.random() >= self._loss_rate:
+                    other.take_holds(holds, self.now)
 
     def crash(self, crash_id: int, views: dict[int, Sequence[int]]) -> None:
         """Let instances see the crash of a target with the parts of their requests."""
@@ -139,22 +154,34 @@
         fleet = QuarantineFleet(6)
         for number in range(3):
             fleet.crash(number, {0: [GUILTY]})
-        trials = self.send_until(fleet, fleet.now + 25.0)
-        self.assertEqual(len(trials), 1)
-        fleet.members[trials[0]].note_sound([GUILTY], fleet.now)
+        tester = fleet.wait_for_trial(GUILTY, 25.0)
+        self.assertIsNotNone(tester)
+        self.assertEqual(fleet.count_holding(GUILTY), 6)
+        fleet.members[tester].note_sound([GUILTY], fleet.now)
         fleet.settle()
         self.assertEqual(fleet.count_holding(GUILTY), 0)
 
+    def test_periodic_messages_do_not_put_the_trial_off(self):
+        """Instances told each other again and again that it was due now."""
+        fleet = QuarantineFleet(6)
+        for number in range(3):
+            fleet.crash(number, {0: [GUILTY]})
+        untils = [m._holds.find(GUILTY).until for m in fleet.members]
+        fleet.send_periodic_messages(60.0)
+        for member, until in zip(fleet.members, untils, strict=True):
+            self.assertAlmostEqual(member._holds.find(GUILTY).until, until, delta=0.5)
+
     def test_failed_trial_lengthens_the_quarantine_everywhere(self):
         fleet = QuarantineFleet(6)
         for number in range(3):
             fleet.crash(number, {0: [GUILTY]})
-        (tester,) = self.send_until(fleet, fleet.now + 25.0)
+        tester = fleet.wait_for_trial(GUILTY, 25.0)
         fleet.members[tester].note_failed_trial([GUILTY], fleet.now)
         fleet.members[tester].note_crash(9, [GUILTY], (), fleet.now, fleet.now)
         fleet.settle()
         self.assertEqual({m.find_level(GUILTY) for m in fleet.members}, {2})
-        self.assertEqual(self.send_until(fleet, fleet.now + 50.0), [])
+        self.assertIsNone(fleet.wait_for_trial(GUILTY, 50.0))
+        self.assertIsNotNone(fleet.wait_for_trial(GUILTY, 25.0))
 
     def test_no_second_trial_is_sent_while_one_is_under_way(self):
         quarantine = PartQuarantine(lambda key: True)
@@ -234,16 +261,3 @@
         ]
         quarantine.take(QuarantineNews([], [SoundReport(1, -1)], holds), 10.0)
         self.assertEqual(quarantine.count_held(), 0)
-
-    def send_until(self, fleet: QuarantineFleet, end: float) -> list[int]:
-        """Ask all instances in turn; return the numbers of those that may try."""
-        trials = []
-        while fleet.now < end:
-            fleet.now += 0.05
-            for number, member in enumerate(fleet.members):
-                if member.decide([GUILTY], fleet.now).is_trial:
-                    trials.append(number)
-                    fleet.settle()
-            if trials:
-                break
-        return trials
