Bound the quarantine by its oldest parts, and lose no news beyond a message's limit

What callers would see: after months the table of quarantines is full of parts that nobody sends any more, and a part that crashes targets now is not held; or a sound part is held since the news that clear it were cut off.

Cause: a full table took no new part and nothing left it without a trial. A message of news had room for 16 whole answers, and the rest was dropped as if told, although one crash can concern 128 parts.

A new quarantine takes the place of the oldest, one that nobody has tried for an hour ends, and what has no room in a message goes into the next.

Ruled out: a larger table; it only fills later.

Three tests failed before: part_that_nobody_sends_any_more_leaves_the_ quarantine, number_of_parts_is_bounded_and_the_newest_are_kept and all_parts_that_an_instance_can_clear_are_told.

--- a/carobladder/entry/quarantine.py
+++ b/carobladder/entry/quarantine.py
@@ -63,6 +63,7 @@
         news = self._quarantine.collect_news(self._clock.boottime())
         if news is not None and self._spread is not None:
             self._spread(news)
+            self._schedule()
 
 
 class QuarantineKeeper:
@@ -84,7 +85,8 @@
         self._peers = peers
         self._clock = clock
         self._changed: set[int] = set()
-        self._stored: dict[int, int | None] = {}
+        # Levels in the records of the store.
+        self._stored: dict[int, int] = {}
         self._wake_up = asyncio.Event()
         quarantine.on_change = self._note_change
 
@@ -96,7 +98,7 @@
         if part is None:
             return True
         level = _parse_number((record.value or b"").decode("utf-8", "replace"), 10)
-        self._stored[part] = level
+        self._note_stored(part, level)
         if level is None:
             self._quarantine.forget(part)
         else:
@@ -111,6 +113,12 @@
             while self._changed:
                 await self._write(self._changed.pop())
 
+    def _note_stored(self, part: int, level: int | None) -> None:
+        if level is None:
+            self._stored.pop(part, None)
+        else:
+            self._stored[part] = level
+
     def _note_change(self, part: int) -> None:
         self._changed.add(part)
         self._wake_up.set()
@@ -125,7 +133,7 @@
         value = b"" if level is None else str(level).encode()
         try:
             await self._topic.write(f"{_KEY_PREFIX}{part:08x}", value)
-            self._stored[part] = level
+            self._note_stored(part, level)
         except LogUnavailableError as error:
             emit(QuarantineNotStored(f"{part:08x}", str(error)))
             self._note_change(part)
--- a/carobladder/forwarding/crashwatch.py
+++ b/carobladder/forwarding/crashwatch.py
@@ -99,8 +99,7 @@
         try:
             for seconds in _CHECK_DELAYS_SECONDS:
                 await asyncio.sleep(seconds)
-                if not has_ended:
-                    has_ended = await self._has_ended(target)
+                has_ended = await self._has_ended(target)
                 if has_ended:
                     break
         finally:
--- a/carobladder/quarantine/holds.py
+++ b/carobladder/quarantine/holds.py
@@ -25,6 +25,8 @@
 # after, which says nothing about a trial.
 _UNDER_WAY_SECONDS = 3.0
 _MAX_HOLDS = 64
+# A part that no request has had for this long since it might have been tried.
+_MAX_UNUSED_SECONDS = 3600.0
 
 
 @dataclass(slots=True)
@@ -69,9 +71,16 @@
         return self._holds.get(part)
 
     def start(self, part: int, at: float, now: float) -> bool:
-        """Put a part in quarantine; return whether there was room for it."""
+        """Put a part in quarantine; return whether it is there now."""
         return self._put(part, 1, at, now + _FIRST_HOLD_SECONDS)
 
+    def expire(self, now: float) -> list[int]:
+        """End the quarantines that nobody has tried for long; return their parts."""
+        unused = [hold.part for hold in self if now - hold.until > _MAX_UNUSED_SECONDS]
+        for part in unused:
+            del self._holds[part]
+        return unused
+
     def restore(self, part: int, level: int, now: float) -> None:
         """Put a part in quarantine that was in it before this instance started."""
         hold = self._holds.get(part)
@@ -139,7 +148,10 @@
         provisional: bool = False,
     ) -> bool:
         if part not in self._holds and len(self._holds) >= _MAX_HOLDS:
-            return False
+            oldest = min(self, key=lambda hold: hold.since)
+            if oldest.since > since:
+                return False
+            del self._holds[oldest.part]
         self._holds[part] = Hold(part, level, since, until, provisional)
         return True
 
--- a/carobladder/quarantine/registry.py
+++ b/carobladder/quarantine/registry.py
@@ -26,7 +26,9 @@
 # Ages beyond this are not credible, and are not needed.
 _MAX_AGE_MS = 86_400_000
 _MAX_LEVEL = 100
-_MAX_REPORTS = 16
+# Limits of one message; what is left goes into the next one.
+_MAX_CRASH_REPORTS = 8
+_MAX_SOUND_REPORTS = 256
 # Callers of a part that is being tried may come back after this time.
 _MIN_RETRY_SECONDS = 1.0
 
@@ -169,23 +171,26 @@
         """Return what others must be told now, or None; it counts as told."""
         if not (self._new_crashes or self._new_sound or self._new_holds):
             return None
-        crashes = [_build_report(crash, now) for crash in self._new_crashes.values()]
+        crashes = [
+            _build_report(self._new_crashes.pop(crash_id), now)
+            for crash_id in list(self._new_crashes)[:_MAX_CRASH_REPORTS]
+        ]
         sound = [
-            SoundReport(p, _find_age(at, now)) for p, at in self._new_sound.items()
+            SoundReport(part, _find_age(self._new_sound.pop(part), now))
+            for part in list(self._new_sound)[:_MAX_SOUND_REPORTS]
         ]
         holds = [h for h in self.collect_holds(now) if h.part in self._new_holds]
-        self._new_crashes.clear()
-        self._new_sound.clear()
         self._new_holds.clear()
-        return QuarantineNews(
-            crashes[-_MAX_REPORTS:], sound[-_MAX_REPORTS:], holds[-_MAX_REPORTS:]
-        )
+        return QuarantineNews(crashes, sound, holds)
 
     def collect_holds(self, now: float) -> list[HoldReport]:
         """Return the quarantines for the periodic messages.
 
         Those known only from records are left out, since every instance reads them.
         """
+        for part in self._holds.expire(now):
+            emit(PartReleased(_format_tag(part)))
+            self.on_change(part)
         return [
             HoldReport(
                 hold.part,
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -183,7 +183,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PartReleased(Event):
-    """A target has served a part in quarantine; requests with it are sent again."""
+    """Requests with a part that was in quarantine are sent again.
+
+    A target has served one, or nobody has sent one for long.
+    """
 
     part: str
 
--- a/tests/quarantine/test_holds.py
+++ b/tests/quarantine/test_holds.py
@@ -79,7 +79,14 @@
         self.assertTrue(restarted.merge(PART, 1, 0.0, until))
         self.assertEqual(restarted.find(PART).until, until)
 
-    def test_number_of_parts_is_bounded(self):
+    def test_number_of_parts_is_bounded_and_the_newest_are_kept(self):
+        """A part that crashes targets now must not find the table full of old ones."""
         for part in range(1000):
-            self.holds.start(part, 0.0, 0.0)
+            self.assertTrue(self.holds.start(part, float(part), float(part)))
         self.assertLessEqual(len(self.holds), 64)
+        self.assertIn(999, self.holds)
+
+    def test_part_that_nobody_sends_any_more_leaves_the_quarantine(self):
+        self.assertEqual(self.holds.expire(HOUR_SECONDS), [])
+        self.assertEqual(self.holds.expire(2.0 * HOUR_SECONDS), [PART])
+        self.assertNotIn(PART, self.holds)
--- a/tests/quarantine/test_registry.py
+++ b/tests/quarantine/test_registry.py
@@ -251,6 +251,18 @@
         quarantine.note_sound([GUILTY], 1.5)
         self.assertTrue(quarantine.may_repeat([GUILTY], 2))
 
+    def test_all_parts_that_an_instance_can_clear_are_told(self):
+        """What is beyond the limit of a message must not be lost."""
+        fleet = QuarantineFleet(2)
+        parts = range(100, 160)
+        for crash_id in range(5):
+            fleet.now += 1.0
+            fleet.members[1].note_sound(parts, fleet.now + 0.1)
+            begun = [part for part in parts if part % 5 != crash_id]
+            fleet.members[0].note_crash(crash_id, begun, (), fleet.now, fleet.now)
+            fleet.settle()
+        self.assertEqual([fleet.count_holding(part) for part in parts], [0] * 60)
+
     def test_implausible_reports_are_ignored(self):
         quarantine = PartQuarantine(lambda key: True)
         holds = [
