--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -8,12 +8,14 @@
 
 from carobladder.exceptions import AnswerOverdueError, ConnectionBrokenError
 
-__all__ = ["ClientConnection", "Sink"]
+__all__ = ["DEFAULT_IDLE_SECONDS", "ClientConnection", "Sink"]
 
 Sink = Callable[[bytes], bool]
 
 _MAX_ANSWER_HEADER_BYTES = 65_536
-_DEFAULT_IDLE_SECONDS = 4.0
+# Below the usual keep-alive timeout of servers, so that few pooled connections are
+# stale.
+DEFAULT_IDLE_SECONDS = 4.0
 # Interim responses (1xx) that may precede the final response.
 _MAX_INTERIM_ANSWERS = 16
 _KEEP_ALIVE_PROBES = 3
@@ -29,7 +31,7 @@
         self.address = address
         self.reused = False
         self.idle_since = 0.0
-        self.idle_seconds = _DEFAULT_IDLE_SECONDS
+        self.idle_seconds = DEFAULT_IDLE_SECONDS
         self.request_written = False
         self.answer_started = False
         self._loop = asyncio.get_running_loop()
--- a/carobladder/forwarding/attempts.py
+++ b/carobladder/forwarding/attempts.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from http import HTTPStatus
 
-from carobladder.clients.http import AnswerStream
+from carobladder.clients.answers import AnswerStream
 from carobladder.clock import Clock
 from carobladder.fleet import AnswerMetadata, FleetTarget
 from carobladder.forwarding.outcomes import SendOutcome
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -6,7 +6,8 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from carobladder.clients.http import AnswerStream, HttpClient
+from carobladder.clients.answers import AnswerStream
+from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     AnswerOverdueError,
--- a/carobladder/gateway/attempts.py
+++ b/carobladder/gateway/attempts.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
-from carobladder.clients.http import AnswerStream, HttpClient
+from carobladder.clients.answers import AnswerStream
+from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     AnswerTimeoutError,
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Generic, Protocol, TypeVar
 
-from carobladder.clients.http import AnswerStream
+from carobladder.clients.answers import AnswerStream
 from carobladder.exceptions import CallerError, ConnectionBrokenError, TargetError
 from carobladder.gateway.ports import Answer, Responder
 from carobladder.gateway.problems import encode_error
