Log the age of what is known of targets, and removals that are deferred

Ruled out: a metric alone, since the request that came late has to be found. Change: request_placed has targets_age_seconds, topic_advanced stands for each run of applied records with its source and the age of the oldest, and target_removal_deferred for a removal that waits. No decision changes.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -25,6 +25,7 @@
     ColdPacer,
     ExposureLimit,
     FailureGossip,
+    Freshness,
     InFlightGossip,
     KeyedRecord,
     LoadBounds,
@@ -191,7 +192,12 @@
             (operator_follower, targets_follower, instances_follower),
         )
         server = self._build_server(
-            control_state, operator_follower, selector, budgets, exchange
+            control_state,
+            operator_follower,
+            selector,
+            budgets,
+            exchange,
+            targets_follower.freshness,
         )
         control_state.on_caller_limits = lambda limits: _apply_caller_limits(
             server, limits
@@ -320,6 +326,7 @@
         selector: TargetSelector,
         budgets: ServiceBudgets,
         exchange: PeerExchange,
+        targets_freshness: Freshness,
     ) -> GatewayServer:
         codec = PlatformCodec()
         sender = TargetSender(
@@ -332,6 +339,7 @@
             self._clock,
             exchange.report_silent_target,
             exchange.report_sent_request,
+            targets_freshness,
         )
         forwarder = Forwarder(
             sender,
--- a/carobladder/entry/control_state.py
+++ b/carobladder/entry/control_state.py
@@ -25,6 +25,7 @@
     TargetChanged,
     TargetEntryUnreadable,
     TargetGone,
+    TargetRemovalDeferred,
     TargetSeen,
     emit,
 )
@@ -113,9 +114,14 @@
 
     def remove_target(self, target_id: str) -> None:
         """Apply the removal of a target's entry."""
-        if self._targets.drop(target_id, self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if self._targets.drop(target_id, now):
             self._pacer.forget(target_id)
             emit(TargetGone(target_id, "its entry was removed"))
+            return
+        seconds = self._targets.read_removal_delay(target_id, now)
+        if seconds:
+            emit(TargetRemovalDeferred(target_id, round(seconds, 2)))
 
     def handle_store_recovery(self, outage_seconds: float) -> None:
         """Leave time to renew entries if the outage was long enough to expire them."""
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -19,6 +19,7 @@
     StoreHistoryDropped,
     StoreLost,
     StoreRegained,
+    TopicAdvanced,
     emit,
 )
 
@@ -45,6 +46,9 @@
 _ROLE_CHECK_SECONDS = 1.0
 # Limits the reads that wrong offsets from another instance can cause.
 _REJECTED_END_PAUSE_SECONDS = 1.0
+# Where records came from, in the log.
+_STORE_SOURCE = "store"
+_PEER_SOURCE = "peer"
 # Runs of records that are kept to answer other instances.
 _MAX_RECENT_RUNS = 64
 
@@ -203,7 +207,7 @@
         ):
             return
         if run.first <= self._next_offset < run.next_offset:
-            self._apply_run(run)
+            self._apply_run(run, _PEER_SOURCE, self.freshness.synced_at)
 
     async def _read(self) -> bool:
         """Read according to the role of this instance; return whether records came."""
@@ -272,11 +276,13 @@
         """Read the records from an offset on; return whether there were any."""
         sent_at = self._clock.boottime()
         reported_end = self._peer_end
+        synced_at = self.freshness.synced_at
         page = await self._reader.read_records(first, wait_seconds)
         found = page.next_offset > first
         self._record_success(sent_at, 0.0 if found else wait_seconds)
         if self._next_offset is not None and page.next_offset > self._next_offset:
-            self._apply_run(RecordRun(first, page.next_offset, page.records))
+            run = RecordRun(first, page.next_offset, page.records)
+            self._apply_run(run, _STORE_SOURCE, synced_at)
         if not wait_seconds and self.is_behind(reported_end):
             self._reject_peer_end(reported_end)
         return found
@@ -326,14 +332,27 @@
         for record in records:
             self._apply(record)
 
-    def _apply_run(self, run: RecordRun) -> None:
-        """Apply the part of a run that is not known yet."""
+    def _apply_run(self, run: RecordRun, source: str, synced_at: float) -> None:
+        """Apply the part of a run that is not known yet.
+
+        Its records are newer than ``synced_at``, the time of the last proof.
+        """
         assert self._next_offset is not None
+        age_seconds = self._clock.boottime() - synced_at
         first = self._next_offset
         records = tuple(record for record in run.records if record.offset >= first)
         self._next_offset = run.next_offset
         self._recent_runs.append(RecordRun(first, run.next_offset, records))
         self._update_lag()
+        emit(
+            TopicAdvanced(
+                topic=self._name,
+                source=source,
+                next_offset=run.next_offset,
+                records=len(records),
+                age_seconds=round(age_seconds, 2),
+            )
+        )
         for record in records:
             self._apply(record)
 
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -147,6 +147,10 @@
         self._remove(target_id)
         return True
 
+    def read_removal_delay(self, target_id: str, now: float) -> float:
+        """Return the seconds until a deferred removal, or 0 if there is none."""
+        return max(0.0, self._removal_times.get(target_id, now) - now)
+
     def discard(self, target_id: str) -> bool:
         """Remove a target at once; return whether it was known."""
         if target_id not in self._targets:
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -21,6 +21,7 @@
     CallMetadata,
     ExchangeCodec,
     FleetTarget,
+    Freshness,
     RouteLatencies,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
@@ -96,7 +97,8 @@
 
     ``report_silence`` is called with a target that has sent no byte since a request,
     and with the time at which that request was sent. ``report_sent`` is called when a
-    request has been counted at its target.
+    request has been counted at its target. ``targets_freshness`` is that of the
+    registered targets.
     """
 
     client: HttpClient
@@ -108,6 +110,7 @@
     clock: Clock
     report_silence: Callable[[FleetTarget, float], None]
     report_sent: Callable[[], None]
+    targets_freshness: Freshness
 
     async def send(
         self,
@@ -290,6 +293,7 @@
         expected_load: ExpectedLoad,
     ) -> None:
         now = self.clock.monotonic()
+        targets_age = self.targets_freshness.age(self.clock.boottime())
         emit(
             RequestPlaced(
                 request_id=call.facts.request_id,
@@ -305,6 +309,7 @@
                 prompt_source=source,
                 version=call.configuration_version,
                 records_age_seconds=round(call.configuration_age_seconds, 2),
+                targets_age_seconds=round(targets_age, 2),
             )
         )
 
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -20,6 +20,7 @@
     "StoreHistoryDropped",
     "StoreLost",
     "StoreRegained",
+    "TopicAdvanced",
 ]
 
 
@@ -91,6 +92,20 @@
     away_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class TopicAdvanced(Event):
+    """Records of a topic were applied; the oldest is at most ``age_seconds`` old.
+
+    ``source`` is "store" for an own read and "peer" for what another instance sent.
+    """
+
+    topic: str
+    source: str
+    next_offset: int
+    records: int
+    age_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreHistoryDropped(Event):
     """The store dropped records that were not read; all keys are read anew."""
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -23,7 +23,8 @@
 
     ``load`` is the believed number of requests there, ``None`` if unknown, and
     ``load_bound`` the number that the operators allow; ``records_age_seconds`` the age
-    of what the operator is known to want.
+    of what the operator is known to want, ``targets_age_seconds`` that of what is known
+    of the targets' entries.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     prompt_source: str
     version: int
     records_age_seconds: float
+    targets_age_seconds: float
 
     limited: ClassVar[bool] = True
 
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -20,6 +20,7 @@
     "TargetGone",
     "TargetLeaving",
     "TargetPaused",
+    "TargetRemovalDeferred",
     "TargetSeen",
     "TargetSuspected",
     "TargetTrusted",
@@ -78,6 +79,17 @@
     limited: ClassVar[bool] = True
 
 
+@dataclass(frozen=True, slots=True)
+class TargetRemovalDeferred(Event):
+    """The entry of a target is away, which may be due to an outage of the store.
+
+    The target gets requests for ``seconds`` more unless its entry stays away.
+    """
+
+    target: str
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class TargetEntryUnreadable(Event):
     """An entry names no target to use; ``known`` tells whether one was in use."""
