Make a read of the store that is due a second time at once

Callers: requests could reach a target later than drainMs after the store had accepted that it leaves. Cause: an instance that does not read for the fleet reads when its last proof is 0.7 x drainMs old. One failed read then cost 0.8 s of silence and a pause of 0.5 to 1 s, and counted as an outage of the store, for which removed targets are kept 2 s more. Class: a retry schedule made for long outages, applied to the first failure of a call that has a deadline. The operators' topic had the same one. Ruled out: reading earlier, which costs calls of all instances in calm; a shorter time for the answer, which would turn a slow store into an unreachable one. Change: the second attempt starts at the first one's error, or 0.15 x the time in which the records must be in force; the first success counts. Pauses after two failures are those after two single ones, so an outage costs no more calls.

--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -3,13 +3,16 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
 
 from carobladder.clock import Clock
+from carobladder.entry.hedging import run_hedged
 from carobladder.entry.paces import ReadPolicy
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import (
     Freshness,
+    KeyedPage,
     KeyedRecord,
     RecordRun,
     TopicReader,
@@ -18,6 +21,7 @@
 from carobladder.telemetry import (
     StoreHistoryDropped,
     StoreLost,
+    StoreReadRepeated,
     StoreRegained,
     TopicAdvanced,
     emit,
@@ -53,6 +57,14 @@
 _MAX_RECENT_RUNS = 64
 
 
+@dataclass(frozen=True, slots=True)
+class _TimedPage:
+    """Result of a read and the time at which it was sent."""
+
+    sent_at: float
+    page: KeyedPage
+
+
 class TopicFollower:
     """Follower of a topic that passes each change of a key to a callback, in order.
 
@@ -87,6 +99,7 @@
         self._key_offsets: dict[str, int] = {}
         self._recent_runs: deque[RecordRun] = deque(maxlen=_MAX_RECENT_RUNS)
         self._failed_reads = 0
+        self._second_attempts = 0
         self._proved_before_outage = 0.0
         self._failed_at = 0.0
         self._peer_end = 0
@@ -223,13 +236,38 @@
         return await self._read_from(self._next_offset, 0.0)
 
     async def _read_snapshot(self) -> None:
-        sent_at = self._clock.boottime()
-        page = await self._reader.read_newest()
+        timed = await self._fetch_in_time(self._reader.read_newest)
+        page = timed.page
         self._apply_snapshot(page.records)
         self._next_offset = page.next_offset
         self._first_read_done.set()
         self._first_attempt_done.set()
-        self._record_success(sent_at, 0.0)
+        self._record_success(timed.sent_at, 0.0)
+
+    async def _fetch(self, read: Callable[[], Awaitable[KeyedPage]]) -> _TimedPage:
+        sent_at = self._clock.boottime()
+        return _TimedPage(sent_at, await read())
+
+    async def _fetch_in_time(
+        self, read: Callable[[], Awaitable[KeyedPage]]
+    ) -> _TimedPage:
+        """Read, with a second attempt unless the store has been failing already.
+
+        The second attempt counts as a failed read too, so that the next pause is no
+        shorter than after as many single reads.
+        """
+        if self._failed_reads or not self._policy.repeat_seconds:
+            return await self._fetch(read)
+        return await run_hedged(
+            self._clock,
+            lambda: self._fetch(read),
+            self._policy.repeat_seconds,
+            self._note_second_attempt,
+        )
+
+    def _note_second_attempt(self, reason: str) -> None:
+        self._second_attempts = 1
+        emit(StoreReadRepeated(self._name, reason))
 
     async def _read_again_after_start(self) -> None:
         """Read the records that instances starting at the same time have added."""
@@ -274,12 +312,13 @@
 
     async def _read_from(self, first: int, wait_seconds: float) -> bool:
         """Read the records from an offset on; return whether there were any."""
-        sent_at = self._clock.boottime()
         reported_end = self._peer_end
         synced_at = self.freshness.synced_at
-        page = await self._reader.read_records(first, wait_seconds)
+        fetch = self._fetch if wait_seconds else self._fetch_in_time
+        timed = await fetch(lambda: self._reader.read_records(first, wait_seconds))
+        page = timed.page
         found = page.next_offset > first
-        self._record_success(sent_at, 0.0 if found else wait_seconds)
+        self._record_success(timed.sent_at, 0.0 if found else wait_seconds)
         if self._next_offset is not None and page.next_offset > self._next_offset:
             run = RecordRun(first, page.next_offset, page.records)
             self._apply_run(run, _STORE_SOURCE, synced_at)
@@ -387,6 +426,7 @@
             emit(StoreRegained(self._name, round(outage_seconds, 2)))
             self._failed_reads = 0
             self._on_recovery(outage_seconds)
+        self._second_attempts = 0
         proved_seconds = max(0.0, waited_seconds - _MISSED_RECORD_SECONDS)
         self.freshness.note_read(sent_at + proved_seconds)
 
@@ -396,7 +436,8 @@
             self._proved_before_outage = self.freshness.synced_at
             age = self.freshness.age(self._clock.boottime())
             emit(StoreLost(self._name, round(age, 2), str(error)))
-        self._failed_reads += 1
+        self._failed_reads += 1 + self._second_attempts
+        self._second_attempts = 0
         self._failed_at = self._clock.boottime()
         first_seconds, longest_seconds = self._get_backoff_bounds()
         pause = first_seconds * 2.0 ** min(self._failed_reads - 1, 8)
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -27,6 +27,10 @@
 _TARGETS_READER_FRACTION = 0.5
 _TARGETS_PASSIVE_FRACTION = 0.7
 _TARGETS_BATCH_FRACTION = 0.15
+# Delay after which a read that is due is made a second time, as a fraction of the time
+# in which its records must be in force. The first read comes late in that time, so
+# together with the longest pause after a failure it would pass its end.
+_SECOND_READ_FRACTION = 0.15
 # Time for a record to arrive from a peer once its offset is known, before it is read.
 _CATCH_UP_DELAY_SECONDS = 0.25
 _INSTANCES_BATCH_SECONDS = 8.0
@@ -54,6 +58,8 @@
     - ``second_read_delay_seconds``: delay from the first read to the second; 0 for no
       second read.
     - ``max_answer_bytes``: size of the records in an answer to another instance.
+    - ``repeat_seconds``: delay after which a read without an answer is made a second
+      time; after an error it is made at once. 0 for no second attempt.
     - ``records_expire``: whether the store drops records that are not renewed, also
       during an outage.
     """
@@ -65,6 +71,7 @@
     catch_up_delay_seconds: float = 0.2
     second_read_delay_seconds: float = 0.0
     max_answer_bytes: int = 4096
+    repeat_seconds: float = 0.0
     records_expire: bool = False
 
 
@@ -85,6 +92,8 @@
         ),
         catch_up_delay_seconds=_CATCH_UP_DELAY_SECONDS,
         max_answer_bytes=_OPERATOR_ANSWER_BYTES,
+        repeat_seconds=_SECOND_READ_FRACTION
+        * min(revocation_seconds, configuration_seconds),
     )
 
 
@@ -96,6 +105,7 @@
         reader_age_seconds=drain_seconds * _TARGETS_READER_FRACTION,
         passive_age_seconds=drain_seconds * _TARGETS_PASSIVE_FRACTION,
         catch_up_delay_seconds=_CATCH_UP_DELAY_SECONDS,
+        repeat_seconds=drain_seconds * _SECOND_READ_FRACTION,
         records_expire=True,
     )
 
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -19,6 +19,7 @@
     "ShareNotRenewed",
     "StoreHistoryDropped",
     "StoreLost",
+    "StoreReadRepeated",
     "StoreRegained",
     "TopicAdvanced",
 ]
@@ -84,6 +85,16 @@
     level: ClassVar[int] = logging.WARNING
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReadRepeated(Event):
+    """A read that was due had no answer and is made a second time at once."""
+
+    topic: str
+    why: str
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class StoreRegained(Event):
     """A topic can be read again."""
