Tell an outage of the store from failed reads of one instance

Callers: requests reached targets whose entry had been removed, later than drainMs, in calm, from an instance that had once failed to read the store. Cause: after a failed read an instance believed the store away until its own next read succeeded, and counted the time since its last proof as the outage. Class: the trouble of one observer taken for that of the whole, kept up by what hides it. Ruled out: applying removals at once always; after a true outage all targets would go for up to 2 s (a test of it passes before and after). Change: the longest time in which the store served nobody, as far as known from own reads and the proofs of others, is the outage. A proof of another instance ends it. One existing test moves its proof from 4.0 to 4.05 s: the outage was exactly as long as its bound, and now ends at the proof, not at the own read after it.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -13,6 +13,7 @@
     build_instances_policy,
     build_operator_policy,
     build_targets_policy,
+    compute_expiry_seconds,
 )
 from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prober import TargetProber
@@ -178,7 +179,7 @@
             clock,
             self._targets,
             self._pacer,
-            settings.entry_renewal_ms / _MS_PER_SECOND,
+            compute_expiry_seconds(settings.entry_renewal_ms / _MS_PER_SECOND),
             move_controller.handle_order,
         )
         instances_follower = self._build_instances_follower()
@@ -296,7 +297,9 @@
             "targets",
             KeyedTopic(self._store, TARGETS_TOPIC),
             self._clock,
-            build_targets_policy(drain_seconds),
+            build_targets_policy(
+                drain_seconds, self._settings.entry_renewal_ms / _MS_PER_SECOND
+            ),
             apply_target_record,
             control_state.handle_store_recovery,
             self._generator,
--- a/carobladder/entry/control_state.py
+++ b/carobladder/entry/control_state.py
@@ -36,7 +36,7 @@
 class ControlState:
     """Routes and targets, updated from records in the order of the store.
 
-    ``renewal_seconds`` is the interval in which a target renews its entry.
+    Entries may expire in outages of the store longer than ``expiry_seconds``.
     ``on_order`` is called with each order of a version move, ``on_caller_limits`` with
     the limits on callers of each new configuration.
     """
@@ -46,7 +46,7 @@
         clock: Clock,
         targets: TargetTable,
         pacer: ColdPacer,
-        renewal_seconds: float,
+        expiry_seconds: float,
         on_order: Callable[[RolloutOrder], None],
     ) -> None:
         self.table: RouteTable | None = None
@@ -54,7 +54,7 @@
         self._clock = clock
         self._targets = targets
         self._pacer = pacer
-        self._renewal_seconds = renewal_seconds
+        self._expiry_seconds = expiry_seconds
         self._on_order = on_order
 
     @singledispatchmethod
@@ -125,7 +125,7 @@
 
     def handle_store_recovery(self, outage_seconds: float) -> None:
         """Leave time to renew entries if the outage was long enough to expire them."""
-        if outage_seconds > 2 * self._renewal_seconds:
+        if outage_seconds > self._expiry_seconds:
             self._targets.note_store_return(self._clock.monotonic())
 
     def expire_targets(self) -> None:
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -8,6 +8,7 @@
 
 from carobladder.clock import Clock
 from carobladder.entry.hedging import run_hedged
+from carobladder.entry.outages import OutageMonitor
 from carobladder.entry.paces import ReadPolicy
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import (
@@ -100,7 +101,7 @@
         self._recent_runs: deque[RecordRun] = deque(maxlen=_MAX_RECENT_RUNS)
         self._failed_reads = 0
         self._second_attempts = 0
-        self._proved_before_outage = 0.0
+        self._outages = OutageMonitor(policy.expiry_seconds)
         self._failed_at = 0.0
         self._peer_end = 0
         self._rejected_end = 0
@@ -184,10 +185,12 @@
         """
         if self._next_offset is None or state.age_ms < 0:
             return
+        proved_at = asked_at - state.age_ms / _MS_PER_SECOND
+        self._note_served(proved_at, _PEER_SOURCE)
         if state.next_offset > self._next_offset:
             self.handle_peer_end(state.next_offset)
             return
-        self.freshness.note_read(asked_at - state.age_ms / _MS_PER_SECOND)
+        self.freshness.note_read(proved_at)
         if self._failed_reads and self.freshness.synced_at > self._failed_at:
             self._wake_up.set()
 
@@ -212,11 +215,11 @@
     def apply_peer_run(self, run: RecordRun) -> None:
         """Apply records from another instance.
 
-        If records expire during outages of the store, an instance whose reads fail
-        ignores them: only its own read shows which removals are due to an outage.
+        They are ignored while removals among them may be due to an outage of the store
+        that this instance does not know to have ended.
         """
-        if self._next_offset is None or (
-            self._failed_reads and self._policy.records_expire
+        if self._next_offset is None or self._outages.may_have_expired(
+            self._clock.boottime()
         ):
             return
         if run.first <= self._next_offset < run.next_offset:
@@ -421,24 +424,27 @@
         A read that waited ``waited_seconds`` without finding records proves that none
         were appended meanwhile.
         """
-        if self._failed_reads:
-            outage_seconds = sent_at - self._proved_before_outage
-            emit(StoreRegained(self._name, round(outage_seconds, 2)))
-            self._failed_reads = 0
-            self._on_recovery(outage_seconds)
-        self._second_attempts = 0
+        self._failed_reads = self._second_attempts = 0
+        self._note_served(sent_at, _STORE_SOURCE)
         proved_seconds = max(0.0, waited_seconds - _MISSED_RECORD_SECONDS)
         self.freshness.note_read(sent_at + proved_seconds)
 
+    def _note_served(self, at: float, source: str) -> None:
+        """Record that the store has answered this or another instance."""
+        outage_seconds = self._outages.note_served(at)
+        if outage_seconds is not None:
+            emit(StoreRegained(self._name, round(outage_seconds, 2), source))
+            self._on_recovery(outage_seconds)
+
     async def _back_off(self, error: LogUnavailableError) -> None:
         self._first_attempt_done.set()
         if not self._failed_reads:
-            self._proved_before_outage = self.freshness.synced_at
             age = self.freshness.age(self._clock.boottime())
             emit(StoreLost(self._name, round(age, 2), str(error)))
         self._failed_reads += 1 + self._second_attempts
         self._second_attempts = 0
         self._failed_at = self._clock.boottime()
+        self._outages.note_failure(self._failed_at)
         first_seconds, longest_seconds = self._get_backoff_bounds()
         pause = first_seconds * 2.0 ** min(self._failed_reads - 1, 8)
         jitter = self._generator.uniform(0.5, 1.0)
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -1,5 +1,6 @@
 """Policies of how often the topics of the store are read."""
 
+import math
 from dataclasses import dataclass
 
 __all__ = [
@@ -7,6 +8,7 @@
     "build_instances_policy",
     "build_operator_policy",
     "build_targets_policy",
+    "compute_expiry_seconds",
 ]
 
 # Longest wait that the store allows for a read.
@@ -27,6 +29,9 @@
 _TARGETS_READER_FRACTION = 0.5
 _TARGETS_PASSIVE_FRACTION = 0.7
 _TARGETS_BATCH_FRACTION = 0.15
+# An entry expires after three missed renewals, the first of which may have been due as
+# the outage began.
+_RENEWALS_BEFORE_EXPIRY = 2.0
 # Delay after which a read that is due is made a second time, as a fraction of the time
 # in which its records must be in force. The first read comes late in that time, so
 # together with the longest pause after a failure it would pass its end.
@@ -60,8 +65,8 @@
     - ``max_answer_bytes``: size of the records in an answer to another instance.
     - ``repeat_seconds``: delay after which a read without an answer is made a second
       time; after an error it is made at once. 0 for no second attempt.
-    - ``records_expire``: whether the store drops records that are not renewed, also
-      during an outage.
+    - ``expiry_seconds``: length of an outage of the store from which on records that
+      could not be renewed may expire.
     """
 
     wait_seconds: float
@@ -72,7 +77,7 @@
     second_read_delay_seconds: float = 0.0
     max_answer_bytes: int = 4096
     repeat_seconds: float = 0.0
-    records_expire: bool = False
+    expiry_seconds: float = math.inf
 
 
 def build_operator_policy(
@@ -97,8 +102,11 @@
     )
 
 
-def build_targets_policy(drain_seconds: float) -> ReadPolicy:
-    """Return the policy for the targets' entries, which show which of them drain."""
+def build_targets_policy(drain_seconds: float, renewal_seconds: float) -> ReadPolicy:
+    """Return the policy for the targets' entries, which show which of them drain.
+
+    ``renewal_seconds`` is the interval in which a target renews its entry.
+    """
     return ReadPolicy(
         wait_seconds=_WAIT_SECONDS,
         batch_seconds=drain_seconds * _TARGETS_BATCH_FRACTION,
@@ -106,10 +114,15 @@
         passive_age_seconds=drain_seconds * _TARGETS_PASSIVE_FRACTION,
         catch_up_delay_seconds=_CATCH_UP_DELAY_SECONDS,
         repeat_seconds=drain_seconds * _SECOND_READ_FRACTION,
-        records_expire=True,
+        expiry_seconds=compute_expiry_seconds(renewal_seconds),
     )
 
 
+def compute_expiry_seconds(renewal_seconds: float) -> float:
+    """Return the length of an outage from which on entries may expire."""
+    return renewal_seconds * _RENEWALS_BEFORE_EXPIRY
+
+
 def build_instances_policy() -> ReadPolicy:
     """Return the policy for the announcements of instances.
 
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -97,10 +97,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreRegained(Event):
-    """A topic can be read again."""
+    """A topic can be read again, by this instance or by another one that said so.
+
+    The store served nobody, as far as known, for ``away_seconds`` before.
+    """
 
     topic: str
     away_seconds: float
+    source: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -27,6 +27,7 @@
 
 TOPICS = ("operator", "targets")
 REVOCATION_SECONDS = 5.0
+RENEWAL_SECONDS = 1.2
 
 
 def build_policies(drain_seconds: float) -> dict[str, ReadPolicy]:
@@ -36,7 +37,7 @@
     """
     return {
         "operator": build_operator_policy(REVOCATION_SECONDS, drain_seconds),
-        "targets": build_targets_policy(drain_seconds),
+        "targets": build_targets_policy(drain_seconds, RENEWAL_SECONDS),
     }
 
 
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -189,7 +189,7 @@
             "targets",
             KeyedTopic(self.store.client, TOPIC),
             self.clock,
-            ReadPolicy(30.0, 0.2, 0.6, 1.2, 0.25, records_expire=True),
+            ReadPolicy(30.0, 0.2, 0.6, 1.2, 0.25, expiry_seconds=2.4),
             lambda record: self.seen.append((record.key, record.value)),
             self.outages.append,
             random.Random(1),
@@ -299,7 +299,7 @@
     async def test_peer_proofs_do_not_shorten_the_reported_outage(self):
         await self.start()
         self.store.status = 503
-        await self.advance_in_steps(4.0)
+        await self.advance_in_steps(4.05)
         self.follower.handle_peer_state(TopicState(0, 0), self.clock.boottime())
         self.store.status = None
         await self.advance_in_steps(4.0)
--- a/tests/entry/test_leaving_targets.py
+++ b/tests/entry/test_leaving_targets.py
@@ -12,7 +12,7 @@
 from carobladder.clock import VirtualClock
 from carobladder.entry.control_state import ControlState
 from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import build_targets_policy
+from carobladder.entry.paces import build_targets_policy, compute_expiry_seconds
 from carobladder.exceptions import ConnectionBrokenError
 from carobladder.fleet import (
     ColdPacer,
@@ -71,7 +71,7 @@
             self.clock,
             self.targets,
             ColdPacer(ShareLedger(4)),
-            RENEWAL_SECONDS,
+            compute_expiry_seconds(RENEWAL_SECONDS),
             lambda order: None,
         )
         self.expire = control_state.expire_targets
@@ -86,7 +86,7 @@
             "targets",
             KeyedTopic(self.store.client, TOPIC),
             self.clock,
-            build_targets_policy(drain_seconds),
+            build_targets_policy(drain_seconds, RENEWAL_SECONDS),
             apply_record,
             control_state.handle_store_recovery,
             random.Random(seed),
@@ -194,6 +194,39 @@
                     knowledge.hear_peer()
                 self.assertFalse(knowledge.accepts_requests())
 
+    # Guards against a failed read long ago that counts as an outage until now, since
+    # the proofs of others made a read of its own needless.
+    async def test_removed_target_is_left_in_time_long_after_a_failed_read(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                knowledge = await self.start(3.0, seed)
+                knowledge.failures = ["silent"] * 4
+                await knowledge.advance(3.0)
+                knowledge.failures = []
+                for _ in range(round(9.0 / PEER_INTERVAL_SECONDS)):
+                    await knowledge.advance(PEER_INTERVAL_SECONDS)
+                    knowledge.hear_peer()
+                knowledge.store.state.put(TOPIC, "i-1", None)
+                await knowledge.advance(1.0)
+                knowledge.hear_peer()
+                await knowledge.advance(1.0)
+                self.assertFalse(knowledge.accepts_requests())
+
+    # Guards against the loss of all targets when their entries have expired together.
+    async def test_removed_target_is_kept_after_an_outage_of_the_store(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                knowledge = await self.start(3.0, seed)
+                knowledge.failures = ["silent"] * 100
+                await knowledge.advance(8.0)
+                knowledge.failures = []
+                knowledge.store.state.put(TOPIC, "i-1", None)
+                knowledge.hear_peer()
+                await knowledge.advance(1.0)
+                self.assertTrue(knowledge.accepts_requests())
+                await knowledge.advance(3.0)
+                self.assertFalse(knowledge.accepts_requests())
+
     # Guards against an instance that ignores the news of others since one of its own
     # reads has failed.
     async def test_removal_known_to_others_is_applied_after_a_failed_read(self):
