Look at the registered targets again before a request is written

Callers: a request could go to a target that had left, restarted or whose data centre was closed while the instance connected or looked for a prompt's source. Cause: the last look before the write saw the flags of the chosen object only, and an entry that is removed, replaced or whose data centre is closed changes none of them. Class: a decision that is acted on after what it rests on has changed. Ruled out: a look at the selection again, which would count the request twice. Change: TargetTable.accepts, called where the flags were looked at.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -342,6 +342,7 @@
             self._clock,
             exchange.report_silent_target,
             exchange.report_sent_request,
+            self._targets,
             targets_freshness,
         )
         forwarder = Forwarder(
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -176,6 +176,14 @@
         else:
             self._emptied.discard(data_centre)
 
+    def accepts(self, target: FleetTarget, now: float) -> bool:
+        """Return whether a target that was chosen earlier may still get a request."""
+        return (
+            self._targets.get(target.target_id) is target
+            and target.entry.data_centre not in self._emptied
+            and target.is_available(now)
+        )
+
     def list_registered(self, service: str) -> list[FleetTarget]:
         """Return all targets of a service, including unusable ones."""
         return list(self._by_service.get(service, ()))
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -23,6 +23,7 @@
     FleetTarget,
     Freshness,
     RouteLatencies,
+    TargetTable,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
 from carobladder.forwarding.loadmonitor import ExpectedLoad, LoadMonitor
@@ -98,7 +99,7 @@
     ``report_silence`` is called with a target that has sent no byte since a request,
     and with the time at which that request was sent. ``report_sent`` is called when a
     request has been counted at its target. ``targets_freshness`` is that of the
-    registered targets.
+    registered ``targets``.
     """
 
     client: HttpClient
@@ -110,6 +111,7 @@
     clock: Clock
     report_silence: Callable[[FleetTarget, float], None]
     report_sent: Callable[[], None]
+    targets: TargetTable
     targets_freshness: Freshness
 
     async def send(
@@ -150,7 +152,9 @@
                 body=call.body,
                 timeout_seconds=timeout_seconds,
                 may_repeat=False,
-                confirm=lambda: self._may_send(target) and on_write(),
+                confirm=lambda: (
+                    self.targets.accepts(target, self.clock.monotonic()) and on_write()
+                ),
             )
             deadline = loop.time() + timeout_seconds
             facts = await self._match_answer(call, target, answer, deadline)
@@ -219,10 +223,6 @@
             )
         return facts
 
-    def _may_send(self, target: FleetTarget) -> bool:
-        """Return whether the target still accepts requests after connecting."""
-        return target.is_available(self.clock.monotonic())
-
     def _apply_facts(
         self,
         call: ForwardedCall,
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -176,6 +176,7 @@
             self.clock,
             lambda target, sent_at: self.reported_silent.append(target),
             lambda: None,
+            self.targets,
             self.freshness,
         )
         selector = TargetSelector(
--- a/tests/forwarding/test_target_availability.py
+++ b/tests/forwarding/test_target_availability.py
@@ -192,6 +192,7 @@
     async def send_while_connecting(self, announce) -> None:
         """Call ``announce`` for the first target during each connection to it."""
         instance = await self.start(echo, echo)
+        self.table = instance.targets
         first = instance.targets.list_all()[0]
         connect = instance.client._connect
 
@@ -216,6 +217,31 @@
             lambda target, now: target.note_pause(30.0, now)
         )
 
+    # Guards against a request to a target that leaves without saying so.
+    async def test_target_whose_entry_is_removed_gets_no_request(self):
+        await self.send_while_connecting(
+            lambda target, now: self.table.drop(target.target_id, now)
+        )
+
+    # Guards against a request to a data centre that operators have closed.
+    async def test_target_of_a_data_centre_that_is_closed_gets_no_request(self):
+        await self.send_while_connecting(self.close_data_centre)
+
+    # Guards against a request that counts for the run before a restart.
+    async def test_target_that_restarts_gets_no_request_of_its_earlier_run(self):
+        def restart(target, now):
+            if target.entry.started_ms == 1 and self.table.find("i-0") is target:
+                entry = dataclasses.replace(target.entry, started_ms=2, draining=True)
+                self.table.apply(entry, now)
+
+        await self.send_while_connecting(restart)
+
+    def close_data_centre(self, target, now):
+        """Move the target to a data centre of its own and close that."""
+        entry = dataclasses.replace(target.entry, data_centre="dc-2")
+        self.table.apply(entry, now)
+        self.table.set_emptied("dc-2", True)
+
 
 if __name__ == "__main__":
     unittest.main()
