Let a read prove only what its answer shows

Callers: none seen; an instance that believes a false proof reads late, and could send to a target that has left, or accept a revoked key. Cause: a waiting read without records counted as having waited its whole 30 s, also if the store ended it early, which gave a proof 29 s in the future; an answer that stops at the size limit counted as complete. Class: a proof derived from what was asked instead of what was answered. Change: the time that passed bounds the proof; the end of the topic, which the store names in each answer, tells a partial one. Evidence: both tests of ProofTest failed before (a proof of 29.4 s at 1.0 s; a proof from 1 of 2 records) and pass; followers, leaving targets, fleet reads and platform: 92 passed, 0 failed before the last line of the condition, rerun after it.

--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -321,11 +321,17 @@
         timed = await fetch(lambda: self._reader.read_records(first, wait_seconds))
         page = timed.page
         found = page.next_offset > first
-        self._record_success(timed.sent_at, 0.0 if found else wait_seconds)
+        is_complete = page.end <= page.next_offset
+        elapsed_seconds = self._clock.boottime() - timed.sent_at
+        waited_seconds = 0.0 if found else min(wait_seconds, elapsed_seconds)
+        if is_complete:
+            self._record_success(timed.sent_at, waited_seconds)
+        else:
+            self._record_partial_success(timed)
         if self._next_offset is not None and page.next_offset > self._next_offset:
             run = RecordRun(first, page.next_offset, page.records)
             self._apply_run(run, _STORE_SOURCE, synced_at)
-        if not wait_seconds and self.is_behind(reported_end):
+        if is_complete and not wait_seconds and self.is_behind(reported_end):
             self._reject_peer_end(reported_end)
         return found
 
@@ -418,6 +424,12 @@
         self._behind_since = None
         self._recent_runs.clear()
 
+    def _record_partial_success(self, timed: _TimedPage) -> None:
+        """Record a read whose answer was too short to prove that all is known."""
+        self._failed_reads = self._second_attempts = 0
+        self._note_served(timed.sent_at, _STORE_SOURCE)
+        self.handle_peer_end(timed.page.end)
+
     def _record_success(self, sent_at: float, waited_seconds: float) -> None:
         """Record a successful read.
 
--- a/carobladder/fleet/records.py
+++ b/carobladder/fleet/records.py
@@ -26,10 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedPage:
-    """Records of a keyed topic in order, and the offset after them."""
+    """Records of a keyed topic in order, and the offset after them.
+
+    ``end`` is the offset after the last record that the topic had at the time of the
+    read; it is higher than ``next_offset`` if the answer was too short for all.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    end: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/platform/store.py
+++ b/carobladder/platform/store.py
@@ -263,7 +263,7 @@
         records = page.records
         decoded = [decode_keyed(first + i, record) for i, record in enumerate(records)]
         valid = tuple(record for record in decoded if record is not None)
-        return KeyedPage(valid, first + len(records))
+        return KeyedPage(valid, first + len(records), page.end)
 
     async def write(self, key: str, value: bytes) -> None:
         """Write a value of a key; an empty value deletes the key."""
@@ -291,4 +291,4 @@
         while page.has_more and page.records:
             page = await self._store.read_newest(self._topic, page.records[-1].key)
             records += page.records
-        return KeyedPage(tuple(records), end)
+        return KeyedPage(tuple(records), end, end)
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -80,7 +80,8 @@
                 timer.cancel()
             if self._fleet.is_refused(instance):
                 raise LogUnavailableError("refused")
-        return KeyedPage(tuple(self.records[first:]), len(self.records))
+        end = len(self.records)
+        return KeyedPage(tuple(self.records[first:]), end, end)
 
 
 class InstanceTopicReader:
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -4,11 +4,14 @@
 import random
 import unittest
 
+from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import VirtualClock
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.paces import ReadPolicy, build_instances_policy
 from carobladder.fleet import KeyedRecord, RecordRun, TopicState
+from carobladder.platform.frames import decode_page
 from carobladder.platform.store import KeyedTopic
+from standins.store import join_page
 from tests.platform.fake_store import FakeStore
 
 TOPIC = "keyed.op"
@@ -177,6 +180,71 @@
         self.assertLess(clock.monotonic(), 0.6)
 
 
+class ProofTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against proofs that claim more than the instance has read.
+
+    An instance that believes them reads too late for the records that it misses.
+    """
+
+    def setUp(self):
+        self.store = FakeStore()
+        self.clock = VirtualClock()
+        self.follower = TopicFollower(
+            "targets",
+            KeyedTopic(self.store.client, TOPIC),
+            self.clock,
+            ReadPolicy(30.0, 0.1),
+            lambda record: None,
+            lambda outage_seconds: None,
+            random.Random(1),
+        )
+
+    async def run_until_idle(self) -> None:
+        """Let the follower read until its reads get no answer."""
+        task = asyncio.create_task(self.follower.run())
+        self.addCleanup(task.cancel)
+        for _ in range(60):
+            await asyncio.sleep(0)
+
+    # Guards against a proof of the future from a waiting read that ends early.
+    async def test_waiting_read_that_ends_early_proves_only_the_time_it_waited(self):
+        fetch = self.store.fetch
+        reads = 0
+
+        async def end_early(method, address, path, **options):
+            nonlocal reads
+            reads += 1
+            if reads > 2:
+                await asyncio.Event().wait()
+            self.clock.advance(0.5)
+            return await fetch(method, address, path, **options)
+
+        self.store.fetch = end_early
+        await self.run_until_idle()
+        now = self.clock.boottime()
+        self.assertLessEqual(self.follower.freshness.synced_at, now)
+
+    # Guards against a proof from an answer that holds only the first records.
+    async def test_answer_without_the_last_records_proves_nothing(self):
+        await self.follower._read_snapshot()
+        before = self.follower.freshness.synced_at
+        self.store.state.put(TOPIC, "a", b"1")
+        self.store.state.put(TOPIC, "b", b"1")
+        self.clock.advance(1.0)
+        fetch = self.store.fetch
+
+        async def answer_first_record(method, address, path, **options):
+            answer = await fetch(method, address, path, **options)
+            page = decode_page(answer.body)
+            body = join_page(page.end, page.oldest, page.records[:1])
+            return HttpAnswer(answer.status, (), body)
+
+        self.store.fetch = answer_first_record
+        await self.follower._read_from(0, 0.0)
+        self.assertEqual(self.follower.next_offset, 1)
+        self.assertEqual(self.follower.freshness.synced_at, before)
+
+
 class PeerUpdatesTest(unittest.IsolatedAsyncioTestCase):
     """Guard against wrong or late peer messages and those during an outage."""
 
