Remember that a run leaves while another one has its id

Callers: none seen; a target that has said in an answer that it leaves could get requests again. Cause: the statement stands on the object of the run, which an entry of another run replaced for good, also if another writer left that entry and the target's own came back. Class: state of one thing kept on a replaceable copy of it. Ruled out: a set of ids, which would hold it against a true restart. Change: runs that are replaced are kept like those that are removed, by identity. Evidence: the new test of tests.fleet.test_targets failed before and passes; tests.fleet and the tests of availability: 170 passed, 0 failed.

--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -1,6 +1,7 @@
 """Registry of the targets that an instance knows."""
 
 from collections import OrderedDict
+from dataclasses import dataclass
 
 import xxhash
 
@@ -87,17 +88,27 @@
         self.cold_until = now + seconds
 
 
+@dataclass(frozen=True, slots=True)
+class _Run:
+    """Identity of one run of a target; a restart under the same id is another run."""
+
+    target_id: str
+    started_ms: int
+    address: str
+    service: str
+
+
 class TargetTable:
     """Registered targets, indexed by id, service and tag.
 
-    A target that was removed and registers again without a restart keeps its health
-    and state. In particular, one that announced its shutdown still gets no requests
-    when its entry has expired and reappeared.
+    A run of a target that was removed, or replaced by an entry of another run, and
+    registers again keeps its health and state. In particular, one that announced its
+    shutdown still gets no requests when its entry has expired and reappeared.
     """
 
     def __init__(self) -> None:
         self._targets: dict[str, FleetTarget] = {}
-        self._removed: OrderedDict[str, FleetTarget] = OrderedDict()
+        self._removed: OrderedDict[_Run, FleetTarget] = OrderedDict()
         self._by_service: dict[str, list[FleetTarget]] = {}
         self._by_tag: dict[int, FleetTarget] = {}
         self._emptied: set[str] = set()
@@ -122,10 +133,14 @@
     def apply(self, entry: TargetEntry, now: float) -> FleetTarget:
         """Add or update a target; a restart under the same id is a new target."""
         self._removal_times.pop(entry.target_id, None)
+        run = _identify_run(entry)
         target = self._targets.get(entry.target_id)
+        if target is not None and _identify_run(target.entry) != run:
+            self._retire(target)
+            target = None
+        if target is None:
+            target = self._removed.pop(run, None)
         if target is None:
-            target = self._removed.pop(entry.target_id, None)
-        if target is None or _is_other_run(target.entry, entry):
             target = FleetTarget(entry, now)
         else:
             target.update(entry, now)
@@ -204,11 +219,16 @@
 
     def _remove(self, target_id: str) -> None:
         self._removal_times.pop(target_id, None)
-        self._removed[target_id] = self._targets.pop(target_id)
-        self._removed.move_to_end(target_id)
+        self._retire(self._targets.pop(target_id))
+        self._rebuild_indexes()
+
+    def _retire(self, target: FleetTarget) -> None:
+        """Keep a run that is no longer registered, in case that it registers again."""
+        run = _identify_run(target.entry)
+        self._removed[run] = target
+        self._removed.move_to_end(run)
         if len(self._removed) > _MAX_REMOVED_TARGETS:
             self._removed.popitem(last=False)
-        self._rebuild_indexes()
 
     def _rebuild_indexes(self) -> None:
         groups: dict[str, list[FleetTarget]] = {}
@@ -218,9 +238,5 @@
         self._by_tag = {target.tag: target for target in self._targets.values()}
 
 
-def _is_other_run(known: TargetEntry, entry: TargetEntry) -> bool:
-    return (known.started_ms, known.address, known.service) != (
-        entry.started_ms,
-        entry.address,
-        entry.service,
-    )
+def _identify_run(entry: TargetEntry) -> _Run:
+    return _Run(entry.target_id, entry.started_ms, entry.address, entry.service)
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -77,3 +77,16 @@
         self.assertEqual(self.list_open(), [])
         self.table.apply(build_entry(slots=4), 1.0)
         self.assertEqual(self.list_open(), ["i-1"])
+
+    # Guards against requests to a target that has said that it leaves, after an entry
+    # of another writer under its id.
+    def test_run_that_leaves_keeps_leaving_after_an_entry_of_another_run(self):
+        table = TargetTable()
+        entry = build_entry("i-1")
+        table.apply(entry, 0.0).note_leaving()
+        other = table.apply(build_entry("i-1", started_ms=0, address="10.9.9.9:1"), 1.0)
+        self.assertTrue(other.takes_requests)
+        self.assertFalse(table.apply(entry, 2.0).takes_requests)
+        self.assertTrue(
+            table.apply(build_entry("i-1", started_ms=2), 3.0).takes_requests
+        )
