Decode the rate limit that a target names, and log it

Cause: Server-Limit was decoded nowhere, so neither log nor metric could tell who knew of a limit when, or which requests went to such a target. Ruled out: acting on it in the same change; the hypotheses come first. Change: the adapter decodes the header, the run of the target keeps the newest statement, target_limited and target_unlimited stand for its begin and end, and request_placed names it. No decision changes. A refusal without the header does not end a limit, since a target may refuse before it looks at it.

--- a/carobladder/fleet/exchanges.py
+++ b/carobladder/fleet/exchanges.py
@@ -65,7 +65,8 @@
     ``not_run`` is the target's assurance that it did not execute the request.
     ``misdirected`` is set if another target now has the address. A ``leaving`` target
     shuts down soon. ``pause_seconds`` is the time for which the target asks this
-    instance to send no requests.
+    instance to send no requests. ``rate_limit`` is the number of requests a second that
+    the target accepts from all instances together, None if it names none.
     """
 
     request_id: str
@@ -76,6 +77,7 @@
     cold_seconds: float | None = None
     leaving: bool = False
     pause_seconds: float | None = None
+    rate_limit: float | None = None
 
 
 class ExchangeCodec(Protocol):
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -17,6 +17,8 @@
 # permanently.
 _MAX_PAUSE_SECONDS = 60.0
 _MAX_REMOVED_TARGETS = 512
+# Lower limits are raised to this, so that some request finds out when they end.
+_MIN_REQUESTS_PER_SECOND = 0.1
 
 
 class FleetTarget:
@@ -34,6 +36,8 @@
         self.misdirected = False
         self.leaving = False
         self._paused_until = float("-inf")
+        self.rate_limit: float | None = None
+        self.rate_stated_at = float("-inf")
         self.tag = xxhash.xxh32_intdigest(entry.target_id.encode())
 
     @property
@@ -83,6 +87,20 @@
         until = now + pause_seconds
         self._paused_until = max(self._paused_until, until)
 
+    def note_rate_limit(self, per_second: float | None, stated_at: float) -> bool:
+        """Record the rate limit of a response, None if it names none.
+
+        The newest statement holds. Return whether a limit has begun or ended.
+        """
+        if stated_at < self.rate_stated_at:
+            return False
+        was_limited = self.rate_limit is not None
+        self.rate_stated_at = stated_at
+        self.rate_limit = per_second
+        if per_second is not None:
+            self.rate_limit = max(_MIN_REQUESTS_PER_SECOND, per_second)
+        return was_limited != (per_second is not None)
+
     def note_cold(self, seconds: float, now: float) -> None:
         """Set the remaining cold time that the target reported in a response."""
         self.cold_until = now + seconds
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -34,7 +34,9 @@
     AnswerOfOtherRequestDropped,
     RequestPlaced,
     TargetLeaving,
+    TargetLimited,
     TargetPaused,
+    TargetUnlimited,
     emit,
 )
 
@@ -241,12 +243,25 @@
             target.note_pause(facts.pause_seconds, now)
             pause_seconds = round(target.read_pause(now), 3)
             emit(TargetPaused(target.target_id, request_id, pause_seconds))
+        self._apply_rate_limit(target, facts, request_id, now)
         if facts.load is not None:
             target.health.note_load(facts.load, now)
             self.loads.note_stated(target, expected_load, facts.load, request_id, now)
         if facts.cold_seconds is not None:
             target.note_cold(facts.cold_seconds, now)
 
+    def _apply_rate_limit(
+        self, target: FleetTarget, facts: AnswerMetadata, request_id: str, now: float
+    ) -> None:
+        if facts.rate_limit is None and facts.not_run:
+            # Only an answer to a request that ran shows that a limit has ended.
+            return
+        if target.note_rate_limit(facts.rate_limit, now):
+            if target.rate_limit is not None:
+                emit(TargetLimited(target.target_id, request_id, target.rate_limit))
+            else:
+                emit(TargetUnlimited(target.target_id, request_id))
+
     def _handle_silence(self, outcome: SendOutcome, sent_at: float) -> None:
         """Suspect and report a target that has sent no byte since this request."""
         outcome.note_silence(self.clock.monotonic() - sent_at)
@@ -310,6 +325,7 @@
                 version=call.configuration_version,
                 records_age_seconds=round(call.configuration_age_seconds, 2),
                 targets_age_seconds=round(targets_age, 2),
+                rate_limit=target.rate_limit,
             )
         )
 
--- a/carobladder/platform/exchanges.py
+++ b/carobladder/platform/exchanges.py
@@ -23,6 +23,7 @@
     PRIORITY_HEADER,
     PROMPT_PREFIX_HEADER,
     PROMPT_SOURCE_HEADER,
+    RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
     RESERVED_HEADERS,
     RETRY_AFTER_HEADER,
@@ -102,6 +103,7 @@
             cold_seconds=_parse_milliseconds(values.get(COLD_TIME_HEADER)),
             leaving=values.get(LEAVING_HEADER, "").strip() == "1",
             pause_seconds=_parse_pause(status, values.get(RETRY_AFTER_HEADER)),
+            rate_limit=_parse_non_negative(values.get(RATE_LIMIT_HEADER)),
         )
 
     def write_answer(self, request_id: str) -> Headers:
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -17,6 +17,7 @@
     "PRIORITY_HEADER",
     "PROMPT_PREFIX_HEADER",
     "PROMPT_SOURCE_HEADER",
+    "RATE_LIMIT_HEADER",
     "REQUEST_ID_HEADER",
     "RESERVED_HEADERS",
     "RETRY_AFTER_HEADER",
@@ -53,6 +54,7 @@
 LOAD_HEADER = "carobladder-server-load"
 COLD_TIME_HEADER = "carobladder-cold-ms"
 LEAVING_HEADER = "server-leaving"
+RATE_LIMIT_HEADER = "server-limit"
 RETRY_AFTER_HEADER = "retry-after"
 
 # Only the fleet sets these headers; they are removed from callers' requests.
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -24,7 +24,8 @@
     ``load`` is the believed number of requests there, ``None`` if unknown, and
     ``load_bound`` the number that the operators allow; ``records_age_seconds`` the age
     of what the operator is known to want, ``targets_age_seconds`` that of what is known
-    of the targets' entries.
+    of the targets' entries. ``rate_limit`` is the number of requests a second that the
+    target accepts from all instances, ``None`` if it has named no limit.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     version: int
     records_age_seconds: float
     targets_age_seconds: float
+    rate_limit: float | None = None
 
     limited: ClassVar[bool] = True
 
--- a/carobladder/telemetry/events/targets.py
+++ b/carobladder/telemetry/events/targets.py
@@ -19,11 +19,13 @@
     "TargetEntryUnreadable",
     "TargetGone",
     "TargetLeaving",
+    "TargetLimited",
     "TargetPaused",
     "TargetRemovalDeferred",
     "TargetSeen",
     "TargetSuspected",
     "TargetTrusted",
+    "TargetUnlimited",
 ]
 
 
@@ -68,6 +70,33 @@
     request_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class TargetLimited(Event):
+    """A target named a limit of requests a second for all instances together.
+
+    ``source`` is the id of the request whose answer names it, or "peer".
+    """
+
+    target: str
+    source: str
+    per_second: float
+
+    limited: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class TargetUnlimited(Event):
+    """A target that had named a limit answered without one.
+
+    ``source`` is the id of the request with this answer, or "peer".
+    """
+
+    target: str
+    source: str
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class TargetPaused(Event):
     """A target refused a request and asked for a pause; it gets none meanwhile."""
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -90,6 +90,22 @@
         self.assertEqual(metadata.load, TargetLoad(3, 1, 8))
         self.assertEqual(metadata.cold_seconds, 2.5)
 
+    def test_rate_limit_is_a_decimal_number_of_requests_a_second(self):
+        for text, expected in (
+            ("2.5", 2.5),
+            (" 7 ", 7.0),
+            ("0", 0.0),
+            ("-1", 0.0),
+            ("nan", None),
+            ("inf", None),
+            ("many", None),
+            ("", None),
+        ):
+            with self.subTest(text=text):
+                metadata = self.codec.read_answer(200, (("server-limit", text),))
+                self.assertEqual(metadata.rate_limit, expected)
+        self.assertIsNone(self.codec.read_answer(200, ()).rate_limit)
+
     def test_only_the_not_executed_header_or_421_means_not_run(self):
         not_executed = (("carobladder-not-executed", "1"),)
         self.assertTrue(self.codec.read_answer(503, not_executed).not_run)
