Keep the rate limits that targets name, by all instances together

Callers: a target in need got up to twice what it had said that it takes. Class: a bound on a sum that no part of the fleet can see. Ruled out: an equal share each, which serves nobody with 87 instances before a limit of 2 a second; an owner that grants each request, since a hand-over of owners would need the same care as the partitions and a message a request. Change: each request a second of a limit belongs to one partition of the group, by a hash of the target, and its holder spaces its requests to it. A partition counts only once its earlier holder must know that it lost it; after a lapsed lease the spacing doubles. Instances tell each other of a limit and its end, the newest statement holds; a limit that nobody confirms is tried by all together at its own rate. Where all targets of a service limit their rate, requests wait for at most half of their latency objective, the most urgent first, if the wait is known to be long enough; else they are refused at once with the time until the limits admit one. Load bounds leave targets at their limit out of the mean.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -31,6 +31,8 @@
     KeyedRecord,
     LoadBounds,
     LoadGossip,
+    RateGossip,
+    RatePacer,
     ReaderRole,
     RouteLatencies,
     ServiceBudgets,
@@ -142,6 +144,7 @@
         self._ledger = ShareLedger(SHARE_PARTITIONS)
         self._load_bounds = LoadBounds(self._targets, settings.load_multiple)
         self._pacer = ColdPacer(self._ledger)
+        self._rates = RatePacer(self._ledger, clock, self._generator)
         self._moves = VersionMoves(settings.exposure_share)
         self._tallies = AnswerTallies(self._moves, self._targets, incarnation)
         self._peers = PeerDirectory(settings.instance, settings.peer_listen, clock)
@@ -170,6 +173,7 @@
         selector = TargetSelector(
             self._targets,
             self._pacer,
+            self._rates,
             self._moves,
             self._load_bounds,
             self._generator,
@@ -261,6 +265,7 @@
                 FailureGossip(self._targets, self._generator),
                 InFlightGossip(self._targets),
                 QuarantineSharing(self._quarantine, self._clock),
+                RateGossip(self._targets, self._clock),
             ),
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._reader_role.is_held,
@@ -342,6 +347,7 @@
             self._clock,
             exchange.report_silent_target,
             exchange.report_sent_request,
+            exchange.report_rate_change,
             self._targets,
             targets_freshness,
         )
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -27,6 +27,7 @@
     PeerMessage,
     PeerReply,
     PeerStatus,
+    RateGossip,
     TopicWriter,
     decode_datagram,
     encode_datagram,
@@ -46,8 +47,9 @@
 _INTERVAL_SECONDS_PER_PEER = 0.01
 # Receivers in each interval; updates reach all instances within a few intervals.
 _GOSSIP_FANOUT = 2
-# Receivers of an immediate report of a silent target; each forwards it to as many.
-_FAILURE_REPORT_FANOUT = 4
+# Receivers of an immediate report of a silent target or of a rate limit; each forwards
+# what it did not know to as many.
+_REPORT_FANOUT = 4
 # Receivers of news about the quarantine in a large fleet.
 _NEWS_FANOUT = 4
 # Limits the immediate queries for records that another instance has.
@@ -75,6 +77,7 @@
     failures: FailureGossip
     in_flight: InFlightGossip
     quarantine: QuarantineSharing
+    rates: RateGossip
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -114,6 +117,7 @@
         self._last_query_number = generator.getrandbits(_QUERY_NUMBER_BITS)
         self._last_query_at = float("-inf")
         self._report_timer: asyncio.TimerHandle | None = None
+        self._rate_timer: asyncio.TimerHandle | None = None
         self._report_budget = RetryBudget(
             0.0,
             clock.monotonic(),
@@ -141,8 +145,9 @@
                 await self._clock.sleep(self._choose_interval())
                 self._gossip()
         finally:
-            if self._report_timer is not None:
-                self._report_timer.cancel()
+            for timer in (self._report_timer, self._rate_timer):
+                if timer is not None:
+                    timer.cancel()
             self._shared.quarantine.stop()
             self._transport = None
             transport.close()
@@ -177,6 +182,8 @@
         if self._shared.failures.take(message.failures, self._clock.monotonic()):
             self._send_failure_reports()
         self._shared.quarantine.take_holds(message.holds)
+        if self._shared.rates.take(message.rates):
+            self.report_rate_change()
         if message.in_flight is not None:
             self._handle(message.in_flight, peer)
         if message.question:
@@ -243,6 +250,7 @@
                 failures=self._shared.failures.collect(self._clock.monotonic()),
                 in_flight=in_flight,
                 holds=self._shared.quarantine.collect_holds(),
+                rates=self._shared.rates.collect(),
             )
             self._send(message, peer)
 
@@ -270,16 +278,32 @@
         if self._shared.failures.note_silence(target, sent_at, now):
             self._send_failure_reports()
 
+    def report_rate_change(self) -> None:
+        """Report shortly that targets have begun or ended to limit their rate."""
+        if self._rate_timer is None:
+            self._rate_timer = asyncio.get_running_loop().call_later(
+                _REPORT_DELAY_SECONDS, self._send_rate_reports
+            )
+
+    def _send_rate_reports(self) -> None:
+        """Send the rate limits to some instances, which pass changes on."""
+        self._rate_timer = None
+        rates = self._shared.rates.collect()
+        for peer in self._choose_report_receivers():
+            message = msgspec.structs.replace(self._build_gossip(), rates=rates)
+            self._send(message, peer)
+
     def _send_failure_reports(self) -> None:
         """Send the reports of silent targets to some instances at once."""
-        peers = self._directory.list_peers()
         failures = self._shared.failures.collect(self._clock.monotonic())
-        for peer in self._generator.sample(
-            peers, min(_FAILURE_REPORT_FANOUT, len(peers))
-        ):
+        for peer in self._choose_report_receivers():
             message = self._build_gossip()
             self._send(msgspec.structs.replace(message, failures=failures), peer)
 
+    def _choose_report_receivers(self) -> list[Peer]:
+        peers = self._directory.list_peers()
+        return self._generator.sample(peers, min(_REPORT_FANOUT, len(peers)))
+
     def _spread_news(self, news: QuarantineNews) -> None:
         """Send news to all others of a small fleet, else to some, who pass them on."""
         peers = self._directory.list_peers()
--- a/carobladder/entry/shares.py
+++ b/carobladder/entry/shares.py
@@ -66,6 +66,7 @@
             )
 
     async def _renew(self) -> None:
+        sent_at = self._clock.boottime()
         membership = await self._store.join_group(
             _GROUP_NAME, self._member, self._topics, _LEASE_SECONDS, self._generation
         )
@@ -75,7 +76,9 @@
             for topic, part in membership.parts
         )
         before = len(self._ledger.held)
-        if self._ledger.assign(held):
+        # The store counts the lease from the arrival of the call.
+        self._ledger.extend_lease(sent_at + _LEASE_SECONDS)
+        if self._ledger.assign(held, self._clock.boottime()):
             total = len(self._ledger.partitions)
             emit(ShareChanged(len(held), before, total, membership.generation))
 
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -45,6 +45,7 @@
     "TargetFailedError",
     "TargetRefusedError",
     "TargetsBusyError",
+    "TargetsLimitedError",
     "TargetsPausedError",
     "UnknownModelError",
     "UnknownOutcomeError",
@@ -262,6 +263,15 @@
     code = "targets_paused"
 
 
+class TargetsLimitedError(NotReadyError):
+    """Report that the rate limits of the service's targets admit no further request.
+
+    ``retry_after_seconds`` is the time until they admit one.
+    """
+
+    code = "targets_limited"
+
+
 class PromptQuarantinedError(NotReadyError):
     """Report a prompt with a part that has crashed the targets that answered it.
 
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -13,7 +13,9 @@
     loads,
     locations,
     messages,
+    pacing,
     prompts,
+    ratereports,
     records,
     selection,
     shares,
@@ -34,7 +36,9 @@
 from carobladder.fleet.loads import *  # noqa: F403
 from carobladder.fleet.locations import *  # noqa: F403
 from carobladder.fleet.messages import *  # noqa: F403
+from carobladder.fleet.pacing import *  # noqa: F403
 from carobladder.fleet.prompts import *  # noqa: F403
+from carobladder.fleet.ratereports import *  # noqa: F403
 from carobladder.fleet.records import *  # noqa: F403
 from carobladder.fleet.selection import *  # noqa: F403
 from carobladder.fleet.shares import *  # noqa: F403
@@ -55,8 +59,10 @@
     *loadbounds.__all__,
     *loads.__all__,
     *messages.__all__,
+    *pacing.__all__,
     *timeouts.__all__,
     *prompts.__all__,
+    *ratereports.__all__,
     *records.__all__,
     *selection.__all__,
     *shares.__all__,
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -10,6 +10,7 @@
 from carobladder.fleet.failures import FailureReport
 from carobladder.fleet.inflight import InFlightReport
 from carobladder.fleet.loads import LoadReport, is_usable_report
+from carobladder.fleet.ratereports import RateReport
 from carobladder.fleet.records import KeyedRecord, RecordRun
 from carobladder.quarantine import HoldReport, QuarantineNews
 
@@ -68,7 +69,8 @@
     their fixed order, or 0 if none is known. ``question`` is the number of a request
     for a ``PeerReply``, or 0 for none. ``failures`` reports unresponsive targets.
     ``in_flight`` is None in large fleets. ``holds`` are the parts of prompts in
-    quarantine, for instances that have just started.
+    quarantine, for instances that have just started, and ``rates`` the rate limits that
+    targets have named.
     """
 
     question: int
@@ -78,6 +80,7 @@
     failures: list[FailureReport] = []
     in_flight: InFlightReport | None = None
     holds: list[HoldReport] = []
+    rates: list[RateReport] = []
 
 
 class PeerReply(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -7,7 +7,7 @@
 
 from carobladder.fleet.health import Condition
 from carobladder.fleet.loadbounds import LoadBounds
-from carobladder.fleet.shares import ColdPacer
+from carobladder.fleet.pacing import ColdPacer, RatePacer
 from carobladder.fleet.targets import FleetTarget, TargetTable
 from carobladder.fleet.versions import VersionMoves
 from carobladder.placement.popularity import PromptPopularity
@@ -54,12 +54,14 @@
         self,
         table: TargetTable,
         pacer: ColdPacer,
+        rates: RatePacer,
         moves: VersionMoves,
         bounds: LoadBounds,
         generator: random.Random,
     ) -> None:
         self._table = table
         self._pacer = pacer
+        self._rates = rates
         self._moves = moves
         self._bounds = bounds
         self._generator = generator
@@ -78,13 +80,14 @@
         self._moves.note_sent(chosen)
         if chosen.is_cold(now):
             self._pacer.acquire(chosen.target_id, criteria.service.cold_per_second, now)
+        self._rates.acquire(chosen)
         return chosen
 
     def is_overloaded(self, criteria: SelectionCriteria, now: float) -> bool:
         """Return whether every target that could be chosen exceeds its load bound.
 
-        Returns False while a target of the service fails: the mean load, from which the
-        bound follows, then says little.
+        Returns False while a target of the service fails or limits its rate: the mean
+        load, from which the bound follows, then says little.
         """
         service = criteria.service.name
         registered = self._table.list_registered(service)
@@ -94,7 +97,10 @@
         if len(in_use) * self._bounds.load_multiple >= len(registered):
             # The least loaded one is at most at the mean of all times the multiple.
             return False
-        if any(target.health.is_failing(now) for target in registered):
+        if any(
+            target.health.is_failing(now) or target.rate_limit is not None
+            for target in registered
+        ):
             return False
         usable = self._filter_trusted(in_use, criteria, now)
         bound = self._bounds.compute(service, now)
@@ -102,6 +108,38 @@
             (target.health.estimate_load(now) or 0.0) > bound for target in usable
         )
 
+    def find_rate_wait(
+        self, criteria: SelectionCriteria, position: int, now: float
+    ) -> float | None:
+        """Return the seconds until a target's rate limit admits a waiting request.
+
+        ``position`` is the number of requests that go before it. Returns 0.0 if a
+        target can be chosen now or no limit is the reason that none can, and None if
+        this instance may not use the targets that limit their rate.
+        """
+        if position == 0 and self._list_available(criteria, now):
+            return 0.0
+        candidates = [
+            target
+            for target in self._table.list_open(criteria.service.name)
+            if target.target_id not in criteria.excluded and target.is_available(now)
+        ]
+        limited = [target for target in candidates if target.rate_limit is not None]
+        if not limited or len(limited) < len(candidates):
+            return 0.0
+        waits = [self._rates.find_wait(target) for target in limited]
+        first = min((wait for wait in waits if wait is not None), default=None)
+        if first is None or not position:
+            return first
+        rate = sum(self._rates.compute_rate(target) for target in limited)
+        return first + position / rate if rate else None
+
+    def compute_limited_rate(self, service: str) -> float:
+        """Return the sum of the rate limits of the open targets of a service."""
+        return sum(
+            target.rate_limit or 0.0 for target in self._table.list_open(service)
+        )
+
     def find_pause(self, service: str, now: float) -> float | None:
         """Return the seconds until the first target accepts requests again.
 
@@ -130,6 +168,7 @@
             if target.target_id not in criteria.excluded
             and target.is_available(now)
             and self._is_within_cold_rate(target, criteria.service, now)
+            and self._rates.can_send(target)
         ]
 
     def _filter_trusted(
@@ -190,11 +229,15 @@
 
         The load multiple applies to the mean over all targets of the service. Unusable
         targets are idle and lower this mean, which can leave little headroom above the
-        mean of the usable ones.
+        mean of the usable ones. Those at their rate limit do not count.
         """
         usable_load = sum(loads.values())
         total_load = usable_load
-        registered = self._table.list_registered(service)
+        registered = [
+            target
+            for target in self._table.list_registered(service)
+            if target.target_id in loads or target.rate_limit is None
+        ]
         for target in registered:
             if target.target_id not in loads:
                 total_load += target.health.estimate_load(now) or 0.0
--- a/carobladder/fleet/shares.py
+++ b/carobladder/fleet/shares.py
@@ -5,14 +5,14 @@
 from carobladder.placement.keys import hash_parts
 from carobladder.placement.rendezvous import rank_members
 
-__all__ = ["ColdPacer", "ReaderRole", "ShareLedger"]
+__all__ = ["ReaderRole", "ShareLedger"]
 
 # Number of instances per reader of the store, and minimum number of readers.
 _INSTANCES_PER_READER = 16
 _MIN_READERS = 3
-# Requests of one partition to a cold target are spaced by slightly more than the
-# interval over which the rate is measured.
-_SPACING_FACTOR = 1.05
+# An earlier holder of a partition knows after this time that it lost it: the interval
+# in which memberships are renewed, and the time for an answer.
+_HANDOVER_SECONDS = 3.5
 # Share of an instance before its first assignment: its share in the largest fleet.
 _DEFAULT_SHARE = 1 / 800
 
@@ -28,6 +28,8 @@
     def __init__(self, total: int) -> None:
         self._all = [str(index) for index in range(total)]
         self._held: frozenset[str] = frozenset()
+        self._held_since: dict[str, float] = {}
+        self._lease_until = float("inf")
         self._assigned = False
 
     @property
@@ -55,14 +57,33 @@
         """Return whether this instance is the leader: the holder of partition 0."""
         return self._all[0] in self._held
 
-    def assign(self, held: frozenset[int]) -> bool:
-        """Set the assigned partitions; return whether they changed."""
+    def assign(self, held: frozenset[int], now: float = float("-inf")) -> bool:
+        """Set the assigned partitions; return whether they changed.
+
+        ``now`` is the time of the assignment in seconds of a clock that also counts
+        while the machine is suspended; by default the partitions were held before.
+        """
         new_held = frozenset(str(index) for index in held)
         changed = new_held != self._held
         self._held = new_held
+        self._held_since = {
+            partition: self._held_since.get(partition, now) for partition in new_held
+        }
         self._assigned = True
         return changed
 
+    def extend_lease(self, until: float) -> None:
+        """Set the time until which no other instance gets the partitions."""
+        self._lease_until = until
+
+    def has_lapsed(self, now: float) -> bool:
+        """Return whether other instances may have got the partitions meanwhile."""
+        return now > self._lease_until
+
+    def is_settled(self, partition: str, now: float) -> bool:
+        """Return whether no earlier holder still believes to hold a held partition."""
+        return now - self._held_since[partition] >= _HANDOVER_SECONDS
+
 
 class ReaderRole:
     """Role of the instances that read the store on behalf of the others.
@@ -81,57 +102,3 @@
         reader_count = (self._count_peers() + 1) // _INSTANCES_PER_READER
         reader_partitions = self._ranked[: max(_MIN_READERS, reader_count)]
         return not self._ledger.held.isdisjoint(reader_partitions)
-
-
-class ColdPacer:
-    """Fleet-wide rate limiter for requests to cold targets.
-
-    For a target with a limit of N requests per second, a hash selects N partitions,
-    and each of them may send one request per second. No messages between instances
-    are needed, and an instance with few partitions can still use some cold targets.
-    """
-
-    def __init__(self, ledger: ShareLedger) -> None:
-        self._ledger = ledger
-        self._last_sent: dict[tuple[str, str], float] = {}
-        self._selected: dict[tuple[str, int], frozenset[str]] = {}
-
-    def can_send(self, target_id: str, per_second: float, now: float) -> bool:
-        """Return whether a request may be sent to the cold target now."""
-        return self._find_free_partition(target_id, per_second, now) is not None
-
-    def acquire(self, target_id: str, per_second: float, now: float) -> bool:
-        """Count one request against the limit; return whether it was allowed."""
-        partition = self._find_free_partition(target_id, per_second, now)
-        if partition is None:
-            return False
-        self._last_sent[target_id, partition] = now
-        return True
-
-    def forget(self, target_id: str) -> None:
-        """Remove the state of a target."""
-        for key in [key for key in self._last_sent if key[0] == target_id]:
-            del self._last_sent[key]
-        for selected in [key for key in self._selected if key[0] == target_id]:
-            del self._selected[selected]
-
-    def _find_free_partition(
-        self, target_id: str, per_second: float, now: float
-    ) -> str | None:
-        if per_second <= 0.0:
-            return None
-        count = max(1, min(int(per_second), len(self._ledger.partitions)))
-        spacing = max(1.0, count / per_second) * _SPACING_FACTOR
-        for partition in self._select_partitions(target_id, count) & self._ledger.held:
-            last = self._last_sent.get((target_id, partition))
-            if last is None or now - last >= spacing:
-                return partition
-        return None
-
-    def _select_partitions(self, target_id: str, count: int) -> frozenset[str]:
-        selected = self._selected.get((target_id, count))
-        if selected is None:
-            key = hash_parts(target_id)
-            selected = frozenset(rank_members(key, self._ledger.partitions)[:count])
-            self._selected[target_id, count] = selected
-        return selected
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -24,6 +24,9 @@
 class FleetTarget:
     """One run of a target: its entry, its health and its announced state.
 
+    ``rate_limit`` is the number of requests a second that it accepts from all instances
+    together, stated at ``rate_stated_at`` in boot time; ``was_limited`` tells whether
+    it has ever named one.
     ``tag`` is a short hash of the id for use in messages; collisions are possible but
     rare.
     """
@@ -38,6 +41,7 @@
         self._paused_until = float("-inf")
         self.rate_limit: float | None = None
         self.rate_stated_at = float("-inf")
+        self.was_limited = False
         self.tag = xxhash.xxh32_intdigest(entry.target_id.encode())
 
     @property
@@ -90,7 +94,8 @@
     def note_rate_limit(self, per_second: float | None, stated_at: float) -> bool:
         """Record the rate limit of a response, None if it names none.
 
-        The newest statement holds. Return whether a limit has begun or ended.
+        The newest statement holds; ``stated_at`` is in seconds of boot time. Return
+        whether a limit has begun or ended.
         """
         if stated_at < self.rate_stated_at:
             return False
@@ -98,6 +103,7 @@
         self.rate_stated_at = stated_at
         self.rate_limit = per_second
         if per_second is not None:
+            self.was_limited = True
             self.rate_limit = max(_MIN_REQUESTS_PER_SECOND, per_second)
         return was_limited != (per_second is not None)
 
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -1,7 +1,7 @@
 """Retries of a call across the targets of a service."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from http import HTTPStatus
 
 from carobladder.clock import Clock
@@ -14,6 +14,7 @@
     TargetFailedError,
     TargetRefusedError,
     TargetsBusyError,
+    TargetsLimitedError,
     TargetsPausedError,
 )
 from carobladder.fleet import (
@@ -24,6 +25,7 @@
 from carobladder.forwarding.attempts import AnswerProgress, OpenCall
 from carobladder.forwarding.crashwatch import CrashWatch
 from carobladder.forwarding.partguard import PartGuard
+from carobladder.forwarding.ratequeue import RateQueue
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.headers import Headers
 from carobladder.retries import RetryBudget
@@ -40,6 +42,8 @@
 _MAX_SENDS_NOT_RUN = 3
 _BUSY_RETRY_SECONDS = 0.25
 _NO_TARGET_RETRY_SECONDS = 0.7
+# Shortest time until a refused caller may return; others take what is free before.
+_MIN_RETRY_SECONDS = 0.1
 # Longest wait for a target below its load bound, as a fraction of the route's latency
 # objective, and the interval in which loads are looked at.
 _MAX_LOAD_WAIT_FRACTION = 0.5
@@ -62,6 +66,7 @@
     find_budget: Callable[[str], RetryBudget]
     metrics: ForwardMetrics
     crashes: CrashWatch
+    rate_queue: RateQueue = field(default_factory=RateQueue)
 
     def start(self, call: ForwardedCall) -> "CallSession":
         """Return the session of a new call without sending anything yet."""
@@ -107,6 +112,7 @@
         await self._wait_for_load()
         while True:
             self._check_quarantine()
+            await self._wait_for_rate()
             target = self._choose_target()
             try:
                 opened = await self._send(target, extra_headers)
@@ -301,6 +307,57 @@
         seconds = round(clock.monotonic() - start, 3)
         emit(RequestDelayed(call.facts.request_id, call.service.name, seconds))
 
+    async def _wait_for_rate(self) -> None:
+        """Wait shortly while the rate limits of all targets admit no request.
+
+        Requests of higher priority go first. Raises CallerError at once if the wait
+        would be too long.
+        """
+        if self._find_rate_wait(0) == 0.0 and not self._has_rate_queue():
+            return
+        call, clock = self._call, self._forwarder.clock
+        queue, service = self._forwarder.rate_queue, call.service.name
+        start = clock.monotonic()
+        longest = _MAX_LOAD_WAIT_FRACTION * call.route.latency_objective_seconds
+        end = min(start + longest, call.deadline)
+        with queue.join(service, call.priority) as request:
+            while True:
+                before = queue.count_before(service, request)
+                wait = self._find_rate_wait(before)
+                if wait == 0.0:
+                    break
+                if wait is None or clock.monotonic() + wait > end:
+                    raise self._build_limited_error(wait)
+                await clock.sleep(min(wait, _LOAD_POLL_SECONDS))
+        seconds = round(clock.monotonic() - start, 3)
+        if seconds:
+            emit(RequestDelayed(call.facts.request_id, service, seconds))
+
+    def _has_rate_queue(self) -> bool:
+        return self._forwarder.rate_queue.has_waiting(self._call.service.name)
+
+    def _find_rate_wait(self, before: int) -> float | None:
+        """Return the seconds until a request behind others is admitted, or None."""
+        now = self._forwarder.clock.monotonic()
+        selector = self._forwarder.selector
+        return selector.find_rate_wait(self._build_criteria(), before, now)
+
+    def _build_limited_error(self, wait: float | None) -> CallerError:
+        """Return the error of a call that the targets' rate limits do not admit.
+
+        Another instance may admit it as soon as the limits admit any request.
+        """
+        reason = f"the targets of {self._call.service.name} limit their rate"
+        if self.may_have_run:
+            return self._build_final_error(reason)
+        if wait is None:
+            selector = self._forwarder.selector
+            rate = selector.compute_limited_rate(self._call.service.name)
+            wait = 1.0 / rate if rate else _NO_TARGET_RETRY_SECONDS
+        return TargetsLimitedError(
+            f"the call was not run: {reason}", max(wait, _MIN_RETRY_SECONDS)
+        )
+
     def _is_overloaded(self) -> bool:
         now = self._forwarder.clock.monotonic()
         return self._forwarder.selector.is_overloaded(self._build_criteria(), now)
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -24,6 +24,7 @@
     Freshness,
     RouteLatencies,
     TargetTable,
+    log_rate_change,
 )
 from carobladder.forwarding.attempts import OpenCall, suspect_target
 from carobladder.forwarding.loadmonitor import ExpectedLoad, LoadMonitor
@@ -34,9 +35,7 @@
     AnswerOfOtherRequestDropped,
     RequestPlaced,
     TargetLeaving,
-    TargetLimited,
     TargetPaused,
-    TargetUnlimited,
     emit,
 )
 
@@ -100,7 +99,8 @@
 
     ``report_silence`` is called with a target that has sent no byte since a request,
     and with the time at which that request was sent. ``report_sent`` is called when a
-    request has been counted at its target. ``targets_freshness`` is that of the
+    request has been counted at its target, and ``report_rate_change`` when a target has
+    begun or ended to limit its rate. ``targets_freshness`` is that of the
     registered ``targets``.
     """
 
@@ -113,6 +113,7 @@
     clock: Clock
     report_silence: Callable[[FleetTarget, float], None]
     report_sent: Callable[[], None]
+    report_rate_change: Callable[[], None]
     targets: TargetTable
     targets_freshness: Freshness
 
@@ -243,7 +244,7 @@
             target.note_pause(facts.pause_seconds, now)
             pause_seconds = round(target.read_pause(now), 3)
             emit(TargetPaused(target.target_id, request_id, pause_seconds))
-        self._apply_rate_limit(target, facts, request_id, now)
+        self._apply_rate_limit(target, facts, request_id)
         if facts.load is not None:
             target.health.note_load(facts.load, now)
             self.loads.note_stated(target, expected_load, facts.load, request_id, now)
@@ -251,16 +252,14 @@
             target.note_cold(facts.cold_seconds, now)
 
     def _apply_rate_limit(
-        self, target: FleetTarget, facts: AnswerMetadata, request_id: str, now: float
+        self, target: FleetTarget, facts: AnswerMetadata, request_id: str
     ) -> None:
         if facts.rate_limit is None and facts.not_run:
             # Only an answer to a request that ran shows that a limit has ended.
             return
-        if target.note_rate_limit(facts.rate_limit, now):
-            if target.rate_limit is not None:
-                emit(TargetLimited(target.target_id, request_id, target.rate_limit))
-            else:
-                emit(TargetUnlimited(target.target_id, request_id))
+        if target.note_rate_limit(facts.rate_limit, self.clock.boottime()):
+            log_rate_change(target, request_id)
+            self.report_rate_change()
 
     def _handle_silence(self, outcome: SendOutcome, sent_at: float) -> None:
         """Suspect and report a target that has sent no byte since this request."""
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -12,6 +12,7 @@
     FleetTarget,
     InFlightGossip,
     LoadGossip,
+    RateGossip,
     TargetEntry,
     TargetTable,
 )
@@ -65,4 +66,5 @@
         FailureGossip(table, random.Random(1)),
         InFlightGossip(table),
         QuarantineSharing(PartQuarantine(lambda key: False), SystemClock()),
+        RateGossip(table, SystemClock()),
     )
--- a/tests/fleet/load_simulation.py
+++ b/tests/fleet/load_simulation.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from carobladder.clock import VirtualClock
 from carobladder.fleet import (
     ColdPacer,
     FleetTarget,
@@ -16,6 +17,7 @@
     LoadGossip,
     MoveState,
     MoveStep,
+    RatePacer,
     RolloutOrder,
     SelectionCriteria,
     ShareLedger,
@@ -65,6 +67,7 @@
         self.selector = TargetSelector(
             self.table,
             ColdPacer(ledger),
+            RatePacer(ledger, VirtualClock(), random.Random(seed)),
             self.moves,
             LoadBounds(self.table, LOAD_MULTIPLE),
             random.Random(seed),
--- a/tests/fleet/rate_simulation.py
+++ b/tests/fleet/rate_simulation.py
@@ -6,10 +6,14 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from carobladder.clock import VirtualClock
 from carobladder.fleet import (
     ColdPacer,
     FleetTarget,
     LoadBounds,
+    RateGossip,
+    RatePacer,
+    RateReport,
     SelectionCriteria,
     ShareLedger,
     TargetSelector,
@@ -30,6 +34,11 @@
 ANSWER_SECONDS = 0.06
 NETWORK_SECONDS = 0.002
 PROMPTS = 200
+REPORT_FANOUT = 4
+GOSSIP_SECONDS = 0.3
+LOSS_RATE = 0.02
+# Interval in which instances learn which partitions they hold.
+RENEWAL_SECONDS = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +57,7 @@
     table: TargetTable
     ledger: ShareLedger
     selector: TargetSelector
+    gossip: RateGossip
     # When the instance first passed on an answer with the limit of a target.
     told_at: dict[str, float] = field(default_factory=dict)
 
@@ -70,11 +80,13 @@
         end: float = 22.0,
         seed: int = 1,
     ) -> None:
-        self.now = 0.0
+        self.clock = VirtualClock()
         self.limits = dict(limits)
         self.arrivals: dict[str, list[Arrival]] = {}
         self.answered: list[float] = []
         self.refused: list[float] = []
+        self.loss_rate = LOSS_RATE
+        self._count = instances
         self._rate = requests_per_second
         self._begin = begin
         self._end = end
@@ -84,11 +96,21 @@
         self.instances = [
             self._build_instance(index, instances) for index in range(instances)
         ]
+        # Instances that callers reach.
+        self.serving = self.instances
         for number in range(1, targets + 1):
             self.arrivals[f"i-{number}"] = []
             for instance in self.instances:
                 instance.table.apply(build_entry(f"i-{number}"), 0.0)
         self.after(0.0, self._arrive)
+        for instance in self.instances:
+            start = self._random.random() * GOSSIP_SECONDS
+            self.after(start, lambda instance=instance: self._gossip(instance))
+
+    @property
+    def now(self) -> float:
+        """Simulated time in seconds."""
+        return self.clock.boottime()
 
     def _build_instance(self, index: int, count: int) -> Instance:
         table = TargetTable()
@@ -97,29 +119,65 @@
         selector = TargetSelector(
             table,
             ColdPacer(ledger),
+            RatePacer(ledger, self.clock, random.Random(self._random.random())),
             VersionMoves(0.1),
             LoadBounds(table, 2.0),
             random.Random(self._random.random()),
         )
-        return Instance(f"front-{index}", table, ledger, selector)
+        gossip = RateGossip(table, self.clock)
+        return Instance(f"front-{index}", table, ledger, selector, gossip)
 
     def after(self, seconds: float, action: Callable[[], None]) -> None:
         """Schedule an action after a time."""
         due = self.now + seconds
         heapq.heappush(self._events, (due, next(self._order), action))
 
+    def deal_partitions_anew(self, *times: float) -> None:
+        """Give all partitions to other instances; each learns it a while later."""
+        for shift, time in enumerate(times, 1):
+            for index, instance in enumerate(self.instances):
+                held = range((index + shift) % len(self.instances), SHARES, self._count)
+                self.after(
+                    time + self._random.random() * RENEWAL_SECONDS,
+                    lambda instance=instance, held=held: instance.ledger.assign(
+                        frozenset(held), self.now
+                    ),
+                )
+
+    def let_leases_lapse(self, instances: list[Instance], time: float) -> None:
+        """Give the partitions of some instances to the others, without telling them."""
+        lost = [index for index, i in enumerate(self.instances) if i in instances]
+        others = [i for i in self.instances if i not in instances]
+        for instance in instances:
+            instance.ledger.extend_lease(time)
+        for position, instance in enumerate(others):
+            own = self.instances.index(instance)
+            held = set(range(own, SHARES, self._count))
+            for index in lost:
+                gained = range(index, SHARES, self._count)
+                held.update(gained[position :: len(others)])
+            self.after(
+                time,
+                lambda instance=instance, held=frozenset(held): instance.ledger.assign(
+                    held, self.now
+                ),
+            )
+
     def run(self, until: float) -> None:
         """Run the simulation up to a time."""
         while self._events and self._events[0][0] <= until:
-            self.now, _, action = heapq.heappop(self._events)
+            due, _, action = heapq.heappop(self._events)
+            self.clock.advance(max(0.0, due - self.now))
             action()
-        self.now = until
+        self.clock.advance(until - self.now)
 
-    def find_excess(self) -> list[tuple[str, float, int, float]]:
+    def find_excess(
+        self, overshoot: float = OVERSHOOT
+    ) -> list[tuple[str, float, int, float]]:
         """Return target, time, requests and bound of each window with too many."""
         found = []
         for target_id, limit in self.limits.items():
-            bound = OVERSHOOT * WINDOW_SECONDS * limit + SLACK_REQUESTS
+            bound = overshoot * WINDOW_SECONDS * limit + SLACK_REQUESTS
             times = [a.at for a in self.arrivals[target_id] if a.counts]
             first = 0
             for index, at in enumerate(times):
@@ -141,7 +199,7 @@
 
     def _arrive(self) -> None:
         self.after(self._random.expovariate(self._rate), self._arrive)
-        self.place(self._random.choice(self.instances))
+        self.place(self._random.choice(self.serving))
 
     def place(self, instance: Instance) -> None:
         """Send a request from an instance to the target that it chooses."""
@@ -175,4 +233,27 @@
         self, instance: Instance, target: FleetTarget, limit: float | None
     ) -> None:
         """Pass the limit of an answer to the instance that got it."""
-        target.note_rate_limit(limit, self.now)
+        if target.note_rate_limit(limit, self.now):
+            self._report(instance)
+
+    def _report(self, instance: Instance) -> None:
+        """Send the limits that an instance knows to some others at once."""
+        for other in self._random.sample(
+            self.instances, min(REPORT_FANOUT, len(self.instances))
+        ):
+            self._send_reports(instance, other)
+
+    def _send_reports(self, sender: Instance, receiver: Instance) -> None:
+        reports = sender.gossip.collect()
+        if self._random.random() >= self.loss_rate:
+            self.after(NETWORK_SECONDS, lambda: self._take(receiver, reports))
+
+    def _take(self, instance: Instance, reports: list[RateReport]) -> None:
+        if instance.gossip.take(reports):
+            self._report(instance)
+
+    def _gossip(self, instance: Instance) -> None:
+        """Send the limits that an instance knows to two others, again and again."""
+        self.after(GOSSIP_SECONDS, lambda: self._gossip(instance))
+        for other in self._random.sample(self.instances, 2):
+            self._send_reports(instance, other)
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -5,6 +5,9 @@
 from tests.fleet.rate_simulation import RateSimulation
 
 SEEDS = range(1, 4)
+# Times the limit that the fleet itself may plan to send; the rest of what a target
+# tolerates is for requests that are on their way.
+PLANNED_OVERSHOOT = 1.1
 
 
 class RateLimitTest(unittest.TestCase):
@@ -42,6 +45,84 @@
             instances=9, targets=5, requests_per_second=50.0, limits=limits
         )
 
+    # Guards against limits that outlive their end since nobody sends any more.
+    def test_end_of_the_limits_is_found_out_within_seconds(self):
+        limits = {f"i-{number}": 17.5 for number in range(1, 4)}
+        simulation = RateSimulation(
+            instances=87, targets=4, requests_per_second=140.0, limits=limits, end=12.0
+        )
+        simulation.run(24.0)
+        for target_id in limits:
+            arrivals = simulation.count_arrivals(target_id, 15.0, 24.0)
+            self.assertGreater(arrivals / 9.0, 35.0 * 0.6)
+
+    # Guards against limits whose end only instances without callers could find out.
+    def test_end_of_the_limits_is_found_out_by_the_only_busy_instance(self):
+        limits = {"i-1": 1.3, "i-2": 2.0}
+        simulation = RateSimulation(
+            instances=6, targets=3, requests_per_second=12.0, limits=limits, end=12.0
+        )
+        simulation.serving = simulation.instances[:1]
+        simulation.run(40.0)
+        for target_id in limits:
+            self.assertGreater(simulation.count_arrivals(target_id, 32.0, 40.0), 8)
+
+    # Guards against excess while instances do not hear of each other.
+    def test_limits_are_kept_without_messages(self):
+        limits = {f"i-{number}": 3.6 for number in range(1, 40)}
+        for seed in SEEDS:
+            simulation = RateSimulation(
+                instances=87,
+                targets=56,
+                requests_per_second=400.0,
+                limits=limits,
+                seed=seed,
+            )
+            simulation.loss_rate = 1.0
+            simulation.run(24.0)
+            self.assertEqual(simulation.find_excess(), [])
+
+    # Guards against two instances that both use a partition as it changes hands.
+    def test_limits_are_kept_while_partitions_change_hands(self):
+        limits = {f"i-{number}": 12.0 for number in range(1, 6)}
+        for seed in SEEDS:
+            simulation = RateSimulation(
+                instances=9,
+                targets=5,
+                requests_per_second=600.0,
+                limits=limits,
+                seed=seed,
+            )
+            simulation.deal_partitions_anew(8.0, 10.4, 13.0, 15.4)
+            simulation.run(24.0)
+            self.assertEqual(simulation.find_excess(PLANNED_OVERSHOOT), [])
+
+    # Guards against excess by instances whose lease has lapsed unnoticed.
+    def test_limits_are_kept_beside_instances_without_a_lease(self):
+        limits = {f"i-{number}": 12.0 for number in range(1, 6)}
+        for seed in SEEDS:
+            simulation = RateSimulation(
+                instances=9,
+                targets=5,
+                requests_per_second=600.0,
+                limits=limits,
+                seed=seed,
+            )
+            simulation.let_leases_lapse(simulation.instances[:3], 8.0)
+            simulation.run(24.0)
+            self.assertEqual(simulation.find_excess(PLANNED_OVERSHOOT), [])
+
+    # Guards against callers that are refused while targets would accept them.
+    def test_limits_are_used_where_no_target_is_unlimited(self):
+        limits = {f"i-{number}": 5.0 for number in range(1, 6)}
+        simulation = RateSimulation(
+            instances=9, targets=5, requests_per_second=50.0, limits=limits
+        )
+        simulation.run(22.0)
+        for target_id, limit in limits.items():
+            arrivals = simulation.count_arrivals(target_id, 6.0, 21.0)
+            self.assertGreater(arrivals / 15.0, 0.6 * limit)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/fleet/test_selection.py
+++ b/tests/fleet/test_selection.py
@@ -4,12 +4,14 @@
 import unittest
 from collections import Counter
 
+from carobladder.clock import VirtualClock
 from carobladder.fleet import (
     ColdPacer,
     LoadBounds,
     MoveState,
     MoveStep,
     PromptLocations,
+    RatePacer,
     RolloutOrder,
     SelectionCriteria,
     ShareLedger,
@@ -29,6 +31,7 @@
     return TargetSelector(
         table,
         ColdPacer(ledger),
+        RatePacer(ledger, VirtualClock(), random.Random(5)),
         moves or VersionMoves(0.1),
         LoadBounds(table, LOAD_MULTIPLE),
         random.Random(5),
@@ -119,6 +122,7 @@
             selector = TargetSelector(
                 self.table,
                 ColdPacer(ledger),
+                RatePacer(ledger, VirtualClock(), random.Random(seed)),
                 VersionMoves(0.1),
                 LoadBounds(self.table, 1.2),
                 random.Random(seed),
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -11,6 +11,7 @@
     FleetTarget,
     Freshness,
     LoadBounds,
+    RatePacer,
     RouteLatencies,
     ShareLedger,
     TargetEntry,
@@ -176,11 +177,17 @@
             self.clock,
             lambda target, sent_at: self.reported_silent.append(target),
             lambda: None,
+            lambda: None,
             self.targets,
             self.freshness,
         )
         selector = TargetSelector(
-            self.targets, ColdPacer(ledger), self.moves, bounds, generator
+            self.targets,
+            ColdPacer(ledger),
+            RatePacer(ledger, self.clock, generator),
+            self.moves,
+            bounds,
+            generator,
         )
         forwarder = Forwarder(
             sender,
