Survive odd records of other writers

Cause: msgspec raises RecursionError for deeply nested fields, also unknown ones, which no decoder caught; a port was checked for digits only, of any script, and numbers had no bounds. Class: an error of one item that ends the loop over all. Looked for elsewhere: records and orders of operators, evidence and steps of version moves, datagrams, answers of the store and the announcements of instances had the same; a port of 5,000 digits in an announcement raised ValueError. Ruled out: catching the error in the follower alone; the entry would count as applied. Change: one tuple of decoding errors and one parser of ports for all; addresses of targets are IP:PORT, numbers have bounds far above any real one; the follower passes over a record that cannot be applied, and logs it as an error; a connection to an address that cannot be used fails like a refused one.

--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -194,7 +194,7 @@
                 _, connection = await loop.create_connection(
                     lambda: ClientConnection(address), host.strip("[]"), int(port)
                 )
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             raise ConnectionBrokenError(
                 f"{address}: cannot connect ({error or 'timeout'}); try another target",
                 request_written=False,
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -20,6 +20,7 @@
     TopicState,
 )
 from carobladder.telemetry import (
+    RecordNotApplied,
     StoreHistoryDropped,
     StoreLost,
     StoreReadRepeated,
@@ -376,7 +377,7 @@
         present = {record.key for record in records}
         for key in [key for key in self._key_offsets if key not in present]:
             del self._key_offsets[key]
-            self._on_record(KeyedRecord(_UNKNOWN_OFFSET, key, None))
+            self._pass_on(KeyedRecord(_UNKNOWN_OFFSET, key, None))
         for record in records:
             self._apply(record)
 
@@ -411,7 +412,14 @@
             self._key_offsets.pop(record.key, None)
         else:
             self._key_offsets[record.key] = record.offset
-        self._on_record(record)
+        self._pass_on(record)
+
+    def _pass_on(self, record: KeyedRecord) -> None:
+        """Pass a change on; one that cannot be applied does not keep others back."""
+        try:
+            self._on_record(record)
+        except Exception as error:
+            emit(RecordNotApplied(self._name, record.key, repr(error)))
 
     def _update_lag(self) -> None:
         if not self.is_behind(self._peer_end):
--- a/carobladder/entry/peers.py
+++ b/carobladder/entry/peers.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from carobladder.clock import Clock
+from carobladder.decoding import parse_port
 from carobladder.fleet import KeyedRecord
 
 __all__ = ["Peer", "PeerDirectory"]
@@ -137,14 +138,15 @@
 
 def _parse_announcement(name: str, value: bytes) -> Peer | None:
     address, _, key_text = value.decode("utf-8", "replace").partition(" ")
-    host, separator, port = address.rpartition(":")
+    host, _, port_text = address.rpartition(":")
+    port = parse_port(port_text)
     try:
         key = bytes.fromhex(key_text)
     except ValueError:
         return None
-    if not (separator and port.isdigit() and len(key) >= _MIN_KEY_BYTES):
+    if not host or port is None or len(key) < _MIN_KEY_BYTES:
         return None
-    return Peer(name, (host, int(port)), key)
+    return Peer(name, (host, port), key)
 
 
 def _format_address(address: tuple[str, int]) -> str:
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from carobladder.decoding import DECODE_ERRORS
 from carobladder.fleet.failures import FailureReport
 from carobladder.fleet.inflight import InFlightReport
 from carobladder.fleet.loads import LoadReport, is_usable_report
@@ -154,7 +155,7 @@
     """
     try:
         envelope = _envelope_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed message: {error}") from None
     if envelope.version != _PROTOCOL_VERSION:
         raise ValueError(f"unsupported protocol version {envelope.version}")
@@ -194,7 +195,7 @@
 def _decode_payload(payload: bytes) -> PeerMessage:
     try:
         message = _message_decoder.decode(payload)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed message: {error}") from None
     if isinstance(message, PeerStatus):
         return msgspec.structs.replace(message, reports=_filter_usable(message.reports))
--- a/carobladder/fleet/tallies.py
+++ b/carobladder/fleet/tallies.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from carobladder.decoding import DECODE_ERRORS
 from carobladder.fleet.comparison import NEW_ARM, OLD_ARM, LatencyBaseline
 from carobladder.fleet.targets import FleetTarget, TargetTable
 from carobladder.fleet.versions import VersionMove, VersionMoves
@@ -84,7 +85,7 @@
     """Return the evidence of a record; raises ValueError if it is malformed."""
     try:
         evidence = _evidence_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed evidence of a move: {error}") from None
     if evidence.protocol != _PROTOCOL_VERSION:
         raise ValueError(f"unsupported protocol version {evidence.protocol}")
--- a/carobladder/fleet/versions.py
+++ b/carobladder/fleet/versions.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from carobladder.decoding import DECODE_ERRORS
 from carobladder.fleet.entries import RolloutOrder
 from carobladder.fleet.targets import FleetTarget
 
@@ -91,7 +92,7 @@
     """Return the step of a record; raises ValueError if it is malformed."""
     try:
         return msgspec.msgpack.decode(data, type=MoveStep)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"malformed step of a move: {error}") from None
 
 
--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -1,9 +1,11 @@
 """Conversion of the platform's JSON documents from and to the fleet's types."""
 
+from ipaddress import ip_address
 from typing import Annotated
 
 import msgspec
 
+from carobladder.decoding import DECODE_ERRORS, parse_port
 from carobladder.fleet.entries import (
     ConfigurationRecord,
     DataCentreRecord,
@@ -40,6 +42,11 @@
     MoveState.ROLLED_BACK: "rolled_back",
 }
 
+# Larger numbers than any target can have; an entry with one is another writer's.
+_MAX_SLOTS = 1_000_000
+_MAX_COLD_MS = 86_400_000
+_MAX_UNIX_MS = 2**53
+
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -120,12 +127,12 @@
     address: NonEmptyText
     zone: NonEmptyText
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=0)]
+    slots: Annotated[int, msgspec.Meta(ge=0, le=_MAX_SLOTS)]
     state: str
-    cold_remaining_ms: Milliseconds
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_MS)]
     # Number of the server's writes, which the platform counts; not a measure of age.
     sequence: int
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNIX_MS)] = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -137,7 +144,7 @@
     """Decode a record of the operator; an invalid one becomes UnreadableRecord."""
     try:
         return _parse_operator_record(record.key, record.value, record.offset)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         return UnreadableRecord(record.key, str(error))
 
 
@@ -146,7 +153,7 @@
     try:
         server = _server_decoder.decode(value)
         _validate_server(server)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         return UnreadableRecord(key, str(error))
     return TargetEntry(
         target_id=key,
@@ -191,8 +198,10 @@
     if server.state not in _SERVER_STATES:
         raise ValueError(f"unknown server state {server.state!r}")
     host, _, port = server.address.rpartition(":")
-    if not host or not port.isdigit():
+    if parse_port(port) is None:
         raise ValueError(f"address {server.address!r} is not of the form IP:PORT")
+    # Raises ValueError; a host name would be looked up at each connection.
+    ip_address(host.removeprefix("[").removesuffix("]"))
 
 
 def _build_configuration(document: _Configuration) -> Configuration:
--- a/carobladder/platform/store.py
+++ b/carobladder/platform/store.py
@@ -11,6 +11,7 @@
 
 from carobladder.clients.log import Batch, LogRecord
 from carobladder.clients.ports import HttpAnswer, HttpFetcher
+from carobladder.decoding import DECODE_ERRORS
 from carobladder.exceptions import (
     ConnectionBrokenError,
     LogUnavailableError,
@@ -216,7 +217,7 @@
 def _decode_json(data: bytes, kind: type[_DocumentT]) -> _DocumentT:
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise LogUnavailableError(
             f"store response cannot be decoded: {error}", may_have_taken_effect=True
         ) from None
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -13,6 +13,7 @@
     "InstanceNotAnnounced",
     "InstanceStarted",
     "InstanceStopped",
+    "RecordNotApplied",
     "SettingsNotReloaded",
     "SettingsReloaded",
     "ShareChanged",
@@ -121,6 +122,17 @@
     age_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class RecordNotApplied(Event):
+    """A record of a topic caused an error and is passed over; a defect to report."""
+
+    topic: str
+    key: str
+    why: str
+
+    level: ClassVar[int] = logging.ERROR
+
+
 @dataclass(frozen=True, slots=True)
 class StoreHistoryDropped(Event):
     """The store dropped records that were not read; all keys are read anew."""
--- a/tests/entry/fixtures.py
+++ b/tests/entry/fixtures.py
@@ -109,11 +109,11 @@
             OPERATOR_TOPIC, "config", {**document, "version": version, **changes}
         )
 
-    def register(self, **changes: object) -> None:
-        """Write the entry of the target, as the target does."""
+    def register(self, *, key: str = "i-0", **changes: object) -> None:
+        """Write the entry of the target, as the target does, or one of another key."""
         entry = {**SERVER, "service": "x", "address": self.target_server.address}
         entry["coldRemainingMs"] = 0
-        self.state.put_document(SERVERS_TOPIC, "i-0", {**entry, **changes})
+        self.state.put_document(SERVERS_TOPIC, key, {**entry, **changes})
 
     async def call(self, path: str = "/a/x", key: str = KEY) -> int:
         """Send a request to the instance and return the status."""
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -101,6 +101,22 @@
         self.assertGreater(self.outages[0], 1.0)
         self.assertTrue(self.follower.freshness.is_within(0.5, self.clock.boottime()))
 
+    # Guards against one record that stops the news of all others.
+    async def test_record_that_cannot_be_applied_does_not_end_the_follower(self):
+        def apply(record):
+            if record.key == "odd":
+                raise RecursionError("too deep")
+            self.seen.append((record.key, record.value))
+
+        self.follower._on_record = apply
+        self.store.state.put(TOPIC, "odd", b"1")
+        self.store.state.put(TOPIC, "a", b"1")
+        await self.step(1)
+        self.store.state.put(TOPIC, "odd", b"2")
+        self.store.state.put(TOPIC, "b", b"1")
+        await self.step(1)
+        self.assertEqual(self.seen, [("a", b"1"), ("b", b"1")])
+
     async def test_silent_store_gives_no_proof(self):
         self.store.silent = True
         await self.step(3)
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -29,6 +29,12 @@
         self.apply_announcement("b", None)
         self.assertIsNone(self.directory.find_key("b"))
 
+    # Guards against an instance that ends at an announcement, or at its next message.
+    def test_announcements_with_an_unusable_port_are_ignored(self):
+        for port in ("0", "65536", "9" * 5000, "\u0668", "+5"):
+            self.apply_announcement("b", f"127.0.0.1:{port} {KEY}".encode())
+        self.assertEqual(self.directory.count_peers(), 0)
+
     def test_restart_at_the_same_address_reuses_its_announcement(self):
         """Every instance of the fleet has to read each new announcement."""
         self.apply_announcement("a", f"127.0.0.1:2 {KEY}".encode())
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -51,6 +51,22 @@
         await self.wait_for(200)
         self.assertEqual(len(self.instance.parts.targets), 1)
 
+    # Guards against an instance that ends, or no longer follows the targets, because of
+    # one odd entry of another writer.
+    async def test_instance_follows_targets_beside_odd_entries(self):
+        await self.wait_until_listening()
+        self.configure(1)
+        nested = b'{"service": "x", "a": ' + b"[" * 3000 + b"]" * 3000 + b"}"
+        self.state.put(SERVERS_TOPIC, "odd-1", nested)
+        for number, address in enumerate(("127.0.0.1:99999", "127.0.0.1:65536")):
+            self.register(key=f"odd-2{number}", address=address)
+        self.register()
+        await self.wait_for(200)
+        self.state.put(SERVERS_TOPIC, "odd-1", nested)
+        self.register(state="draining")
+        await self.wait_for(503)
+        self.assertFalse(self.task.done())
+
     async def test_shutdown_serves_callers_during_the_drain_notice(self):
         await self.wait_until_listening()
         self.configure(1)
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -46,6 +46,14 @@
             await self.fetch(server, method, **options)
         return caught.exception
 
+    # Guards against an address of another writer that ends the task that connects.
+    async def test_port_out_of_range_is_reported_like_a_refused_connection(self):
+        for port in (65_536, 99_999, 10**30):
+            address = f"127.0.0.1:{port}"
+            with self.assertRaises(ConnectionBrokenError):
+                await self.client.fetch("GET", address, "/", timeout_seconds=1.0)
+            self.assertFalse(await self.client.probe(address))
+
     async def test_connection_is_reused_after_a_complete_response(self):
         async with ScriptedServer(answer_forever) as server:
             bodies = [await self.fetch(server) for _ in range(3)]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -212,3 +212,84 @@
             key, value = encode_move_status(step)
             self.assertEqual(key, "rollout/x")
             self.assertEqual(json.loads(value), {"state": name, "target": "v2"})
+
+
+def nest(depth: int, opening: str = "[", closing: str = "]") -> str:
+    """Return JSON that is nested this deeply."""
+    return opening * depth + closing * depth
+
+
+class OddRecordTest(unittest.TestCase):
+    """Guard against a record of another writer that ends every instance.
+
+    The error of one record would end the task that follows the topic, and with it the
+    program, again after each restart.
+    """
+
+    def build_entry(self, **changes: object) -> bytes:
+        return json.dumps({**SERVER, **changes}).encode()
+
+    def build_nested(self, document: dict, depth: int) -> bytes:
+        text = json.dumps(document)
+        return (text[:-1] + f', "extra": {nest(depth)}' + "}").encode()
+
+    def check_unreadable(self, value: bytes) -> None:
+        entry = decode_target_entry("i-1", value)
+        self.assertIsInstance(entry, UnreadableRecord, value[:80])
+
+    def test_deeply_nested_entries_are_unreadable(self):
+        for depth in (1_500, 100_000):
+            self.check_unreadable(self.build_nested(SERVER, depth))
+            text = json.dumps(SERVER)[:-1] + ', "x": ' + '{"a":' * depth
+            self.check_unreadable((text + "1" + "}" * depth + "}").encode())
+
+    def test_entries_with_an_address_that_cannot_be_connected_are_unreadable(self):
+        for address in (
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.1:99999",
+            "10.0.0.1:" + "9" * 5000,
+            "10.0.0.1:\u0668\u0660",
+            "10.0.0.1:+80",
+            "10.0.0.1: 80",
+            "10.0.0:80",
+            "10.0.0.1\x00:80",
+            "some.host:80",
+            "10.0.0.1\r\nX: y:80",
+            ":80",
+            "10.0.0.1",
+        ):
+            with self.subTest(address=address[:30]):
+                self.check_unreadable(self.build_entry(address=address))
+
+    def test_entries_with_too_large_numbers_are_unreadable(self):
+        for changes in (
+            {"slots": 10**30},
+            {"slots": 10**7},
+            {"coldRemainingMs": 1e300},
+            {"born": 10**40},
+            {"born": -1},
+        ):
+            with self.subTest(changes=changes):
+                self.check_unreadable(self.build_entry(**changes))
+        text = json.dumps(SERVER).replace("1700000000000", "1" * 6000)
+        self.check_unreadable(text.encode())
+
+    def test_usual_entries_stay_readable(self):
+        for changes in (
+            {"address": "[::1]:80"},
+            {"address": "10.0.0.1:65535"},
+            {"slots": 0},
+            {"sequence": 10**12},
+            {"extra": json.loads(nest(50))},
+        ):
+            with self.subTest(changes=changes):
+                entry = decode_target_entry("i-1", self.build_entry(**changes))
+                self.assertIsInstance(entry, TargetEntry)
+
+    def test_deeply_nested_records_of_operators_are_unreadable(self):
+        rollout = {"service": "x", "target": "v2", "durationS": 15.0}
+        for key, document in (("config", CONFIGURATION), ("rollout/x", rollout)):
+            value = self.build_nested(document, 5_000)
+            decoded = decode_operator_record(KeyedRecord(3, key, value))
+            self.assertIsInstance(decoded, UnreadableRecord)
