Use the rate of limited targets while the others are busy

Cause: an instance used a limited target only if a request that suited it came while its partition was free; the targets got 0.1 to 1.0 of 2.2 to 3.5 requests a second that they had said they take. Ruled out: more partitions with longer spacing, whose free ones may all be used at once, beyond the plan; saved-up requests, for the same reason. Change: while targets without a limit hold more than 1.25 times the mean load, a limited target that admits a request now gets it.

--- a/carobladder/fleet/pacing.py
+++ b/carobladder/fleet/pacing.py
@@ -20,6 +20,8 @@
 # requests, may have ended while the holders of its partitions have no requests.
 _CONFIRMATION_SECONDS = 5.0
 _CONFIRMATION_INTERVALS = 3.0
+# Trials of all instances together, as a fraction of the limit.
+_TRIAL_FRACTION = 0.25
 
 
 class _PartitionPacer:
@@ -161,8 +163,8 @@
     def _find_trial(self, target: FleetTarget, per_second: float) -> float | None:
         """Return when this instance may try a target whose limit nobody confirms.
 
-        The holders of its partitions may get no requests. All instances together try it
-        no more often than its limit allows.
+        The holders of its partitions may get no requests. If only their statements do
+        not arrive, the trials of all instances come on top of what the holders send.
         """
         now = self._clock.boottime()
         trust_seconds = max(_CONFIRMATION_SECONDS, _CONFIRMATION_INTERVALS / per_second)
@@ -171,7 +173,8 @@
             return None
         trial = self._trials.get(target.target_id)
         if trial is None or trial.stated_at != target.rate_stated_at:
-            delay = self._generator.random() / (per_second * share)
+            trials_per_second = per_second * _TRIAL_FRACTION * share
+            delay = self._generator.random() / trials_per_second
             trial = _Trial(target.rate_stated_at, now + delay)
             self._trials[target.target_id] = trial
         return trial.due_at
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -27,6 +27,9 @@
 _MIN_HEADROOM_DEVIATIONS = 2.0
 # Fraction of the usable targets that reports of other instances may exclude.
 _MAX_EXCLUDED_FRACTION = 0.25
+# Targets above the mean load of all by this factor are busy while others limit their
+# rate.
+_BUSY_FACTOR = 1.25
 # Weight of a target's rate of failed answers relative to its latency.
 _ERROR_WEIGHT = 20.0
 # Random spread of the scores, so that instances with equal data choose differently.
@@ -72,6 +75,7 @@
         usable = self._list_usable(criteria, now)
         if not usable:
             return None
+        usable = self._prefer_limited(usable, criteria.service.name, now)
         if criteria.affinity is None:
             chosen = min(usable, key=lambda target: self._score(target))
         else:
@@ -171,6 +175,23 @@
             and self._rates.can_send(target)
         ]
 
+    def _prefer_limited(
+        self, usable: list[FleetTarget], service: str, now: float
+    ) -> list[FleetTarget]:
+        """Return the targets that admit a request under their limit if others are busy.
+
+        Without this, the others would get nearly all requests, since an instance may
+        rarely use a given limited target at the moment of a request that suits it.
+        """
+        limited = [target for target in usable if target.rate_limit is not None]
+        unlimited = [target for target in usable if target.rate_limit is None]
+        if not limited or not unlimited:
+            return usable
+        open_load = _compute_mean_load(self._table.list_open(service), now)
+        busy_load = _compute_mean_load(unlimited, now)
+        is_busy = busy_load > open_load * _BUSY_FACTOR
+        return limited if is_busy else usable
+
     def _filter_trusted(
         self, candidates: list[FleetTarget], criteria: SelectionCriteria, now: float
     ) -> list[FleetTarget]:
@@ -289,6 +310,12 @@
     )
 
 
+def _compute_mean_load(targets: list[FleetTarget], now: float) -> float:
+    """Return the mean load of targets; one whose load is unknown counts as idle."""
+    loads = [target.health.estimate_load(now) or 0.0 for target in targets]
+    return sum(loads) / len(loads)
+
+
 def _estimate_loads(targets: list[FleetTarget], now: float) -> dict[str, float]:
     """Return the estimated load by target id; unknown loads are set to the mean.
 
--- a/tests/fleet/rate_simulation.py
+++ b/tests/fleet/rate_simulation.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -16,6 +17,7 @@
     RateReport,
     SelectionCriteria,
     ShareLedger,
+    TargetLoad,
     TargetSelector,
     TargetTable,
     VersionMoves,
@@ -31,7 +33,7 @@
 # instances that passed on such an answer at least half a second before.
 CONTACT_SECONDS = 3.0
 KNOWN_SECONDS = 0.5
-ANSWER_SECONDS = 0.06
+ANSWER_SECONDS = 0.5
 NETWORK_SECONDS = 0.002
 PROMPTS = 200
 REPORT_FANOUT = 4
@@ -83,6 +85,7 @@
         self.clock = VirtualClock()
         self.limits = dict(limits)
         self.arrivals: dict[str, list[Arrival]] = {}
+        self.running: Counter[str] = Counter()
         self.answered: list[float] = []
         self.refused: list[float] = []
         self.loss_rate = LOSS_RATE
@@ -210,6 +213,7 @@
             self.refused.append(self.now)
             return
         target.health.in_flight += 1
+        self.running[target.target_id] += 1
         self.after(NETWORK_SECONDS, lambda: self._reach(instance, target))
 
     def _reach(self, instance: Instance, target: FleetTarget) -> None:
@@ -222,6 +226,9 @@
 
     def _answer(self, instance: Instance, target: FleetTarget, sent_at: float) -> None:
         target.health.in_flight -= 1
+        running = self.running[target.target_id]
+        target.health.note_load(TargetLoad(running, 0, ENGINES.batch_slots), self.now)
+        self.running[target.target_id] -= 1
         self.answered.append(sent_at)
         is_limited = self._begin <= self.now < self._end
         limit = self.limits.get(target.target_id) if is_limited else None
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -112,6 +112,16 @@
             simulation.run(24.0)
             self.assertEqual(simulation.find_excess(PLANNED_OVERSHOOT), [])
 
+    # Guards against unlimited targets that get what the limited ones would accept.
+    def test_limits_are_used_while_the_other_targets_are_busy(self):
+        limits = {f"i-{number}": 3.6 for number in range(1, 40)}
+        simulation = RateSimulation(
+            instances=87, targets=56, requests_per_second=400.0, limits=limits
+        )
+        simulation.run(22.0)
+        arrivals = sum(simulation.count_arrivals(t, 6.0, 21.0) for t in limits)
+        self.assertGreater(arrivals / 15.0, 0.55 * sum(limits.values()))
+
     # Guards against callers that are refused while targets would accept them.
     def test_limits_are_used_where_no_target_is_unlimited(self):
         limits = {f"i-{number}": 5.0 for number in range(1, 6)}
