Answer every request of a planned shutdown

Callers: in a planned stop, requests whose last byte came late in the grace were sent on and cut without a response at its end, also those that may not be repeated. Cause: connections with a request begun are kept after the others are closed, and whatever they brought was taken until the last moment; at the end, requests that waited or were at a target were aborted. Class: work accepted with no time for it. Looked for elsewhere: the server of the own interface is the same code. Ruled out: taking a request if its deadline lies before the end; a target's answer to a stream of 12 s never fits, and another instance takes the caller at once. At the end of the grace, requests without a response are cancelled by the server, and the forwarder sends 503 if none was sent to a target, else 502, which promises nothing. Streams that have begun are cut as before.

--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -40,6 +40,7 @@
     "RequestWithheldError",
     "RevisionConflictError",
     "SettingsError",
+    "ShuttingDownError",
     "SnapshotError",
     "TargetError",
     "TargetFailedError",
@@ -236,6 +237,12 @@
     remedy = "retry after the time in the Retry-After header, on any instance"
 
 
+class ShuttingDownError(NotReadyError):
+    """Report that the instance ends before it could answer the request."""
+
+    code = "shutting_down"
+
+
 class KnowledgeOutdatedError(NotReadyError):
     """Report that the store was not read recently enough to decide."""
 
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -14,6 +14,8 @@
     CallerGoneError,
     KnowledgeOutdatedError,
     NotReadyError,
+    ShuttingDownError,
+    TargetFailedError,
     UnknownPathError,
 )
 from carobladder.fleet import CallMetadata, ExchangeCodec, Freshness, PromptPart
@@ -64,6 +66,8 @@
 )
 _MAX_STREAM_GAP_SECONDS = 1.0
 _DEFAULT_TIMEOUT_SECONDS = 60.0
+# Other instances take a caller at once.
+_SHUTDOWN_RETRY_SECONDS = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +126,8 @@
 
     def _build_call(self, request: Request, facts: CallMetadata) -> ForwardedCall:
         """Return the call, or raise CallerError if the request is not allowed."""
+        if request.is_late:
+            raise ShuttingDownError("the instance shuts down", _SHUTDOWN_RETRY_SECONDS)
         table = self._find_table()
         if table is None:
             raise NotReadyError("no configuration has been read yet")
@@ -229,6 +235,18 @@
             raise AnswerTimeoutError(
                 "no complete response before the deadline"
             ) from None
+        except asyncio.CancelledError:
+            if not responder.ended or responder.started:
+                raise
+            _clear_cancellation()
+            raise self._build_end_error(session) from None
+
+    def _build_end_error(self, session: CallSession) -> CallerError:
+        """Return the error of a call without a response at the end of the instance."""
+        reason = "the instance ended before the response"
+        if session.may_have_run:
+            return TargetFailedError(reason)
+        return ShuttingDownError(reason, _SHUTDOWN_RETRY_SECONDS)
 
     async def _forward_response(
         self,
@@ -355,6 +373,13 @@
         )
 
 
+def _clear_cancellation() -> None:
+    """Let the task of a request that was cancelled go on to its response."""
+    task = asyncio.current_task()
+    assert task is not None
+    task.uncancel()
+
+
 def _compute_prefix_keys(shared_parts: Sequence[PromptPart]) -> tuple[int, ...]:
     """Return the keys of the shared prefixes of a prompt, the longest first."""
     part_ids = [part.part_id for part in shared_parts]
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -42,7 +42,9 @@
     """State and settings that the connections of a server share.
 
     If ``adds_request_id`` is true, the request id that the gateway created is added to
-    each response. ``limits`` may be replaced while connections are open.
+    each response. ``limits`` may be replaced while connections are open. While
+    ``refuses`` is set, requests may no longer have the time for a response; once
+    ``ended`` is set, that time is over.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -53,6 +55,8 @@
     generator: random.Random
     adds_request_id: bool = True
     draining: bool = False
+    refuses: bool = False
+    ended: bool = False
     connections: set["CallerConnection"] = field(default_factory=set)
     no_connections: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -145,6 +149,10 @@
         if self._idle:
             self._close()
 
+    def end_request(self) -> None:
+        """Cancel the request that is being handled; its handler may send an error."""
+        self._cancel()
+
     def abort(self) -> None:
         """Abort the connection and cancel its request."""
         self._cancel()
@@ -292,7 +300,13 @@
             if size > self._limits.max_body_bytes:
                 raise build_body_too_large_error(self._limits)
             parts.append(bytes(event.data))
-        return build_request(head, b"".join(parts), request_id, received)
+        return build_request(
+            head,
+            b"".join(parts),
+            request_id,
+            received,
+            is_late=self._state.refuses,
+        )
 
     async def _next_event(self) -> object:
         while True:
@@ -344,6 +358,11 @@
         self._state = state
         self._request_id = request_id
 
+    @property
+    def ended(self) -> bool:
+        """Whether the server has ended, so that the time for a response is over."""
+        return self._state.ended
+
     async def send_answer(self, answer: Answer) -> None:
         """Send a complete response."""
         headers = list(answer.headers)
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -246,7 +246,8 @@
 
     The names in ``headers`` are lower case, and the values of a repeated header are
     joined by commas. ``fields`` contains the headers and ``target`` the path and query
-    as they were received. ``received`` is in monotonic seconds.
+    as they were received. ``received`` is in monotonic seconds. ``is_late`` is set if
+    the server shuts down and may not have the time to answer.
     """
 
     method: str
@@ -258,6 +259,7 @@
     received: float
     fields: Headers = ()
     target: str = ""
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -272,13 +274,18 @@
 class Responder(Protocol):
     """Writer of the response to one request, either complete or as a stream.
 
-    The handler is cancelled when the caller closes its connection.
+    The handler is cancelled when the caller closes its connection, and when the server
+    ends before the response; then ``ended`` is true, and it may still send an error.
     """
 
     @property
     def started(self) -> bool:
         """Whether any part of the response was sent."""
 
+    @property
+    def ended(self) -> bool:
+        """Whether the server has ended, so that the time for a response is over."""
+
     async def send_answer(self, answer: Answer) -> None:
         """Send a complete response."""
 
--- a/carobladder/gateway/requests.py
+++ b/carobladder/gateway/requests.py
@@ -105,7 +105,12 @@
 
 
 def build_request(
-    head: h11.Request, body: bytes, request_id: str, received: float
+    head: h11.Request,
+    body: bytes,
+    request_id: str,
+    received: float,
+    *,
+    is_late: bool = False,
 ) -> Request:
     """Build the request; raise MalformedRequestError if its path is invalid."""
     headers: dict[str, str] = {}
@@ -127,6 +132,7 @@
         received=received,
         fields=fields,
         target=target,
+        is_late=is_late,
     )
 
 
--- a/carobladder/gateway/router.py
+++ b/carobladder/gateway/router.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Callable
 
-from carobladder.exceptions import MethodNotAllowedError, NotReadyError
+from carobladder.exceptions import (
+    MethodNotAllowedError,
+    NotReadyError,
+    ShuttingDownError,
+)
 from carobladder.gateway.ports import Answer, Handler, Request, Responder
 from carobladder.telemetry import GatewayMetrics
 
@@ -35,6 +39,8 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Respond to the request through the handler of its path."""
         path = request.path
+        if request.is_late:
+            raise ShuttingDownError("the instance shuts down")
         if path == CHAT_PATH:
             _require_method(request, frozenset({"POST"}))
             await self._chats.handle(request, responder)
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from contextlib import suppress
 
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection, ServerState
@@ -16,6 +17,8 @@
 # Delay before a drain closes idle connections, so that a caller that has just connected
 # or is sending a request still gets a response.
 _IDLE_GRACE_SECONDS = 0.5
+# Time for the error responses to requests that are cancelled at the end of a drain.
+_END_SECONDS = 0.3
 
 
 class GatewayServer:
@@ -72,7 +75,9 @@
     async def finish_drain(self, limit_seconds: float) -> bool:
         """Stop listening and wait until all connections are closed.
 
-        Returns whether this happened within ``limit_seconds``.
+        Returns whether this happened within ``limit_seconds``. Requests that are
+        complete only after the connections without one were closed are marked as late.
+        Requests without a response at the end are cancelled.
         """
         self._state.draining = True
         if self._server is not None:
@@ -80,13 +85,27 @@
         loop = asyncio.get_running_loop()
         for connection in list(self._state.connections):
             loop.call_later(_IDLE_GRACE_SECONDS, connection.close_if_idle)
+        loop.call_later(_IDLE_GRACE_SECONDS, self._refuse_requests)
         try:
             async with asyncio.timeout(limit_seconds):
                 await self._state.no_connections.wait()
         except TimeoutError:
+            await self._end_requests()
             return False
         return True
 
+    def _refuse_requests(self) -> None:
+        self._state.refuses = True
+
+    async def _end_requests(self) -> None:
+        """Cancel the requests and leave their handlers a moment for an error."""
+        self._state.ended = True
+        for connection in list(self._state.connections):
+            connection.end_request()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_END_SECONDS):
+                await self._state.no_connections.wait()
+
     async def close(self) -> None:
         """Stop listening and abort all connections."""
         if self._server is not None:
