Count only share partitions that the store assigns

Callers: in fleets whose store has 12 partitions a topic (the small deployments), targets that limit their rate, and cold ones, got less than they take. Cause: 384 partitions in 32 topics stood for shares, but the store assigned those of 20 topics: 240, as share_changed of the first member shows. The other 144 were held by nobody. Class: a whole that is assumed instead of asked. Change: at most 20 topics; the ledger counts their partitions. Deployments with 24 partitions a topic have 16 topics and are as before.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -19,7 +19,7 @@
 from carobladder.entry.prober import TargetProber
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
-from carobladder.entry.shares import SHARE_PARTITIONS, ShareMembership
+from carobladder.entry.shares import ShareMembership, count_share_partitions
 from carobladder.entry.versions import VersionMoveController
 from carobladder.fleet import (
     AnswerTallies,
@@ -141,7 +141,7 @@
             store_client, settings.store_address, _STORE_ANSWER_SECONDS
         )
         self._targets = TargetTable()
-        self._ledger = ShareLedger(SHARE_PARTITIONS)
+        self._ledger = ShareLedger(count_share_partitions(settings.share_partitions))
         self._load_bounds = LoadBounds(self._targets, settings.load_multiple)
         self._pacer = ColdPacer(self._ledger)
         self._rates = RatePacer(self._ledger, clock, self._generator)
--- a/carobladder/entry/shares.py
+++ b/carobladder/entry/shares.py
@@ -7,10 +7,18 @@
 from carobladder.fleet import GroupStore, ShareLedger
 from carobladder.telemetry import ShareChanged, ShareNotRenewed, emit
 
-__all__ = ["SHARE_PARTITIONS", "ShareMembership", "list_share_topics"]
+__all__ = [
+    "SHARE_PARTITIONS",
+    "ShareMembership",
+    "count_share_partitions",
+    "list_share_topics",
+]
 
 # Enough partitions for each instance of the largest deployment to hold one.
 SHARE_PARTITIONS = 384
+# The store has assigned no partitions of further topics to the members of a group.
+# Partitions that nobody holds are shares of limits that nobody can use.
+_MAX_TOPICS = 20
 _GROUP_NAME = "instances"
 _LEASE_SECONDS = 6.5
 _RENEWAL_INTERVAL_SECONDS = 2.5
@@ -21,7 +29,12 @@
 def list_share_topics(partitions_per_topic: int) -> tuple[str, ...]:
     """Return the topics whose partitions represent shares."""
     count = math.ceil(SHARE_PARTITIONS / partitions_per_topic)
-    return tuple(f"{_TOPIC_PREFIX}{index}" for index in range(count))
+    return tuple(f"{_TOPIC_PREFIX}{index}" for index in range(min(count, _MAX_TOPICS)))
+
+
+def count_share_partitions(partitions_per_topic: int) -> int:
+    """Return the number of partitions that represent shares."""
+    return len(list_share_topics(partitions_per_topic)) * partitions_per_topic
 
 
 class ShareMembership:
--- a/standins/store.py
+++ b/standins/store.py
@@ -39,6 +39,11 @@
     members: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
 
+# Topics of a group whose partitions are assigned; further ones have been left out by
+# the platform's store.
+_GROUP_TOPICS = 20
+
+
 class StoreState:
     """Keep topics and groups; each call returns at once."""
 
@@ -174,7 +179,7 @@
         members = sorted(group.members)
         rows = [
             [topic, part, 0]
-            for topic in document["topics"]
+            for topic in document["topics"][:_GROUP_TOPICS]
             for part in range(self._part_count)
         ]
         mine = rows[members.index(document["member"]) :: len(members)]
