Split the following of a topic by job

Applied keys and recent runs, the wait that another task ends, and the pauses after failed reads are modules of their own. No change of behaviour was meant; ruled out: a split of the reads themselves, which share the offset.

--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import random
-from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from carobladder.clock import Clock
+from carobladder.entry.backoff import BackoffBounds, ReadBackoff
 from carobladder.entry.hedging import run_hedged
 from carobladder.entry.outages import OutageMonitor
 from carobladder.entry.paces import ReadPolicy
+from carobladder.entry.runs import RecordApplier, RunHistory
+from carobladder.entry.wakeups import WakeUp
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import (
     Freshness,
@@ -20,7 +22,6 @@
     TopicState,
 )
 from carobladder.telemetry import (
-    RecordNotApplied,
     StoreHistoryDropped,
     StoreLost,
     StoreReadRepeated,
@@ -33,9 +34,9 @@
 
 _MS_PER_SECOND = 1000
 # First and longest pause after a failed read, for readers and for other instances.
-_READER_BACKOFF_BOUNDS_SECONDS = (0.15, 0.6)
+_READER_BACKOFF_BOUNDS = BackoffBounds(0.15, 0.6)
 # Longer, since the readers report when the store is back.
-_PASSIVE_BACKOFF_BOUNDS_SECONDS = (1.0, 3.0)
+_PASSIVE_BACKOFF_BOUNDS = BackoffBounds(1.0, 3.0)
 # A waiting read can miss records appended this shortly before its answer.
 _MISSED_RECORD_SECONDS = 1.1
 # Instances whose reads are synchronised would all miss the same record.
@@ -46,8 +47,6 @@
 # first one peer, then each peer that it sends an update to.
 _ASK_ONE_FRACTION = 0.4
 _ASK_ALL_FRACTION = 0.55
-# Offset of a removal whose record is no longer in the store.
-_UNKNOWN_OFFSET = -1
 # Interval in which a change of the reader role is noticed.
 _ROLE_CHECK_SECONDS = 1.0
 # Limits the reads that wrong offsets from another instance can cause.
@@ -55,8 +54,6 @@
 # Where records came from, in the log.
 _STORE_SOURCE = "store"
 _PEER_SOURCE = "peer"
-# Runs of records that are kept to answer other instances.
-_MAX_RECENT_RUNS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,22 +90,20 @@
         self._reader = reader
         self._clock = clock
         self._policy = policy
-        self._on_record = on_record
+        self._applier = RecordApplier(name, on_record)
         self._on_recovery = on_recovery
         self._generator = generator
         self._is_reader = is_reader
         self._next_offset: int | None = None
-        self._key_offsets: dict[str, int] = {}
-        self._recent_runs: deque[RecordRun] = deque(maxlen=_MAX_RECENT_RUNS)
-        self._failed_reads = 0
-        self._second_attempts = 0
+        self._history = RunHistory()
+        self._backoff = ReadBackoff(generator)
         self._outages = OutageMonitor(policy.expiry_seconds)
         self._failed_at = 0.0
         self._peer_end = 0
         self._rejected_end = 0
         self._behind_since: float | None = None
         self._catch_up_blocked_until = float("-inf")
-        self._wake_up = asyncio.Event()
+        self._wake_up = WakeUp(clock)
         self._waiting_read: asyncio.Task[bool] | None = None
         self._first_read_done = asyncio.Event()
         self._first_attempt_done = asyncio.Event()
@@ -192,26 +187,16 @@
             self.handle_peer_end(state.next_offset)
             return
         self.freshness.note_read(proved_at)
-        if self._failed_reads and self.freshness.synced_at > self._failed_at:
+        if self._backoff.is_failing and self.freshness.synced_at > self._failed_at:
             self._wake_up.set()
 
     def collect_run(self, first: int) -> RecordRun | None:
         """Return the records from an offset on, as many as fit in one answer."""
         if self._next_offset is None or first >= self._next_offset:
             return None
-        if not self._recent_runs or first < self._recent_runs[0].first:
-            return None
-        records: list[KeyedRecord] = []
-        size = 0
-        for record in (record for run in self._recent_runs for record in run.records):
-            if record.offset < first:
-                continue
-            size += len(record.key) + len(record.value or b"")
-            if size > self._policy.max_answer_bytes:
-                truncated = RecordRun(first, record.offset, tuple(records))
-                return truncated if records else None
-            records.append(record)
-        return RecordRun(first, self._next_offset, tuple(records))
+        return self._history.collect(
+            first, self._next_offset, self._policy.max_answer_bytes
+        )
 
     def apply_peer_run(self, run: RecordRun) -> None:
         """Apply records from another instance.
@@ -242,7 +227,7 @@
     async def _read_snapshot(self) -> None:
         timed = await self._fetch_in_time(self._reader.read_newest)
         page = timed.page
-        self._apply_snapshot(page.records)
+        self._applier.apply_snapshot(page.records)
         self._next_offset = page.next_offset
         self._first_read_done.set()
         self._first_attempt_done.set()
@@ -260,7 +245,7 @@
         The second attempt counts as a failed read too, so that the next pause is no
         shorter than after as many single reads.
         """
-        if self._failed_reads or not self._policy.repeat_seconds:
+        if self._backoff.is_failing or not self._policy.repeat_seconds:
             return await self._fetch(read)
         return await run_hedged(
             self._clock,
@@ -270,7 +255,7 @@
         )
 
     def _note_second_attempt(self, reason: str) -> None:
-        self._second_attempts = 1
+        self._backoff.note_second_attempt()
         emit(StoreReadRepeated(self._name, reason))
 
     async def _read_again_after_start(self) -> None:
@@ -360,26 +345,7 @@
                 return False
             if now >= due_at:
                 return True
-            await self._wait_for_wake_up(min(due_at - now, _ROLE_CHECK_SECONDS))
-
-    async def _wait_for_wake_up(self, seconds: float) -> None:
-        """Wait until the time has passed or a peer's message sets the wake-up event."""
-        wake_up = asyncio.ensure_future(self._wake_up.wait())
-        timer = asyncio.ensure_future(self._clock.sleep(seconds))
-        try:
-            await asyncio.wait({wake_up, timer}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            self._wake_up.clear()
-            wake_up.cancel()
-            timer.cancel()
-
-    def _apply_snapshot(self, records: Iterable[KeyedRecord]) -> None:
-        present = {record.key for record in records}
-        for key in [key for key in self._key_offsets if key not in present]:
-            del self._key_offsets[key]
-            self._pass_on(KeyedRecord(_UNKNOWN_OFFSET, key, None))
-        for record in records:
-            self._apply(record)
+            await self._wake_up.wait(min(due_at - now, _ROLE_CHECK_SECONDS))
 
     def _apply_run(self, run: RecordRun, source: str, synced_at: float) -> None:
         """Apply the part of a run that is not known yet.
@@ -391,7 +357,7 @@
         first = self._next_offset
         records = tuple(record for record in run.records if record.offset >= first)
         self._next_offset = run.next_offset
-        self._recent_runs.append(RecordRun(first, run.next_offset, records))
+        self._history.append(RecordRun(first, run.next_offset, records))
         self._update_lag()
         emit(
             TopicAdvanced(
@@ -403,23 +369,7 @@
             )
         )
         for record in records:
-            self._apply(record)
-
-    def _apply(self, record: KeyedRecord) -> None:
-        if record.offset <= self._key_offsets.get(record.key, -1):
-            return
-        if record.value is None:
-            self._key_offsets.pop(record.key, None)
-        else:
-            self._key_offsets[record.key] = record.offset
-        self._pass_on(record)
-
-    def _pass_on(self, record: KeyedRecord) -> None:
-        """Pass a change on; one that cannot be applied does not keep others back."""
-        try:
-            self._on_record(record)
-        except Exception as error:
-            emit(RecordNotApplied(self._name, record.key, repr(error)))
+            self._applier.apply(record)
 
     def _update_lag(self) -> None:
         if not self.is_behind(self._peer_end):
@@ -430,11 +380,11 @@
         self._next_offset = None
         self._peer_end = self._rejected_end = 0
         self._behind_since = None
-        self._recent_runs.clear()
+        self._history.clear()
 
     def _record_partial_success(self, timed: _TimedPage) -> None:
         """Record a read whose answer was too short to prove that all is known."""
-        self._failed_reads = self._second_attempts = 0
+        self._backoff.note_success()
         self._note_served(timed.sent_at, _STORE_SOURCE)
         self.handle_peer_end(timed.page.end)
 
@@ -444,7 +394,7 @@
         A read that waited ``waited_seconds`` without finding records proves that none
         were appended meanwhile.
         """
-        self._failed_reads = self._second_attempts = 0
+        self._backoff.note_success()
         self._note_served(sent_at, _STORE_SOURCE)
         proved_seconds = max(0.0, waited_seconds - _MISSED_RECORD_SECONDS)
         self.freshness.note_read(sent_at + proved_seconds)
@@ -458,21 +408,15 @@
 
     async def _back_off(self, error: LogUnavailableError) -> None:
         self._first_attempt_done.set()
-        if not self._failed_reads:
+        if not self._backoff.is_failing:
             age = self.freshness.age(self._clock.boottime())
             emit(StoreLost(self._name, round(age, 2), str(error)))
-        self._failed_reads += 1 + self._second_attempts
-        self._second_attempts = 0
         self._failed_at = self._clock.boottime()
         self._outages.note_failure(self._failed_at)
-        first_seconds, longest_seconds = self._get_backoff_bounds()
-        pause = first_seconds * 2.0 ** min(self._failed_reads - 1, 8)
-        jitter = self._generator.uniform(0.5, 1.0)
-        await self._clock.sleep(first_seconds * jitter)
+        pause = self._backoff.note_failure(self._get_backoff_bounds())
+        await self._clock.sleep(pause.fixed_seconds)
         # A peer may report meanwhile that the store is back.
-        await self._wait_for_wake_up(
-            (min(pause, longest_seconds) - first_seconds) * jitter
-        )
+        await self._wake_up.wait(pause.open_seconds)
 
     def _get_age_limit(self) -> float | None:
         """Return the age of the last proof at which this instance reads, or None."""
@@ -483,9 +427,9 @@
             else policy.passive_age_seconds
         )
 
-    def _get_backoff_bounds(self) -> tuple[float, float]:
-        """Return the first and the longest pause after a failed read in seconds."""
+    def _get_backoff_bounds(self) -> BackoffBounds:
+        """Return the first and the longest pause after a failed read."""
         synced = self.freshness.synced
         if self._policy.passive_age_seconds is None or self._is_reader() or not synced:
-            return _READER_BACKOFF_BOUNDS_SECONDS
-        return _PASSIVE_BACKOFF_BOUNDS_SECONDS
+            return _READER_BACKOFF_BOUNDS
+        return _PASSIVE_BACKOFF_BOUNDS
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -8,6 +8,7 @@
 from carobladder.clock import VirtualClock
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.paces import ReadPolicy, build_instances_policy
+from carobladder.entry.runs import RecordApplier
 from carobladder.fleet import KeyedRecord, RecordRun, TopicState
 from carobladder.platform.frames import decode_page
 from carobladder.platform.store import KeyedTopic
@@ -108,7 +109,7 @@
                 raise RecursionError("too deep")
             self.seen.append((record.key, record.value))
 
-        self.follower._on_record = apply
+        self.follower._applier = RecordApplier("operator", apply)
         self.store.state.put(TOPIC, "odd", b"1")
         self.store.state.put(TOPIC, "a", b"1")
         await self.step(1)
