Look for rate limits only where a target names one

Each request listed the targets of its service once more than needed, and the pacer kept the state of targets that are gone. Change: one look for a limited target before anything else, and the pacer forgets a target with its entry. Ruled out: a counter in the registry, which each statement would have to keep true.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -182,7 +182,7 @@
         control_state = ControlState(
             clock,
             self._targets,
-            self._pacer,
+            self._forget_target,
             compute_expiry_seconds(settings.entry_renewal_ms / _MS_PER_SECOND),
             move_controller.handle_order,
         )
@@ -231,6 +231,10 @@
             generator=self._generator,
         )
 
+    def _forget_target(self, target_id: str) -> None:
+        self._pacer.forget(target_id)
+        self._rates.forget(target_id)
+
     def _build_move_controller(self) -> VersionMoveController:
         return VersionMoveController(
             self._settings.instance,
--- a/carobladder/entry/control_state.py
+++ b/carobladder/entry/control_state.py
@@ -5,7 +5,6 @@
 
 from carobladder.clock import Clock
 from carobladder.fleet import (
-    ColdPacer,
     ConfigurationRecord,
     DataCentreRecord,
     OperatorRecord,
@@ -36,8 +35,8 @@
 class ControlState:
     """Routes and targets, updated from records in the order of the store.
 
-    Entries may expire in outages of the store longer than ``expiry_seconds``.
-    ``on_order`` is called with each order of a version move, ``on_caller_limits`` with
+    ``forget_target`` is called with the id of a target that is removed. Entries may
+    expire in outages of the store longer than ``expiry_seconds``. ``on_order`` is called with each order of a version move, ``on_caller_limits`` with
     the limits on callers of each new configuration.
     """
 
@@ -45,7 +44,7 @@
         self,
         clock: Clock,
         targets: TargetTable,
-        pacer: ColdPacer,
+        forget_target: Callable[[str], None],
         expiry_seconds: float,
         on_order: Callable[[RolloutOrder], None],
     ) -> None:
@@ -53,7 +52,7 @@
         self.on_caller_limits: Callable[[CallerLimits], None] | None = None
         self._clock = clock
         self._targets = targets
-        self._pacer = pacer
+        self._forget_target = forget_target
         self._expiry_seconds = expiry_seconds
         self._on_order = on_order
 
@@ -116,7 +115,7 @@
         """Apply the removal of a target's entry."""
         now = self._clock.monotonic()
         if self._targets.drop(target_id, now):
-            self._pacer.forget(target_id)
+            self._forget_target(target_id)
             emit(TargetGone(target_id, "its entry was removed"))
             return
         seconds = self._targets.read_removal_delay(target_id, now)
@@ -131,7 +130,7 @@
     def expire_targets(self) -> None:
         """Remove the targets whose expired entries were not renewed in time."""
         for target_id in self._targets.expire(self._clock.monotonic()):
-            self._pacer.forget(target_id)
+            self._forget_target(target_id)
             emit(
                 TargetGone(
                     target_id,
--- a/carobladder/fleet/pacing.py
+++ b/carobladder/fleet/pacing.py
@@ -122,6 +122,11 @@
         self._generator = generator
         self._trials: dict[str, _Trial] = {}
 
+    def forget(self, target_id: str) -> None:
+        """Remove the state of a target."""
+        super().forget(target_id)
+        self._trials.pop(target_id, None)
+
     def can_send(self, target: FleetTarget) -> bool:
         """Return whether a request may be sent to the target now."""
         wait = self.find_wait(target)
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -112,6 +112,11 @@
             (target.health.estimate_load(now) or 0.0) > bound for target in usable
         )
 
+    def has_limited(self, service: str) -> bool:
+        """Return whether any target of a service limits its rate."""
+        registered = self._table.list_registered(service)
+        return any(target.rate_limit is not None for target in registered)
+
     def find_rate_wait(
         self, criteria: SelectionCriteria, position: int, now: float
     ) -> float | None:
@@ -172,7 +177,7 @@
             if target.target_id not in criteria.excluded
             and target.is_available(now)
             and self._is_within_cold_rate(target, criteria.service, now)
-            and self._rates.can_send(target)
+            and (target.rate_limit is None or self._rates.can_send(target))
         ]
 
     def _prefer_limited(
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -313,10 +313,12 @@
         Requests of higher priority go first. Raises CallerError at once if the wait
         would be too long.
         """
-        if self._find_rate_wait(0) == 0.0 and not self._has_rate_queue():
-            return
         call, clock = self._call, self._forwarder.clock
         queue, service = self._forwarder.rate_queue, call.service.name
+        if not self._forwarder.selector.has_limited(service):
+            return
+        if self._find_rate_wait(0) == 0.0 and not queue.has_waiting(service):
+            return
         start = clock.monotonic()
         longest = _MAX_LOAD_WAIT_FRACTION * call.route.latency_objective_seconds
         end = min(start + longest, call.deadline)
@@ -333,9 +335,6 @@
         if seconds:
             emit(RequestDelayed(call.facts.request_id, service, seconds))
 
-    def _has_rate_queue(self) -> bool:
-        return self._forwarder.rate_queue.has_waiting(self._call.service.name)
-
     def _find_rate_wait(self, before: int) -> float | None:
         """Return the seconds until a request behind others is admitted, or None."""
         now = self._forwarder.clock.monotonic()
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -49,7 +49,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestDelayed(Event):
-    """A request waited before it was sent, as all targets exceeded their load bound."""
+    """A request waited before it was sent.
+
+    All targets exceeded their load bound, or admitted none under their rate limits.
+    """
 
     request_id: str
     service: str
--- a/tests/entry/test_leaving_targets.py
+++ b/tests/entry/test_leaving_targets.py
@@ -15,10 +15,8 @@
 from carobladder.entry.paces import build_targets_policy, compute_expiry_seconds
 from carobladder.exceptions import ConnectionBrokenError
 from carobladder.fleet import (
-    ColdPacer,
     KeyedRecord,
     RecordRun,
-    ShareLedger,
     TargetTable,
     TopicState,
 )
@@ -70,7 +68,7 @@
         control_state = ControlState(
             self.clock,
             self.targets,
-            ColdPacer(ShareLedger(4)),
+            lambda target_id: None,
             compute_expiry_seconds(RENEWAL_SECONDS),
             lambda order: None,
         )
