--- a/carobladder/entry/control_state.py
+++ b/carobladder/entry/control_state.py
@@ -36,8 +36,9 @@
     """Routes and targets, updated from records in the order of the store.
 
     ``forget_target`` is called with the id of a target that is removed. Entries may
-    expire in outages of the store longer than ``expiry_seconds``. ``on_order`` is called with each order of a version move, ``on_caller_limits`` with
-    the limits on callers of each new configuration.
+    expire in outages of the store longer than ``expiry_seconds``. ``on_order`` is
+    called with each order of a version move, ``on_caller_limits`` with the limits on
+    callers of each new configuration.
     """
 
     def __init__(
