Log and count the ends of callers' connections

connection_cut states the reason, how far the request had come and how many bytes waited; listener_closed how many connections were in the accept queue; a counter has all ends by reason and progress. The counter belongs to the metrics that the entry program serves: those of the gateway were never exposed there. The readiness and metrics ports get metrics of their own, so that health checks do not hide the callers' figures.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -165,7 +165,9 @@
         )
         self._reader_role = ReaderRole(self._ledger, self._peers.count_peers)
         self._metrics = ForwardMetrics()
-        self._server_metrics = GatewayMetrics()
+        self._server_metrics = GatewayMetrics(
+            connection_registry=self._metrics.registry
+        )
 
     def build(self) -> InstanceParts:
         """Build all components."""
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -23,6 +23,7 @@
 )
 from carobladder.telemetry import (
     Draining,
+    GatewayMetrics,
     InstanceStarted,
     InstanceStopped,
     SettingsNotReloaded,
@@ -151,7 +152,7 @@
                     handler,
                     RequestLimits(),
                     self._clock,
-                    self.parts.server_metrics,
+                    GatewayMetrics(),
                     self.parts.generator,
                 ),
                 address,
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -11,6 +11,7 @@
     InternalFaultError,
     RequestTimeoutError,
 )
+from carobladder.gateway.endings import ConnectionEnd, EndRecorder
 from carobladder.gateway.exchanges import Exchange
 from carobladder.gateway.ports import Request
 from carobladder.gateway.requests import (
@@ -59,6 +60,7 @@
         self.writing_paused = False
         self._idle = True
         self._discarding = False
+        self._recorder = EndRecorder(state.metrics.connections, state.clock)
 
     @property
     def _limits(self) -> RequestLimits:
@@ -104,6 +106,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the request that is being handled."""
         assert self._task is not None
+        assert self._transport is not None
+        self._recorder.report(self._http, self._transport)
         self._task.cancel()
         self._task.add_done_callback(lambda _: self._state.remove(self))
 
@@ -125,14 +129,16 @@
 
     def _close_if_still_idle(self) -> None:
         if self._idle:
-            self._close()
+            self._close(ConnectionEnd.IDLE_IN_DRAIN)
 
     def end_request(self) -> None:
         """Cancel the request that is being handled; its handler may send an error."""
+        self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
         self._cancel()
 
     def abort(self) -> None:
         """Abort the connection and cancel its request."""
+        self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
         self._cancel()
         if self._transport is not None:
             self._transport.abort()
@@ -163,6 +169,7 @@
                     await self._write_resumed
             except TimeoutError:
                 if transport.get_write_buffer_size() >= unsent_bytes:
+                    self._recorder.note(ConnectionEnd.CALLER_STALLED)
                     transport.abort()
                     raise CallerGoneError(
                         "the caller stopped reading its response"
@@ -174,8 +181,9 @@
         if self._task is not None:
             self._task.cancel()
 
-    def _abort_transport(self) -> None:
+    def _abort_transport(self, end: ConnectionEnd) -> None:
         assert self._transport is not None
+        self._recorder.note(end)
         self._transport.abort()
 
     async def _run(self) -> None:
@@ -184,14 +192,14 @@
                 pass
         except asyncio.CancelledError:
             if self._idle or self._http.our_state in _WHOLE_ANSWER_STATES:
-                self._close()
+                self._close(ConnectionEnd.CALLER_CLOSED)
             else:
-                self._abort_transport()
+                self._abort_transport(ConnectionEnd.CALLER_CLOSED)
         except CallerGoneError:
-            self._abort_transport()
+            self._abort_transport(ConnectionEnd.CALLER_CLOSED)
         except h11.LocalProtocolError as error:
             log_event("response is not valid HTTP", logging.ERROR, error=str(error))
-            self._abort_transport()
+            self._abort_transport(ConnectionEnd.ANSWER_BROKEN)
 
     async def _serve_next(self) -> bool:
         """Handle one request; return whether another may follow."""
@@ -205,20 +213,21 @@
             self._linger()
             return False
         if request is None:
-            self._close()
+            self._close(ConnectionEnd.IDLE_TIMEOUT)
             return False
         exchange.head_only = request.method == "HEAD"
         await self._handle(request, exchange)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
+            self._recorder.answer_count += 1
             if not self._closes_for_drain():
                 return True
-            self._close()
+            self._close(ConnectionEnd.ANSWERED)
             return False
         if self._http.our_state is h11.MUST_CLOSE:
-            self._close()
+            self._close(ConnectionEnd.ANSWERED)
         else:
-            self._abort_transport()
+            self._abort_transport(ConnectionEnd.ANSWER_BROKEN)
         return False
 
     def _closes_for_drain(self) -> bool:
@@ -360,10 +369,11 @@
         else:
             waiter.set_exception(TimeoutError())
 
-    def _close(self) -> None:
+    def _close(self, end: ConnectionEnd) -> None:
         """Close the connection once its caller has taken what was sent."""
         transport = self._transport
         assert transport is not None
+        self._recorder.note(end)
         transport.close()
         self._watch_close()
 
@@ -385,6 +395,7 @@
         transport = self._transport
         assert transport is not None
         self._discarding = True
+        self._recorder.note(ConnectionEnd.REFUSED)
         if transport.is_closing():
             return
         if transport.can_write_eof():
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -7,10 +7,11 @@
 
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection
+from carobladder.gateway.endings import count_waiting_connections
 from carobladder.gateway.ports import Handler
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.serverstate import ServerState
-from carobladder.telemetry import GatewayMetrics
+from carobladder.telemetry import GatewayMetrics, ListenerClosed, emit
 
 __all__ = ["GatewayServer"]
 
@@ -81,8 +82,7 @@
         Requests without a response at the end are cancelled.
         """
         self._state.draining = True
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         loop = asyncio.get_running_loop()
         for connection in list(self._state.connections):
             loop.call_later(_IDLE_GRACE_SECONDS, connection.close_if_idle)
@@ -98,6 +98,14 @@
     def _refuse_requests(self) -> None:
         self._state.refuses = True
 
+    def _stop_listening(self) -> None:
+        if self._server is None or not self._server.is_serving():
+            return
+        (listener,) = self._server.sockets
+        waiting = count_waiting_connections(listener)
+        self._server.close()
+        emit(ListenerClosed(waiting))
+
     async def _end_requests(self) -> None:
         """Cancel the requests and leave their handlers a moment for an error."""
         self._state.ended = True
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -53,11 +53,11 @@
         """Add a connection that was opened."""
         self.connections.add(connection)
         self.no_connections.clear()
-        self.metrics.open_connections.inc()
+        self.metrics.connections.open.inc()
 
     def remove(self, connection: "OpenConnection") -> None:
         """Remove a connection that was closed after its last byte was sent."""
         self.connections.discard(connection)
-        self.metrics.open_connections.dec()
+        self.metrics.connections.open.dec()
         if not self.connections:
             self.no_connections.set()
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -13,6 +13,7 @@
     "InstanceNotAnnounced",
     "InstanceStarted",
     "InstanceStopped",
+    "ListenerClosed",
     "RecordNotApplied",
     "SettingsNotReloaded",
     "SettingsReloaded",
@@ -51,6 +52,17 @@
     finished: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ListenerClosed(Event):
+    """The instance accepts no more connections of callers.
+
+    ``waiting`` is the number of connections that the kernel had established and the
+    instance had not accepted, None if the kernel does not tell.
+    """
+
+    waiting: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceNotAnnounced(Event):
     """Others do not learn this instance's address yet; loads are not exchanged."""
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -9,6 +9,7 @@
     "AnswerOfOtherRequestDropped",
     "AttemptFailed",
     "CallerLeft",
+    "ConnectionCut",
     "RequestAnswered",
     "RequestDelayed",
     "RequestPlaced",
@@ -141,3 +142,23 @@
     seconds: float
 
     limited: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionCut(Event):
+    """A caller's connection ended with a request, or bytes of one, without an answer.
+
+    ``reason`` tells which side ended it, and ``progress`` how far the request had come.
+    ``unparsed_bytes`` were received, and ``unread_bytes`` waited in the socket.
+    ``answers`` counts the requests that were answered before.
+    """
+
+    reason: str
+    progress: str
+    unparsed_bytes: int
+    unread_bytes: int
+    answers: int
+    open_seconds: float
+    caller: str
+
+    limited: ClassVar[bool] = True
--- a/carobladder/telemetry/metrics.py
+++ b/carobladder/telemetry/metrics.py
@@ -14,7 +14,7 @@
 from carobladder.targets import RequestClass
 from carobladder.telemetry.builders import build_counter, build_histogram
 
-__all__ = ["GatewayMetrics"]
+__all__ = ["ConnectionMetrics", "GatewayMetrics"]
 
 _MAX_TEAM_LABELS = 50
 _OTHER_LABEL = "other"
@@ -37,28 +37,47 @@
 _GAP_BUCKETS_SECONDS = (0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.25, 1.0, 5.0)
 
 
+class ConnectionMetrics:
+    """Metrics of the connections of callers."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.open = Gauge(
+            "carobladder_open_connections",
+            "Open connections of callers",
+            registry=registry,
+        )
+        self._ends = Counter(
+            "carobladder_connection_ends",
+            "Ended connections by reason and by progress of an unanswered request",
+            ["reason", "progress"],
+            registry=registry,
+        )
+
+    def count_end(self, reason: str, progress: str) -> None:
+        """Count the end of a connection; ``progress`` is that of its last request."""
+        self._ends.labels(reason, progress).inc()
+
+
 class GatewayMetrics:
     """Gateway metrics of one instance, with a bounded number of label values.
 
     The first ``team_limit`` teams are labelled by name, in order of first use; all
-    later ones share the label ``other``.
+    later ones share the label ``other``. The metrics of connections may belong to
+    another registry.
     """
 
     def __init__(
         self,
         registry: CollectorRegistry | None = None,
         team_limit: int = _MAX_TEAM_LABELS,
+        connection_registry: CollectorRegistry | None = None,
     ) -> None:
         self.registry = registry or CollectorRegistry()
         self._team_limit = team_limit
         self._team_labels: set[str] = set()
         self._create_histograms()
         self._create_counters()
-        self.open_connections = Gauge(
-            "carobladder_open_connections",
-            "Open connections of callers",
-            registry=self.registry,
-        )
+        self.connections = ConnectionMetrics(connection_registry or self.registry)
         self.open_streams = Gauge(
             "carobladder_open_streams",
             "Streamed answers being relayed",
