Accept connections to the end of a drain

Cause: the listener was closed 2.4 s after SIGTERM, up to 5.3 s before the process ended, and a listener that is closed resets its accept queue. The load balancer uses all instances of a data centre when most of them drain.

Change: the listener is closed when the last connection is, after its queue was taken over. Connections that come that late are closed if they send nothing for 0.5 s. A late request is answered if its own time ends before the grace time, and refused otherwise; it was refused always. At the end of the grace time idle connections are closed after a last look at their sockets. listener_closed now states the connections that were taken over, which is exact, instead of the kernel's figure.

--- a/carobladder/entry/listening.py
+++ b/carobladder/entry/listening.py
@@ -9,17 +9,12 @@
 import tomllib
 from contextlib import suppress
 
-__all__ = ["open_early_listener", "open_listener"]
+from carobladder.gateway.listeners import open_listener
+
+__all__ = ["open_early_listener"]
 
 # Duplicated from settings.entry, whose imports go beyond the standard library.
 _SETTINGS_VARIABLE = "CAROBLADDER_SETTINGS"
-_BACKLOG = 1024
-
-
-def open_listener(address: str) -> socket.socket:
-    """Listen at IP:PORT; raises OSError or ValueError if that is not possible."""
-    host, _, port = address.rpartition(":")
-    return socket.create_server((host.strip("[]"), int(port)), backlog=_BACKLOG)
 
 
 def open_early_listener() -> socket.socket | None:
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -10,9 +10,9 @@
 
 from carobladder.clock import Clock
 from carobladder.entry.assembly import build_parts
-from carobladder.entry.listening import open_listener
 from carobladder.entry.status import StatusHandler, add_gauges
 from carobladder.exceptions import SettingsError
+from carobladder.gateway.listeners import open_listener
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.settings.entry import (
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -132,8 +132,6 @@
 
     def _build_call(self, request: Request, facts: CallMetadata) -> ForwardedCall:
         """Return the call, or raise CallerError if the request is not allowed."""
-        if request.is_late:
-            raise ShuttingDownError("the instance shuts down", _SHUTDOWN_RETRY_SECONDS)
         table = self._find_table()
         if table is None:
             raise NotReadyError("no configuration has been read yet")
@@ -149,6 +147,9 @@
         seconds = route.timeout_seconds or _DEFAULT_TIMEOUT_SECONDS
         if time_left is not None:
             seconds = min(seconds, time_left)
+        deadline = request.received + seconds
+        if request.server_ends_at is not None and deadline > request.server_ends_at:
+            raise ShuttingDownError("the instance shuts down", _SHUTDOWN_RETRY_SECONDS)
         return ForwardedCall(
             route=route,
             service=service,
@@ -161,7 +162,7 @@
             body=request.body,
             prefix_keys=prefix_keys,
             last_part_tokens=tuple(part.tokens for part in reversed(shared_parts)),
-            deadline=request.received + seconds,
+            deadline=deadline,
             configuration_version=table.configuration.version,
             configuration_age_seconds=self._freshness.age(self._clock.boottime()),
         )
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -128,11 +128,14 @@
         self._loop.call_soon(self._loop.call_soon, self._close_if_still_idle)
 
     def _close_if_still_idle(self) -> None:
-        if self._idle:
+        if self._idle and self._transport is not None:
             self._close(ConnectionEnd.IDLE_IN_DRAIN)
 
     def end_request(self) -> None:
         """Cancel the request that is being handled; its handler may send an error."""
+        if self._idle:
+            self.close_if_idle()
+            return
         self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
         self._cancel()
 
@@ -317,7 +320,7 @@
             b"".join(parts),
             request_id,
             received,
-            is_late=self._state.refuses,
+            server_ends_at=self._state.ends_at,
         )
 
     async def _next_event(self) -> object:
--- a/carobladder/gateway/endings.py
+++ b/carobladder/gateway/endings.py
@@ -4,7 +4,6 @@
 import asyncio
 import fcntl
 import socket
-import struct
 import termios
 from enum import StrEnum
 
@@ -18,16 +17,10 @@
     "EndRecorder",
     "RequestProgress",
     "count_unread_bytes",
-    "count_waiting_connections",
     "find_progress",
 ]
 
 _WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
-# Offset and size in bytes of tcpi_unacked in struct tcp_info. For a listening socket,
-# the kernel reports the length of its accept queue there.
-_ACCEPT_QUEUE_OFFSET = 24
-_ACCEPT_QUEUE_FORMAT = "=I"
-_TCP_INFO_BYTES = _ACCEPT_QUEUE_OFFSET + struct.calcsize(_ACCEPT_QUEUE_FORMAT)
 
 
 class ConnectionEnd(StrEnum):
@@ -129,16 +122,6 @@
     return size[0]
 
 
-def count_waiting_connections(listener: socket.socket) -> int | None:
-    """Return the number of connections that wait to be accepted, None if unknown."""
-    try:
-        info = listener.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
-        (count,) = struct.unpack_from(_ACCEPT_QUEUE_FORMAT, info, _ACCEPT_QUEUE_OFFSET)
-    except (OSError, struct.error):
-        return None
-    return int(count)
-
-
 def _format_address(peer_name: tuple[str, int] | None) -> str:
     """Return IP:PORT, or nothing if the connection was reset as it was accepted."""
     return f"{peer_name[0]}:{peer_name[1]}" if peer_name else ""
--- /dev/null
+++ b/carobladder/gateway/listeners.py
@@ -0,0 +1,20 @@
+"""Listening sockets for callers.
+
+Only the standard library is imported here, as a program opens its socket before it
+loads the rest.
+"""
+
+import socket
+
+__all__ = ["BACKLOG", "open_listener"]
+
+# Maximum number of connections in the accept queue.
+BACKLOG = 1024
+
+
+def open_listener(address: str) -> socket.socket:
+    """Listen at IP:PORT; raises OSError or ValueError if that is not possible."""
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, int(port)), family=family, backlog=BACKLOG)
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -246,8 +246,8 @@
 
     The names in ``headers`` are lower case, and the values of a repeated header are
     joined by commas. ``fields`` contains the headers and ``target`` the path and query
-    as they were received. ``received`` is in monotonic seconds. ``is_late`` is set if
-    the server shuts down and may not have the time to answer.
+    as they were received. ``received`` is in monotonic seconds. ``server_ends_at`` is
+    set while the server shuts down: from that monotonic time on it sends no response.
     """
 
     method: str
@@ -259,7 +259,7 @@
     received: float
     fields: Headers = ()
     target: str = ""
-    is_late: bool = False
+    server_ends_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/gateway/requests.py
+++ b/carobladder/gateway/requests.py
@@ -121,7 +121,7 @@
     request_id: str,
     received: float,
     *,
-    is_late: bool = False,
+    server_ends_at: float | None = None,
 ) -> Request:
     """Build the request; raise MalformedRequestError if its path is invalid."""
     headers: dict[str, str] = {}
@@ -143,7 +143,7 @@
         received=received,
         fields=fields,
         target=target,
-        is_late=is_late,
+        server_ends_at=server_ends_at,
     )
 
 
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -7,18 +7,19 @@
 
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection
-from carobladder.gateway.endings import count_waiting_connections
+from carobladder.gateway.listeners import BACKLOG, open_listener
 from carobladder.gateway.ports import Handler
 from carobladder.gateway.requests import RequestLimits
-from carobladder.gateway.serverstate import ServerState
+from carobladder.gateway.serverstate import OpenConnection, ServerState
 from carobladder.telemetry import GatewayMetrics, ListenerClosed, emit
 
 __all__ = ["GatewayServer"]
 
-_BACKLOG = 1024
 # Delay before a drain closes idle connections, so that a caller that has just connected
 # or is sending a request still gets a response.
 _IDLE_GRACE_SECONDS = 0.5
+# Event loop iterations until a connection that the loop has just accepted is added.
+_ACCEPT_ITERATIONS = 3
 # Time for the error responses to requests that are cancelled at the end of a drain.
 _END_SECONDS = 0.3
 
@@ -41,6 +42,8 @@
         )
         self._state.no_connections.set()
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._closes_idle = False
 
     @property
     def port(self) -> int:
@@ -54,57 +57,87 @@
 
     async def start(self, address: str) -> None:
         """Listen at IP:PORT; port 0 selects a free port."""
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._create_connection, host.strip("[]"), int(port), backlog=_BACKLOG
-        )
+        await self.start_on_socket(open_listener(address))
 
     async def start_on_socket(self, listener: socket.socket) -> None:
         """Accept connections on a socket that is already listening."""
         loop = asyncio.get_running_loop()
+        self._listener = listener
         self._server = await loop.create_server(
-            self._create_connection, sock=listener, backlog=_BACKLOG
+            self._create_connection, sock=listener, backlog=BACKLOG
         )
 
     def _create_connection(self) -> CallerConnection:
-        return CallerConnection(self._state)
+        connection = CallerConnection(self._state)
+        if self._closes_idle:
+            self._schedule_idle_close(connection)
+        return connection
+
+    def _schedule_idle_close(self, connection: OpenConnection) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_IDLE_GRACE_SECONDS, connection.close_if_idle)
 
     def begin_drain(self) -> None:
         """Close connections after their current response, but keep listening."""
         self._state.draining = True
 
     async def finish_drain(self, limit_seconds: float) -> bool:
-        """Stop listening and wait until all connections are closed.
+        """Wait until all connections are closed, then stop listening.
 
-        Returns whether this happened within ``limit_seconds``. Requests that are
-        complete only after the connections without one were closed are marked as late.
-        Requests without a response at the end are cancelled.
+        Returns whether this happened within ``limit_seconds``. Connections without a
+        request are closed. A load balancer without a better instance still sends
+        callers, so connections are accepted to the end; requests whose own time ends
+        later are refused. Requests without a response at the end are cancelled.
         """
         self._state.draining = True
-        self._stop_listening()
-        loop = asyncio.get_running_loop()
+        self._closes_idle = True
         for connection in list(self._state.connections):
-            loop.call_later(_IDLE_GRACE_SECONDS, connection.close_if_idle)
-        loop.call_later(_IDLE_GRACE_SECONDS, self._refuse_requests)
+            self._schedule_idle_close(connection)
+        loop = asyncio.get_running_loop()
+        ends_at = self._state.clock.monotonic() + limit_seconds
+        loop.call_later(_IDLE_GRACE_SECONDS, self._set_end, ends_at)
         try:
             async with asyncio.timeout(limit_seconds):
                 await self._state.no_connections.wait()
+                await self._stop_listening()
+                await self._state.no_connections.wait()
         except TimeoutError:
+            await self._stop_listening()
             await self._end_requests()
             return False
         return True
 
-    def _refuse_requests(self) -> None:
-        self._state.refuses = True
+    def _set_end(self, ends_at: float) -> None:
+        self._state.ends_at = ends_at
+
+    async def _stop_listening(self) -> None:
+        """Close the listener and take over the connections in its accept queue.
 
-    def _stop_listening(self) -> None:
+        The kernel resets what is in the queue of a listener that is closed.
+        """
         if self._server is None or not self._server.is_serving():
             return
-        (listener,) = self._server.sockets
-        waiting = count_waiting_connections(listener)
+        waiting = self._accept_waiting()
         self._server.close()
-        emit(ListenerClosed(waiting))
+        emit(ListenerClosed(len(waiting)))
+        loop = asyncio.get_running_loop()
+        for sock in waiting:
+            with suppress(OSError):
+                await loop.connect_accepted_socket(self._create_connection, sock)
+        for _ in range(_ACCEPT_ITERATIONS):
+            await asyncio.sleep(0)
+
+    def _accept_waiting(self) -> list[socket.socket]:
+        assert self._listener is not None
+        accepted = []
+        # BlockingIOError marks the end of the queue; after another error, such as a
+        # lack of descriptors, none can be accepted either.
+        with suppress(OSError):
+            while True:
+                sock, _ = self._listener.accept()
+                sock.setblocking(False)
+                accepted.append(sock)
+        return accepted
 
     async def _end_requests(self) -> None:
         """Cancel the requests and leave their handlers a moment for an error."""
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -31,9 +31,9 @@
     """State and settings that the connections of a server share.
 
     If ``adds_request_id`` is true, the request id that the gateway created is added to
-    each response. ``limits`` may be replaced while connections are open. While
-    ``refuses`` is set, requests may no longer have the time for a response; once
-    ``ended`` is set, that time is over.
+    each response. ``limits`` may be replaced while connections are open. ``ends_at`` is
+    the monotonic time from which on no response can be sent, set once idle connections
+    have been closed; once ``ended`` is set, that time is over.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -44,7 +44,7 @@
     generator: random.Random
     adds_request_id: bool = True
     draining: bool = False
-    refuses: bool = False
+    ends_at: float | None = None
     ended: bool = False
     connections: set["OpenConnection"] = field(default_factory=set)
     no_connections: asyncio.Event = field(default_factory=asyncio.Event)
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -56,11 +56,10 @@
 class ListenerClosed(Event):
     """The instance accepts no more connections of callers.
 
-    ``waiting`` is the number of connections that the kernel had established and the
-    instance had not accepted, None if the kernel does not tell.
+    ``accepted`` is the number of connections that waited in the accept queue then.
     """
 
-    waiting: int | None
+    accepted: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/entry/test_listening.py
+++ b/tests/entry/test_listening.py
@@ -15,7 +15,8 @@
 from unittest import mock
 
 from carobladder.entry import listening
-from carobladder.entry.listening import open_early_listener, open_listener
+from carobladder.entry.listening import open_early_listener
+from carobladder.gateway.listeners import open_listener
 from carobladder.settings.entry import SETTINGS_VARIABLE
 from tests.entry.fixtures import PlatformInstanceCase
 from tests.forwarding.fixtures import build_request
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -32,11 +32,11 @@
     """Guard against requests that are cut without a response at a planned end."""
 
     async def send_in_parts(
-        self, instance: Instance, path: str, split: int, pause: float
+        self, instance: Instance, path: str, split: int, pause: float, budget_ms: int
     ) -> bytes:
         """Send a request in two parts with a pause, and return the response."""
         reader, writer = await instance.connect()
-        data = build_request(path, BODY, Carobladder_Deadline="3000")
+        data = build_request(path, BODY, Carobladder_Deadline=str(budget_ms))
         writer.write(data[:split])
         await asyncio.sleep(pause)
         writer.write(data[split:])
@@ -54,13 +54,17 @@
         await instance.server.close()
 
     async def run_shutdown(
-        self, seconds: float, work: float, path: str, split: int = -3
+        self,
+        seconds: float,
+        work: float,
+        path: str,
+        split: int = -3,
     ) -> bytes:
         """Return the response to a request whose last byte arrives in the shutdown."""
         instance = await self.start(answer_after(work))
         instance.server.set_limits(RequestLimits(read_seconds=5.0))
         call = asyncio.create_task(
-            self.send_in_parts(instance, path, split, 0.05 + seconds)
+            self.send_in_parts(instance, path, split, 0.05 + seconds, 3000)
         )
         await asyncio.sleep(0.05)
         await self.shut_down(instance)
@@ -84,6 +88,18 @@
         answer = await self.run_shutdown(EARLY_SECONDS, WORK_SECONDS, "/unsafe/x")
         self.assertTrue(answer.endswith(b"done"))
 
+    # Guards against refusing what can still be served by the only instance left.
+    async def test_late_request_whose_time_ends_before_the_instance_is_answered(self):
+        instance = await self.start(answer_after(1.2))
+        first = asyncio.create_task(instance.call("/unsafe/x"))
+        await asyncio.sleep(0.05)
+        drain = asyncio.create_task(instance.server.finish_drain(RESPONSE_SECONDS))
+        await asyncio.sleep(0.7)
+        answer = await self.send_in_parts(instance, "/unsafe/x", 0, 0.0, 2400)
+        self.assertIn(b" 200 ", answer[:20])
+        self.assertEqual((await first)[0], 200)
+        self.assertTrue(await drain)
+
     # Guards against requests that end without a response though it cannot be known
     # whether they ran.
     async def test_request_at_a_target_at_the_end_gets_a_response_without_promise(self):
--- a/tests/gateway/test_accept_queue.py
+++ b/tests/gateway/test_accept_queue.py
@@ -57,8 +57,11 @@
         await self.start()
         callers = [self.connect_without_loop(REQUEST) for _ in range(CALLERS)]
         async with asyncio.timeout(TIMEOUT_SECONDS):
-            finished = await self.gateway.server.finish_drain(TIMEOUT_SECONDS)
+            with self.assertLogs("carobladder", "INFO") as logs:
+                finished = await self.gateway.server.finish_drain(TIMEOUT_SECONDS)
             answers = [await self.read_to_end(caller) for caller in callers]
         self.assertTrue(finished)
+        (closed,) = (r for r in logs.records if r.getMessage() == "listener_closed")
+        self.assertGreaterEqual(closed.accepted, 0)
         whole = [answer for answer in answers if answer.startswith(b"HTTP/1.1 ")]
         self.assertEqual(len(whole), CALLERS)
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -1,13 +1,11 @@
 """Tests of what is logged and counted at the end of callers' connections."""
 
 import asyncio
-import contextlib
 import os
 import socket
 
 from carobladder.gateway.endings import (
     count_unread_bytes,
-    count_waiting_connections,
 )
 from tests.gateway.test_connections import EMPTY_REQUEST, HEAD, ConnectionTest
 
@@ -80,16 +78,6 @@
 class UnreadCountTest(ConnectionTest):
     """Guard against figures of the kernel that are read wrongly."""
 
-    async def test_connections_that_wait_are_counted(self):
-        with contextlib.ExitStack() as stack:
-            listener = socket.create_server(("127.0.0.1", 0), backlog=8)
-            stack.enter_context(listener)
-            for _ in range(3):
-                caller = socket.create_connection(listener.getsockname())
-                stack.enter_context(caller)
-            self.assertEqual(count_waiting_connections(listener), 3)
-        self.assertIsNone(count_waiting_connections(listener))
-
     async def test_unread_bytes_of_a_closed_socket_are_none(self):
         left, right = socket.socketpair()
         with left, right:
