Announce an idle time that ends before a drain closes idle connections

Cause: a drain closes all idle connections 2.9 s after SIGTERM, and callers that have had no answer since then know nothing of it, so their next request crosses the close.

Change: responses name an idle time of 2 s, less than the time from SIGTERM, when responses begin to close their connections, to the close of idle ones. A response to a caller that closes its connection itself announces none.

The new tests fail without the change.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -6,6 +6,7 @@
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
 from carobladder.entry.control_state import ControlState
+from carobladder.entry.draining import KEEP_ALIVE_SECONDS
 from carobladder.entry.eras import EraMonitor
 from carobladder.entry.exchange import PeerExchange, SharedState
 from carobladder.entry.fence import FenceMonitor, build_fence_times
@@ -393,6 +394,7 @@
             self._server_metrics,
             self._generator,
             adds_request_id=False,
+            keep_alive_seconds=KEEP_ALIVE_SECONDS,
         )
 
 
--- /dev/null
+++ b/carobladder/entry/draining.py
@@ -0,0 +1,18 @@
+"""Times of a planned stop."""
+
+import math
+
+__all__ = [
+    "DRAIN_NOTICE_SECONDS",
+    "KEEP_ALIVE_SECONDS",
+    "SHUTDOWN_MARGIN_SECONDS",
+]
+
+# The load balancer notices a failed readiness check within this time. Idle connections
+# are closed half a second later.
+DRAIN_NOTICE_SECONDS = 2.4
+# Announced to callers. From the end signal on, responses close their connections, so an
+# idle connection that a drain closes is one that its caller does not use any more.
+KEEP_ALIVE_SECONDS = math.floor(DRAIN_NOTICE_SECONDS)
+# Part of the grace time that is reserved for the shutdown itself.
+SHUTDOWN_MARGIN_SECONDS = 0.6
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -10,6 +10,7 @@
 
 from carobladder.clock import Clock
 from carobladder.entry.assembly import build_parts
+from carobladder.entry.draining import DRAIN_NOTICE_SECONDS, SHUTDOWN_MARGIN_SECONDS
 from carobladder.entry.status import StatusHandler, add_gauges
 from carobladder.exceptions import SettingsError
 from carobladder.gateway.listeners import open_listener
@@ -35,11 +36,6 @@
 
 __all__ = ["PlatformInstance", "run_platform_instance"]
 
-# The load balancer notices a failed readiness check within this time. Idle connections
-# are closed half a second later, so no request is accepted that the shutdown would cut.
-_DRAIN_NOTICE_SECONDS = 2.4
-# Part of the grace time that is reserved for the shutdown itself.
-_SHUTDOWN_MARGIN_SECONDS = 0.6
 _HOUSEKEEPING_INTERVAL_SECONDS = 0.25
 # Callers that connect at the start wait at most this long for the first reads of the
 # store; without a configuration and targets, all of them would be refused.
@@ -180,10 +176,10 @@
         """
         self._draining = True
         self.parts.server.begin_drain()
-        emit(Draining(_DRAIN_NOTICE_SECONDS))
-        await self._clock.sleep(_DRAIN_NOTICE_SECONDS)
+        emit(Draining(DRAIN_NOTICE_SECONDS))
+        await self._clock.sleep(DRAIN_NOTICE_SECONDS)
         grace_seconds = self._settings.shutdown_grace_seconds
-        limit_seconds = grace_seconds - _DRAIN_NOTICE_SECONDS - _SHUTDOWN_MARGIN_SECONDS
+        limit_seconds = grace_seconds - DRAIN_NOTICE_SECONDS - SHUTDOWN_MARGIN_SECONDS
         return await self.parts.server.finish_drain(limit_seconds)
 
 
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -219,6 +219,7 @@
             self._close(ConnectionEnd.IDLE_TIMEOUT)
             return False
         exchange.head_only = request.method == "HEAD"
+        exchange.keep_alive = self._http.their_state is h11.DONE
         await self._handle(request, exchange)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
--- a/carobladder/gateway/exchanges.py
+++ b/carobladder/gateway/exchanges.py
@@ -96,6 +96,8 @@
             headers.append(("X-Request-Id", self._request_id))
         if not self.keep_alive or self._closes_for_drain():
             headers.append(("Connection", "close"))
+        elif idle_seconds := self._state.announced_idle_seconds:
+            headers.append(("Keep-Alive", f"timeout={idle_seconds}"))
         fields = encode_headers(headers)
         self._connection.write(h11.Response(status_code=status, headers=fields))
         self.started = True
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -36,9 +36,16 @@
         generator: random.Random,
         *,
         adds_request_id: bool = True,
+        keep_alive_seconds: int = 0,
     ) -> None:
         self._state = ServerState(
-            handler, limits, clock, metrics, generator, adds_request_id
+            handler,
+            limits,
+            clock,
+            metrics,
+            generator,
+            adds_request_id,
+            keep_alive_seconds,
         )
         self._state.no_connections.set()
         self._server: asyncio.Server | None = None
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -31,9 +31,10 @@
     """State and settings that the connections of a server share.
 
     If ``adds_request_id`` is true, the request id that the gateway created is added to
-    each response. ``limits`` may be replaced while connections are open. ``ends_at`` is
-    the monotonic time from which on no response can be sent, set once idle connections
-    have been closed; once ``ended`` is set, that time is over.
+    each response. ``keep_alive_seconds`` is the longest idle time that is announced to
+    callers, 0 for none. ``limits`` may be replaced while connections are open.
+    ``ends_at`` is the monotonic time from which on no response can be sent, set once
+    idle connections have been closed; once ``ended`` is set, that time is over.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -43,12 +44,18 @@
     metrics: GatewayMetrics
     generator: random.Random
     adds_request_id: bool = True
+    keep_alive_seconds: int = 0
     draining: bool = False
     ends_at: float | None = None
     ended: bool = False
     connections: set["OpenConnection"] = field(default_factory=set)
     no_connections: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def announced_idle_seconds(self) -> int:
+        """Idle time in whole seconds to announce in a response, 0 for none."""
+        return min(self.keep_alive_seconds, int(self.limits.idle_seconds))
+
     def add(self, connection: "OpenConnection") -> None:
         """Add a connection that was opened."""
         self.connections.add(connection)
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -1,8 +1,11 @@
 """Integration tests of an instance with a store and a target over loopback."""
 
 import asyncio
+import re
 
+from carobladder.entry.draining import DRAIN_NOTICE_SECONDS
 from tests.entry.fixtures import OPERATOR_TOPIC, SERVERS_TOPIC, PlatformInstanceCase
+from tests.forwarding.fixtures import build_request
 
 
 class PlatformInstanceTest(PlatformInstanceCase):
@@ -42,6 +45,18 @@
         self.store.down = False
         await self.wait_for(200)
 
+    # Guards against a request that crosses the close of an idle connection in a drain.
+    async def test_callers_stop_using_idle_connections_before_a_drain_closes_them(self):
+        await self.wait_until_listening()
+        port = self.instance.parts.server.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(build_request("/x", close=False))
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        announced = re.search(rb"keep-alive: timeout=(\d+)", head.lower())
+        assert announced is not None
+        self.assertLess(int(announced[1]), DRAIN_NOTICE_SECONDS)
+
     async def test_malformed_target_entries_are_ignored(self):
         await self.wait_until_listening()
         self.configure(1)
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -138,6 +138,30 @@
         self.assertEqual(self.gateway.count("open_connections"), 0)
 
 
+class KeepAliveTest(unittest.IsolatedAsyncioTestCase):
+    """Guard against a request that crosses the close of an idle connection."""
+
+    async def read_answer(self, keep_alive_seconds: int, idle: float = 75.0) -> bytes:
+        gateway = await self.enterAsyncContext(Gateway(idle_seconds=idle))
+        gateway.server._state.keep_alive_seconds = keep_alive_seconds
+        raw = await exchange(
+            gateway, GET % (b"/healthz", b"") + GET % (b"/healthz", CLOSE)
+        )
+        return raw.lower()
+
+    async def test_answers_name_the_idle_time_unless_they_close(self):
+        raw = await self.read_answer(2)
+        self.assertEqual(raw.count(b"keep-alive: timeout=2\r\n"), 1)
+        self.assertLess(raw.index(b"keep-alive"), raw.index(b"connection: close"))
+
+    async def test_announced_time_is_within_the_idle_limit(self):
+        raw = await self.read_answer(5, idle=3.5)
+        self.assertIn(b"keep-alive: timeout=3\r\n", raw)
+
+    async def test_nothing_is_announced_by_default(self):
+        self.assertNotIn(b"keep-alive", await self.read_answer(0))
+
+
 class DrainRaceTest(unittest.IsolatedAsyncioTestCase):
     """Guard against a drain that closes a connection whose request has arrived."""
 
