Refuse all keys if a configuration names no tenants

Cause: the decoder made an absent `tenants` the same as an empty list, and RouteTable.needs_keys took an empty list for none. Ruled out: a tenant without keys was refused before this change as well.

Change: Configuration.teams is None without the field and a tuple with it.

The new tests failed before.

--- a/carobladder/entry/control_state.py
+++ b/carobladder/entry/control_state.py
@@ -81,7 +81,7 @@
                 before=before.version if before else None,
                 routes=len(configuration.routes),
                 services=len(configuration.services),
-                teams=len(configuration.teams),
+                teams=None if configuration.teams is None else len(configuration.teams),
                 keys_added=len(keys - keys_before),
                 keys_revoked=len(keys_before - keys),
             )
@@ -149,7 +149,7 @@
 
 
 def _list_keys(configuration: Configuration) -> frozenset[str]:
-    return frozenset(key for team in configuration.teams for key in team.keys)
+    return frozenset(key for team in configuration.teams or () for key in team.keys)
 
 
 def _build_target_event(before: TargetEntry | None, entry: TargetEntry) -> Event:
--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -91,7 +91,7 @@
 
 class _Tenant(_Document):
     name: NonEmptyText
-    api_keys: tuple[str, ...] = ()
+    api_keys: tuple[str, ...] | None = ()
     priority: int | None = None
 
 
@@ -106,7 +106,8 @@
     version: int
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
-    tenants: tuple[_Tenant, ...] = ()
+    # Without the field no key is needed; null names nobody, as an empty list does.
+    tenants: tuple[_Tenant, ...] | msgspec.UnsetType | None = msgspec.UNSET
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -210,10 +211,7 @@
         version=document.version,
         routes=tuple(_build_route(route) for route in document.routes),
         services=tuple(_build_service(service) for service in document.services),
-        teams=tuple(
-            TeamKeys(tenant.name, tenant.api_keys, tenant.priority)
-            for tenant in document.tenants
-        ),
+        teams=_build_teams(document.tenants),
         limits=CallerLimits(
             max_header_bytes=limits.max_header_bytes,
             max_body_bytes=limits.max_body_bytes,
@@ -223,6 +221,18 @@
     )
 
 
+def _build_teams(
+    tenants: tuple[_Tenant, ...] | msgspec.UnsetType | None,
+) -> tuple[TeamKeys, ...] | None:
+    """Return the teams, or None if the configuration does not name any."""
+    if tenants is msgspec.UNSET:
+        return None
+    return tuple(
+        TeamKeys(tenant.name, tenant.api_keys or (), tenant.priority)
+        for tenant in tenants or ()
+    )
+
+
 def _build_route(route: _Route) -> Route:
     services = tuple(ServiceWeight(s.service, s.weight) for s in route.traffic_split)
     return Route(
--- a/carobladder/routing/configuration.py
+++ b/carobladder/routing/configuration.py
@@ -103,11 +103,11 @@
 class Configuration:
     """One version of the routes, services, teams and limits.
 
-    If ``teams`` is empty, no request needs a key.
+    If ``teams`` is None, no request needs a key. If it is empty, no key is valid.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
-    teams: tuple[TeamKeys, ...] = ()
+    teams: tuple[TeamKeys, ...] | None = None
     limits: CallerLimits = field(default_factory=CallerLimits)
--- a/carobladder/routing/table.py
+++ b/carobladder/routing/table.py
@@ -30,14 +30,14 @@
         self._services = {service.name: service for service in configuration.services}
         self._teams = {
             key: TeamEntry(team.name, team.priority)
-            for team in configuration.teams
+            for team in configuration.teams or ()
             for key in team.keys
         }
 
     @property
     def needs_keys(self) -> bool:
         """Whether requests on routes that are not public need a key."""
-        return bool(self.configuration.teams)
+        return self.configuration.teams is not None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, or None."""
--- a/carobladder/telemetry/events/operators.py
+++ b/carobladder/telemetry/events/operators.py
@@ -22,13 +22,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationInForce(Event):
-    """A version of the configuration replaced the one before."""
+    """A version of the configuration replaced the one before.
+
+    ``teams`` is None if requests need no key.
+    """
 
     version: int
     before: int | None
     routes: int
     services: int
-    teams: int
+    teams: int | None
     keys_added: int
     keys_revoked: int
 
--- a/tests/entry/restored_simulation.py
+++ b/tests/entry/restored_simulation.py
@@ -250,7 +250,7 @@
     def list_keys(self) -> set[str]:
         """Return the callers' keys in force."""
         table = self.control_state.table
-        teams = table.configuration.teams if table else ()
+        teams = (table.configuration.teams or ()) if table else ()
         return {key for team in teams for key in team.keys}
 
     def list_open(self) -> set[str]:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -172,6 +172,22 @@
         self.assertEqual((team.name, team.keys, team.priority), ("t", ("k1", "k2"), 1))
         self.assertEqual(configuration.limits.idle_seconds, 15.0)
 
+    def test_empty_list_of_tenants_is_not_an_absent_one(self):
+        absent = {key: value for key, value in CONFIGURATION.items()}
+        del absent["tenants"]
+        record = decode_record("config", json.dumps(absent).encode())
+        self.assertIsNone(record.configuration.teams)
+        for empty in ([], None):
+            with self.subTest(tenants=empty):
+                self.assertEqual(self.decode_configuration(tenants=empty).teams, ())
+
+    def test_tenant_without_keys_is_decoded(self):
+        for keys in ({}, {"apiKeys": []}, {"apiKeys": None}):
+            with self.subTest(keys=keys):
+                tenants = [{"name": "t", **keys}]
+                (team,) = self.decode_configuration(tenants=tenants).teams
+                self.assertEqual(team.keys, ())
+
     def test_invalid_configuration_is_unreadable(self):
         for data in (b"{", b'{"version": "x"}', b'{"routes": []}'):
             record = decode_record("config", data)
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -62,6 +62,16 @@
         self.assertEqual(found.name if found else None, "root")
         self.assertFalse(table.needs_keys)
 
+    def test_keys_are_needed_if_the_last_team_is_removed(self):
+        for teams, needs_keys in (
+            (None, False),
+            ((), True),
+            ((TeamKeys("t", ()),), True),
+        ):
+            with self.subTest(teams=teams):
+                table = RouteTable(Configuration(1, (), (), teams))
+                self.assertEqual(table.needs_keys, needs_keys)
+
     def test_team_is_found_by_key(self):
         team = self.table.find_team("k2")
         self.assertEqual((team.name, team.priority), ("t", 1))
