Refuse requests without a key if a team has an empty one

What callers saw: with an empty text among the keys of a team, requests with no key or an empty one ran as requests of that team.

Cause: the handler looks up "" for a missing key.

Change: RouteTable.find_team finds no team for an empty key.

Measured: tests.forwarding.test_empty_values; the new test failed before (200 for no key and for an empty one).

--- a/carobladder/routing/table.py
+++ b/carobladder/routing/table.py
@@ -53,8 +53,11 @@
         return None
 
     def find_team(self, key: str) -> TeamEntry | None:
-        """Return the team that the key belongs to, or None."""
-        return self._teams.get(key)
+        """Return the team that the key belongs to, or None.
+
+        An empty key belongs to no team; it stands for a missing one.
+        """
+        return self._teams.get(key) if key else None
 
     def find_service(self, name: str) -> Service | None:
         """Return the service of this name, or None."""
--- a/tests/forwarding/test_empty_values.py
+++ b/tests/forwarding/test_empty_values.py
@@ -3,7 +3,7 @@
 import dataclasses
 import unittest
 
-from carobladder.routing import RouteTable
+from carobladder.routing import RouteTable, TeamKeys
 from tests.forwarding.fixtures import KEY, Instance
 from tests.forwarding.test_handler import ForwardingTest, echo
 
@@ -38,6 +38,14 @@
         replace_configuration(instance, teams=None)
         self.assertEqual(await self.call_with_keys(instance, "/safe/x"), [200] * 4)
 
+    async def test_empty_key_of_a_team_lets_nobody_in(self):
+        """A request without a key was taken for one of the team."""
+        instance = await self.start(echo)
+        replace_configuration(instance, teams=(TeamKeys("t", ("", "held")),))
+        self.assertEqual(await self.call_with_keys(instance, "/safe/x"), [401] * 4)
+        status, _, _ = await instance.call("/safe/x", X_Api_Key="held")
+        self.assertEqual(status, 200)
+
 
 if __name__ == "__main__":
     unittest.main()
