Send no request to a service with a weight of 0

What targets saw: if all weights of a route were 0, or its only service had the weight 0, the first service got all of its requests. If a service was listed twice, its last weight replaced the ones before.

Cause: the sum of 0 was taken for a route without weights, for which the first service stands; that route has the weight 1 by default.

Change: weights are added by service, those of 0 are left out, and a route without any is refused with 503.

Measured: tests.forwarding.test_empty_values; both new tests failed before.

--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -199,11 +199,17 @@
     def _choose_service(
         self, table: RouteTable, route: Route, prefix_keys: tuple[int, ...]
     ) -> Service:
-        shares = {share.service: share.weight for share in route.services}
-        total = sum(shares.values())
-        name = route.services[0].service
-        if len(shares) > 1 and total > 0:
-            fractions = {key: weight / total for key, weight in shares.items()}
+        weights: dict[str, float] = {}
+        for share in route.services:
+            if share.weight > 0:
+                name = share.service
+                weights[name] = weights.get(name, 0.0) + share.weight
+        if not weights:
+            raise NotReadyError("no service of the route has a weight above 0")
+        name = next(iter(weights))
+        if len(weights) > 1:
+            total = sum(weights.values())
+            fractions = {key: weight / total for key, weight in weights.items()}
             key = prefix_keys[0] if prefix_keys else self._generator.getrandbits(64)
             name = choose_version(key, fractions)
         service = table.find_service(name)
--- a/tests/forwarding/test_empty_values.py
+++ b/tests/forwarding/test_empty_values.py
@@ -3,8 +3,8 @@
 import dataclasses
 import unittest
 
-from carobladder.routing import RouteTable, TeamKeys
-from tests.forwarding.fixtures import KEY, Instance
+from carobladder.routing import Route, RouteKind, RouteTable, ServiceWeight, TeamKeys
+from tests.forwarding.fixtures import KEY, Instance, build_route
 from tests.forwarding.test_handler import ForwardingTest, echo
 
 
@@ -47,5 +47,36 @@
         self.assertEqual(status, 200)
 
 
+class ZeroTest(ForwardingTest):
+    """Guard against a zero that is taken for a missing value."""
+
+    async def call_route(self, **changes: object) -> tuple[int, int]:
+        """Return the status for a route with these fields, and the requests sent."""
+        instance = await self.start(echo)
+        route: Route = build_route("zero", RouteKind.SAFE, **changes)
+        replace_configuration(instance, routes=(route,))
+        statuses = {(await instance.call("/zero/x"))[0] for _ in range(4)}
+        (status,) = statuses
+        return status, self.count_requests()
+
+    async def test_service_with_weight_zero_gets_no_request(self):
+        """The first service got all requests if all weights were 0."""
+        for weights in ((0.0,), (0.0, 0.0)):
+            names = ("stock", "nobody")
+            services = tuple(map(ServiceWeight, names, weights))
+            with self.subTest(weights=weights):
+                found = await self.call_route(services=services)
+                self.assertEqual(found, (503, 0))
+
+    async def test_weights_of_one_service_are_added(self):
+        """The last entry of a service replaced the ones before."""
+        services = (
+            ServiceWeight("stock", 1.0),
+            ServiceWeight("nobody", 1e-9),
+            ServiceWeight("stock", 0.0),
+        )
+        self.assertEqual(await self.call_route(services=services), (200, 4))
+
+
 if __name__ == "__main__":
     unittest.main()
