Send no request on a route with 0 attempts

What targets saw: a request of a route whose `attempts` are 0 or less was sent to one target. Cause: the decoder raised the number to 1, so 0 was the same as a missing field.

Change: 0 is kept and the handler refuses the request with 503; without the field, one attempt is permitted as before.

Measured: tests.forwarding.test_empty_values, tests.platform.test_documents; the two new tests failed before.

--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -140,6 +140,8 @@
         if route is None:
             raise self._verify_denial(UnknownPathError(f"no route for {path}"))
         team, priority = self._authenticate(table, route, facts)
+        if route.attempts <= 0:
+            raise NotReadyError("the route permits no attempt")
         shared_parts = facts.shared_parts
         prefix_keys = _compute_prefix_keys(shared_parts)
         service = self._choose_service(table, route, prefix_keys)
--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -245,7 +245,7 @@
         timeout_seconds=route.timeout_ms / _MS_PER_SECOND,
         latency_objective_seconds=route.target_latency_ms / _MS_PER_SECOND,
         priority=route.priority,
-        attempts=max(1, route.attempts),
+        attempts=route.attempts,
         public=route.public,
         resumable=route.resumable,
         max_event_gap_seconds=route.target_gap_ms / _MS_PER_SECOND,
--- a/tests/forwarding/test_empty_values.py
+++ b/tests/forwarding/test_empty_values.py
@@ -77,6 +77,9 @@
         )
         self.assertEqual(await self.call_route(services=services), (200, 4))
 
+    async def test_route_that_permits_no_attempt_gets_503(self):
+        self.assertEqual(await self.call_route(attempts=0), (503, 0))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -160,6 +160,13 @@
         ).routes
         self.assertFalse(route.may_repeat)
 
+    def test_absent_attempts_permit_one_and_zero_permits_none(self):
+        absent = {key: value for key, value in ROUTE.items() if key != "attempts"}
+        for route, attempts in ((absent, 1), ({**ROUTE, "attempts": 0}, 0)):
+            with self.subTest(attempts=attempts):
+                (decoded,) = self.decode_configuration(routes=[route]).routes
+                self.assertEqual(decoded.attempts, attempts)
+
     def test_unknown_kind_may_not_repeat(self):
         (route,) = self.decode_configuration(routes=[{**ROUTE, "kind": "newly"}]).routes
         self.assertFalse(route.may_repeat)
