Send no request whose deadline has passed

What callers and targets saw: a request with `Carobladder-Deadline: 0` was sent, with 1 ms left, if a connection to a target was kept, and its caller got 504.

Cause: the timeout of a call ends it at the first wait, and a kept connection is written to without one. Ruled out: a header that is empty or no number sets no deadline, as without the header.

Change: a call without any time left is refused with 503 before the first send, also if the time passed while its body was read.

Measured: tests.forwarding.test_empty_values; the new test failed before (504 and one request sent).

--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -236,6 +236,9 @@
         self, call: ForwardedCall, request: Request, responder: Responder
     ) -> None:
         session = self._forwarder.start(call)
+        if not session.remaining_seconds:
+            # The timeout below would end only after a send on a kept connection.
+            raise NotReadyError("the deadline has passed before the request was sent")
         try:
             async with asyncio.timeout(max(0.0, session.remaining_seconds)):
                 if call.route.is_streaming:
--- a/tests/forwarding/test_empty_values.py
+++ b/tests/forwarding/test_empty_values.py
@@ -80,6 +80,19 @@
     async def test_route_that_permits_no_attempt_gets_503(self):
         self.assertEqual(await self.call_route(attempts=0), (503, 0))
 
+    async def test_deadline_of_zero_sends_no_request(self):
+        instance = await self.start(echo)
+        # The second request would be sent on a connection that is kept.
+        self.assertEqual((await instance.call("/safe/x"))[0], 200)
+        for deadline in ("0", "0.0", "-5"):
+            for path in ("/safe/x", "/unsafe/x"):
+                with self.subTest(deadline=deadline, path=path):
+                    status, _, _ = await instance.call(
+                        path, Carobladder_Deadline=deadline
+                    )
+                    self.assertEqual(status, 503)
+        self.assertEqual(self.count_requests(), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
