Take a timeout of 0 for no time instead of a minute

What callers saw: requests of a route whose `timeoutMs` is 0 could be held for 60 s. Cause: the handler took 0 for a missing value and used a default.

Change: the default is gone, so such a request is refused with 503 at once.

Measured: tests.forwarding.test_empty_values; the new test failed before.

--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -71,7 +71,6 @@
 _CALLER_PATIENCE_GAPS = 8.0
 # Part of that time in which another target must send the next event.
 _RESUME_SECONDS = 0.4
-_DEFAULT_TIMEOUT_SECONDS = 60.0
 # Other instances take a caller at once.
 _SHUTDOWN_RETRY_SECONDS = 0.05
 
@@ -146,7 +145,7 @@
         prefix_keys = _compute_prefix_keys(shared_parts)
         service = self._choose_service(table, route, prefix_keys)
         time_left = facts.time_left_seconds
-        seconds = route.timeout_seconds or _DEFAULT_TIMEOUT_SECONDS
+        seconds = route.timeout_seconds
         if time_left is not None:
             seconds = min(seconds, time_left)
         deadline = request.received + seconds
--- a/tests/forwarding/test_empty_values.py
+++ b/tests/forwarding/test_empty_values.py
@@ -80,6 +80,9 @@
     async def test_route_that_permits_no_attempt_gets_503(self):
         self.assertEqual(await self.call_route(attempts=0), (503, 0))
 
+    async def test_timeout_of_zero_is_not_the_default_timeout(self):
+        self.assertEqual(await self.call_route(timeout_seconds=0.0), (503, 0))
+
     async def test_deadline_of_zero_sends_no_request(self):
         instance = await self.start(echo)
         # The second request would be sent on a connection that is kept.
