Send no request to cold targets with a cold rate of 0

What targets saw: if the `coldPerS` of a service was 0, its cold targets got as many requests as warm ones. Cause: 0 stood for a missing rate.

Change: the rate is None without the field. A rate of 0 permits no request, as the pacer has treated it all along.

Measured: tests.fleet.test_selection, tests.platform; the two new tests failed before.

--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -82,8 +82,9 @@
             replicas = self._count_replicas(criteria, criteria.affinity, now)
             chosen = self._choose_affine(usable, criteria.affinity, replicas, now)
         self._moves.note_sent(chosen)
-        if chosen.is_cold(now):
-            self._pacer.acquire(chosen.target_id, criteria.service.cold_per_second, now)
+        cold_rate = criteria.service.cold_per_second
+        if cold_rate is not None and chosen.is_cold(now):
+            self._pacer.acquire(chosen.target_id, cold_rate, now)
         self._rates.acquire(chosen)
         return chosen
 
@@ -232,7 +233,7 @@
     def _is_within_cold_rate(
         self, target: FleetTarget, service: Service, now: float
     ) -> bool:
-        if service.cold_per_second <= 0.0 or not target.is_cold(now):
+        if service.cold_per_second is None or not target.is_cold(now):
             return True
         return self._pacer.can_send(target.target_id, service.cold_per_second, now)
 
--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -85,7 +85,7 @@
     name: NonEmptyText
     health_path: str = "/"
     max_connections: int = 0
-    cold_per_s: float = 0.0
+    cold_per_s: float | None = None
     engine: _Engine | None = None
 
 
--- a/carobladder/routing/configuration.py
+++ b/carobladder/routing/configuration.py
@@ -67,7 +67,8 @@
 class Service:
     """Properties of the targets of a service.
 
-    ``cold_per_second`` is the admissible rate of requests to a cold target, or 0.
+    ``cold_per_second`` is the admissible rate of requests to a cold target, None if it
+    is not limited.
     ``batch_slots`` is the number of requests that an engine runs at once, or 0.
     ``kv_cache_tokens`` is the capacity of an engine's KV cache in tokens, or 0.
     """
@@ -75,7 +76,7 @@
     name: str
     health_path: str = "/"
     max_connections: int = 0
-    cold_per_second: float = 0.0
+    cold_per_second: float | None = None
     batch_slots: int = 0
     kv_cache_tokens: int = 0
 
--- a/tests/fleet/test_selection.py
+++ b/tests/fleet/test_selection.py
@@ -1,5 +1,6 @@
 """Tests of target selection under load and of the known prompt locations."""
 
+import dataclasses
 import random
 import unittest
 from collections import Counter
@@ -159,6 +160,18 @@
             self.table.discard(target_id)
         self.assertIsNone(choose(self.selector))
 
+    def test_cold_rate_of_zero_is_not_an_unknown_one(self):
+        """A cold target that tolerates no request got as many as a warm one."""
+        for target in self.table.list_all():
+            entry = build_entry(target.target_id, cold_seconds=5.0, started_ms=9)
+            self.table.apply(entry, 100.0)
+        for rate, is_chosen in ((0.0, False), (None, True)):
+            with self.subTest(rate=rate):
+                service = dataclasses.replace(ENGINES, cold_per_second=rate)
+                criteria = SelectionCriteria(service, None, may_repeat=False)
+                chosen = self.selector.choose(criteria, 100.0)
+                self.assertEqual(chosen is not None, is_chosen)
+
     def test_returning_cold_data_centre_gets_no_more_than_its_rate(self):
         """A third of the engines returns cold while all others are warm."""
         for index in (1, 2, 3):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -167,6 +167,14 @@
                 (decoded,) = self.decode_configuration(routes=[route]).routes
                 self.assertEqual(decoded.attempts, attempts)
 
+    def test_absent_cold_rate_is_not_zero(self):
+        (service,) = CONFIGURATION["services"]
+        absent = {key: value for key, value in service.items() if key != "coldPerS"}
+        for document, rate in ((absent, None), ({**absent, "coldPerS": 0}, 0.0)):
+            with self.subTest(rate=rate):
+                (decoded,) = self.decode_configuration(services=[document]).services
+                self.assertEqual(decoded.cold_per_second, rate)
+
     def test_unknown_kind_may_not_repeat(self):
         (route,) = self.decode_configuration(routes=[{**ROUTE, "kind": "newly"}]).routes
         self.assertFalse(route.may_repeat)
