Test zeros and empty values that the code keeps apart from absent ones

What each field does now, E: tests.forwarding.test_empty_values, D: tests.platform.test_documents, X: tests.platform.test_exchanges, S: tests.settings.test_entry. "read" is read in the code and not tested.

| field | absent | empty or zero | test | | --- | --- | --- | --- | | tenants | no key is needed | [] and null: no key is valid | D, E | | apiKeys | none | [] and null: none; "": lets nobody in | D, E | | priority of a tenant | that of the route | 0: the highest | E | | priority of a route | 0, the highest | the same | read | | attempts | 1 | 0: refused | D, E | | timeoutMs | unreadable state | 0: refused at once | E | | targetLatencyMs | 0: no wait for load | the same | read | | targetGapMs | 0: 2 s or four objectives | the same | read | | public, resumable | false | the same | read | | sticky | not read | the same | read | | pathPrefix, host | unreadable state | "": unreadable | read | | trafficSplit | the one service | []: the same | read | | weight | 1 | 0: no request; all 0: refused | E | | homes | not read | the same | read | | services | none, 503 | []: the same | read | | coldPerS | cold targets not limited | 0: none to cold targets | D, fleet | | maxConnections, engine | unused | the same | read | | limits of callers | defaults | 0: literal, refuses all | read | | slots of an entry | unreadable entry | 0: counts as 1 | D | | coldRemainingMs | unreadable entry | 0: warm | read | | born | 0 | the same | read | | Carobladder-Deadline | timeoutMs alone | "": as absent; 0: refused | E, X | | Carobladder-Cold-Ms | unchanged | "": as absent; 0: warm | X | | Retry-After of a 503 | no pause | "": as absent; 0: no pause | X | | Server-Limit | no limit | 0: 0.1 a second | X, fleet | | retry_ratio, retry_slack | defaults | 0: no retries | S, fleet | | exposure_slack | default | 0: 0 | S | | other numbers of settings | defaults | 0: the program does not start | S |

--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -51,6 +51,12 @@
         budgets.resize()
         self.assertLessEqual(count_retries(budgets, 0), 100 / 8)
 
+    def test_ratio_and_slack_of_zero_permit_no_retry(self):
+        ledger = ShareLedger(96)
+        ledger.assign(frozenset(range(96)))
+        budgets = ServiceBudgets(0.0, 0.0, ledger, VirtualClock())
+        self.assertEqual(count_retries(budgets, 50), 0)
+
     def test_services_have_separate_budgets(self):
         ledger = ShareLedger(96)
         ledger.assign(frozenset(range(96)))
--- a/tests/forwarding/test_empty_values.py
+++ b/tests/forwarding/test_empty_values.py
@@ -4,7 +4,7 @@
 import unittest
 
 from carobladder.routing import Route, RouteKind, RouteTable, ServiceWeight, TeamKeys
-from tests.forwarding.fixtures import KEY, Instance, build_route
+from tests.forwarding.fixtures import KEY, Instance, build_route, read_header
 from tests.forwarding.test_handler import ForwardingTest, echo
 
 
@@ -96,6 +96,18 @@
                     self.assertEqual(status, 503)
         self.assertEqual(self.count_requests(), 1)
 
+    async def test_priority_zero_of_a_team_precedes_that_of_the_route(self):
+        instance = await self.start(echo)
+        for priority, sent in ((0, "0"), (None, "4")):
+            with self.subTest(priority=priority):
+                route = build_route("ranked", RouteKind.SAFE, priority=4)
+                team = TeamKeys("t", (KEY,), priority)
+                replace_configuration(instance, routes=(route,), teams=(team,))
+                await instance.call("/ranked/x")
+                request = self.targets[0].requests[-1]
+                found = read_header(request, "carobladder-request-priority")
+                self.assertEqual(found, sent)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -106,6 +106,18 @@
                 self.assertEqual(metadata.rate_limit, expected)
         self.assertIsNone(self.codec.read_answer(200, ()).rate_limit)
 
+    def test_zero_is_not_an_absent_header(self):
+        """Empty values count as absent."""
+        for text, amount in (("0", 0.0), ("", None)):
+            with self.subTest(text=text):
+                call = self.codec.read_call((("carobladder-deadline", text),))
+                self.assertEqual(call.time_left_seconds, amount)
+                answer = self.codec.read_answer(
+                    503, (("carobladder-cold-ms", text), ("retry-after", text))
+                )
+                self.assertEqual(answer.cold_seconds, amount)
+                self.assertEqual(answer.pause_seconds, amount)
+
     def test_only_the_not_executed_header_or_421_means_not_run(self):
         not_executed = (("carobladder-not-executed", "1"),)
         self.assertTrue(self.codec.read_answer(503, not_executed).not_run)
--- a/tests/settings/test_entry.py
+++ b/tests/settings/test_entry.py
@@ -55,6 +55,13 @@
         self.assertIn("load_multiple = 2.0 (default)", lines)
         self.assertIn("newly (ignored, not a setting)", lines)
 
+    def test_zero_is_read_and_is_not_a_default(self):
+        names = ("retry_ratio", "retry_slack", "exposure_slack")
+        settings = self.load(REQUIRED + "".join(f"{name} = 0\n" for name in names))
+        self.assertEqual([getattr(settings, name) for name in names], [0.0] * 3)
+        for name in ("share_partitions", "key_revocation_ms", "exposure_share"):
+            self.assert_rejected(REQUIRED + f"{name} = 0\n", name)
+
     def test_invalid_values_are_rejected_in_one_line(self):
         self.assert_rejected(REQUIRED.replace('"127.0.0.1:4"', '"store"'), "store_addr")
         self.assert_rejected(REQUIRED + "retry_ratio = -1\n", "retry_ratio")
