--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -71,7 +71,6 @@
 _CALLER_PATIENCE_GAPS = 8.0
 # Part of that time in which another target must send the next event.
 _RESUME_SECONDS = 0.4
-_DEFAULT_TIMEOUT_SECONDS = 60.0
 # Other instances take a caller at once.
 _SHUTDOWN_RETRY_SECONDS = 0.05
 
@@ -140,11 +139,13 @@
         if route is None:
             raise self._verify_denial(UnknownPathError(f"no route for {path}"))
         team, priority = self._authenticate(table, route, facts)
+        if route.attempts <= 0:
+            raise NotReadyError("the route permits no attempt")
         shared_parts = facts.shared_parts
         prefix_keys = _compute_prefix_keys(shared_parts)
         service = self._choose_service(table, route, prefix_keys)
         time_left = facts.time_left_seconds
-        seconds = route.timeout_seconds or _DEFAULT_TIMEOUT_SECONDS
+        seconds = route.timeout_seconds
         if time_left is not None:
             seconds = min(seconds, time_left)
         deadline = request.received + seconds
@@ -199,11 +200,17 @@
     def _choose_service(
         self, table: RouteTable, route: Route, prefix_keys: tuple[int, ...]
     ) -> Service:
-        shares = {share.service: share.weight for share in route.services}
-        total = sum(shares.values())
-        name = route.services[0].service
-        if len(shares) > 1 and total > 0:
-            fractions = {key: weight / total for key, weight in shares.items()}
+        weights: dict[str, float] = {}
+        for share in route.services:
+            if share.weight > 0:
+                name = share.service
+                weights[name] = weights.get(name, 0.0) + share.weight
+        if not weights:
+            raise NotReadyError("no service of the route has a weight above 0")
+        name = next(iter(weights))
+        if len(weights) > 1:
+            total = sum(weights.values())
+            fractions = {key: weight / total for key, weight in weights.items()}
             key = prefix_keys[0] if prefix_keys else self._generator.getrandbits(64)
             name = choose_version(key, fractions)
         service = table.find_service(name)
@@ -228,6 +235,9 @@
         self, call: ForwardedCall, request: Request, responder: Responder
     ) -> None:
         session = self._forwarder.start(call)
+        if not session.remaining_seconds:
+            # The timeout below would end only after a send on a kept connection.
+            raise NotReadyError("the deadline has passed before the request was sent")
         try:
             async with asyncio.timeout(max(0.0, session.remaining_seconds)):
                 if call.route.is_streaming:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -160,6 +160,21 @@
         ).routes
         self.assertFalse(route.may_repeat)
 
+    def test_absent_attempts_permit_one_and_zero_permits_none(self):
+        absent = {key: value for key, value in ROUTE.items() if key != "attempts"}
+        for route, attempts in ((absent, 1), ({**ROUTE, "attempts": 0}, 0)):
+            with self.subTest(attempts=attempts):
+                (decoded,) = self.decode_configuration(routes=[route]).routes
+                self.assertEqual(decoded.attempts, attempts)
+
+    def test_absent_cold_rate_is_not_zero(self):
+        (service,) = CONFIGURATION["services"]
+        absent = {key: value for key, value in service.items() if key != "coldPerS"}
+        for document, rate in ((absent, None), ({**absent, "coldPerS": 0}, 0.0)):
+            with self.subTest(rate=rate):
+                (decoded,) = self.decode_configuration(services=[document]).services
+                self.assertEqual(decoded.cold_per_second, rate)
+
     def test_unknown_kind_may_not_repeat(self):
         (route,) = self.decode_configuration(routes=[{**ROUTE, "kind": "newly"}]).routes
         self.assertFalse(route.may_repeat)
@@ -172,6 +187,22 @@
         self.assertEqual((team.name, team.keys, team.priority), ("t", ("k1", "k2"), 1))
         self.assertEqual(configuration.limits.idle_seconds, 15.0)
 
+    def test_empty_list_of_tenants_is_not_an_absent_one(self):
+        absent = {key: value for key, value in CONFIGURATION.items()}
+        del absent["tenants"]
+        record = decode_record("config", json.dumps(absent).encode())
+        self.assertIsNone(record.configuration.teams)
+        for empty in ([], None):
+            with self.subTest(tenants=empty):
+                self.assertEqual(self.decode_configuration(tenants=empty).teams, ())
+
+    def test_tenant_without_keys_is_decoded(self):
+        for keys in ({}, {"apiKeys": []}, {"apiKeys": None}):
+            with self.subTest(keys=keys):
+                tenants = [{"name": "t", **keys}]
+                (team,) = self.decode_configuration(tenants=tenants).teams
+                self.assertEqual(team.keys, ())
+
     def test_invalid_configuration_is_unreadable(self):
         for data in (b"{", b'{"version": "x"}', b'{"routes": []}'):
             record = decode_record("config", data)
