Keep a run closed once its entry has reported its shutdown

Cause: the older entry that the copy had was news to an instance that had never seen it replaced, and the state of an entry was taken as it came.

Change: the shutdown of a run holds for the rest of it, as it does already when the target says so in an answer.

An instance that was added after an entry was removed, without a shutdown reported, still takes the copy's entry for a new target.

--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -37,6 +37,8 @@
         self.seen_at = now
         self.cold_until = now + entry.cold_seconds
         self.misdirected = False
+        # A run never takes its shutdown back, so an entry that says so is outdated.
+        self.draining = entry.draining
         self.leaving = False
         self._paused_until = float("-inf")
         self.rate_limit: float | None = None
@@ -56,13 +58,14 @@
     def update(self, entry: TargetEntry, now: float) -> None:
         """Replace the entry by a newer one of the same run."""
         self.entry = entry
+        self.draining = self.draining or entry.draining
         self.cold_until = now + entry.cold_seconds
         self.misdirected = False
 
     @property
     def takes_requests(self) -> bool:
         """Return whether the target is neither shutting down nor misdirected."""
-        return not (self.entry.draining or self.leaving or self.misdirected)
+        return not (self.draining or self.leaving or self.misdirected)
 
     def read_pause(self, now: float) -> float:
         """Return the remaining seconds of the pause that the target asked for."""
--- a/carobladder/forwarding/crashwatch.py
+++ b/carobladder/forwarding/crashwatch.py
@@ -111,7 +111,7 @@
 
     async def _has_ended(self, target: FleetTarget) -> bool:
         answers = self._pending[target]
-        if target.entry.draining or target.leaving:
+        if target.draining or target.leaving:
             # Its end is planned.
             return False
         if not (answers.begun or answers.others):
--- a/tests/fleet/test_targets.py
+++ b/tests/fleet/test_targets.py
@@ -16,6 +16,14 @@
     def list_open(self):
         return [target.target_id for target in self.table.list_open("engine")]
 
+    # Guards against requests to a leaving target whose older entry comes back.
+    def test_outdated_entry_does_not_reopen_a_draining_run(self):
+        self.table.apply(build_entry(draining=True), 1.0)
+        self.table.apply(build_entry(), 2.0)
+        self.assertEqual(self.table.list_open("engine"), [])
+        self.table.apply(build_entry(started_ms=2), 3.0)
+        self.assertEqual(len(self.table.list_open("engine")), 1)
+
     def test_draining_target_is_closed_but_registered(self):
         self.table.apply(build_entry(draining=True), 1.0)
         self.assertEqual(self.list_open(), [])
