Count what a restored store says as a proof only once lost writes are back

Change: a read of the operators' records is a proof only if its era was known to be settled as it was sent; until then the age of the last proof runs on. Answers of instances prove nothing to one with an older configuration. As an era begins, two instances hand the newest configuration on through the store, so that one that starts beside them knows what was revoked.

Ruled out: a fixed wait at each start (costs 2.5 s after each loss of all instances), and datagrams for the configuration (an instance that starts is not known to the others for seconds).

The first start of a whole fleet refuses keys for 2.5 s, as nobody has marked the era then; tests/entry/test_listening puts the mark that a fleet leaves, since it tests a restart.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -1,12 +1,15 @@
 """Construction of the components of a platform instance from its settings."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
+from carobladder.entry.configurationbackup import ConfigurationBackup
 from carobladder.entry.control_state import ControlState
 from carobladder.entry.draining import KEEP_ALIVE_SECONDS
+from carobladder.entry.eramarks import EraMarkKeeper
 from carobladder.entry.eras import EraMonitor
 from carobladder.entry.exchange import PeerExchange, SharedState
 from carobladder.entry.fence import FenceMonitor, build_fence_times
@@ -26,6 +29,7 @@
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
+    ConfigurationRecord,
     ExposureLimit,
     FailureGossip,
     Freshness,
@@ -59,6 +63,7 @@
 )
 from carobladder.platform.exchanges import PlatformCodec
 from carobladder.platform.names import (
+    CONFIGURATION_KEY,
     INSTANCES_TOPIC,
     MOVE_EVIDENCE_TOPIC,
     OPERATOR_TOPIC,
@@ -105,6 +110,8 @@
     prober: TargetProber
     quarantine: PartQuarantine
     quarantine_keeper: QuarantineKeeper
+    era_marks: EraMarkKeeper
+    configuration_backup: ConfigurationBackup
     move_controller: VersionMoveController
     fence: FenceMonitor
     metrics: ForwardMetrics
@@ -164,6 +171,13 @@
             clock,
             self._eras,
         )
+        self._era_marks = EraMarkKeeper(
+            self._eras,
+            KeyedTopic(self._store, INSTANCES_TOPIC),
+            self._peers,
+            clock,
+            self._generator,
+        )
         self._reader_role = ReaderRole(self._ledger, self._peers.count_peers)
         self._metrics = ForwardMetrics()
         self._server_metrics = GatewayMetrics(
@@ -193,12 +207,14 @@
             move_controller.handle_order,
             move_controller.handle_moved_order,
         )
+        self._configuration_backup = self._build_configuration_backup(control_state)
         instances_follower = self._build_instances_follower()
         targets_follower = self._build_targets_follower(control_state)
         operator_follower = self._build_operator_follower(
             control_state, targets_follower
         )
         exchange = self._build_exchange()
+        exchange.find_version = lambda: control_state.version
         exchange.set_followers(
             instances_follower,
             (operator_follower, targets_follower, instances_follower),
@@ -228,6 +244,8 @@
             prober=TargetProber(self._targets, self._client, clock),
             quarantine=self._quarantine,
             quarantine_keeper=self._quarantine_keeper,
+            era_marks=self._era_marks,
+            configuration_backup=self._configuration_backup,
             move_controller=move_controller,
             fence=FenceMonitor(
                 operator_follower.freshness, self._revocation_seconds, clock
@@ -298,7 +316,7 @@
                 self._revocation_seconds,
                 self._settings.configuration_ms / _MS_PER_SECOND,
             ),
-            lambda record: control_state.apply(decode_operator_record(record)),
+            self._build_operator_applier(control_state),
             lambda outage_seconds: targets_follower.abort_waiting_read(),
             self._generator,
             self._reader_role.is_held,
@@ -306,6 +324,35 @@
             lambda record: control_state.apply_moved(decode_operator_record(record)),
         )
 
+    def _build_operator_applier(
+        self, control_state: ControlState
+    ) -> Callable[[KeyedRecord], None]:
+        def apply_record(record: KeyedRecord) -> None:
+            decoded = decode_operator_record(record)
+            control_state.apply(decoded)
+            if record.value is None or not isinstance(decoded, ConfigurationRecord):
+                return
+            if decoded.configuration.version == control_state.version:
+                self._configuration_backup.note_applied(record.value)
+
+        return apply_record
+
+    def _build_configuration_backup(
+        self, control_state: ControlState
+    ) -> ConfigurationBackup:
+        def apply_value(value: bytes) -> None:
+            record = KeyedRecord(0, CONFIGURATION_KEY, value)
+            control_state.apply(decode_operator_record(record))
+
+        return ConfigurationBackup(
+            self._eras,
+            KeyedTopic(self._store, INSTANCES_TOPIC),
+            self._peers,
+            self._clock,
+            lambda: control_state.version,
+            apply_value,
+        )
+
     def _build_targets_follower(self, control_state: ControlState) -> TopicFollower:
         def apply_target_record(record: KeyedRecord) -> None:
             if record.value is None:
@@ -330,6 +377,10 @@
 
     def _build_instances_follower(self) -> TopicFollower:
         def apply_record(record: KeyedRecord) -> None:
+            if self._era_marks.apply_record(record):
+                return
+            if self._configuration_backup.apply_record(record):
+                return
             if not self._quarantine_keeper.apply_record(record):
                 self._peers.apply_record(record)
 
--- /dev/null
+++ b/carobladder/entry/configurationbackup.py
@@ -0,0 +1,126 @@
+"""Copy of the newest configuration for instances that start beside a restored store."""
+
+import asyncio
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from carobladder.clock import Clock
+from carobladder.entry.eras import EraMonitor
+from carobladder.entry.peers import PeerDirectory
+from carobladder.exceptions import LogUnavailableError
+from carobladder.fleet import KeyedRecord, TopicWriter
+
+__all__ = ["ConfigurationBackup"]
+
+_KEY = "configuration-backup"
+# Point on the ring of instances whose owners write the copy.
+_RING_KEY = 1 << 62
+# Instances that write it; a second one, in case that the first has just ended.
+_WRITERS = 2
+_RETRY_DELAY_SECONDS = 0.3
+_COMPRESSION_LEVEL = 1
+# Limit on the decompressed size, so that a few bytes cannot exhaust the memory.
+_MAX_CONFIGURATION_BYTES = 16_777_216
+
+
+@dataclass(frozen=True, slots=True)
+class _Backup:
+    """Configuration of the operator that an instance knew as ``era`` began."""
+
+    era: int
+    version: int
+    value: bytes
+
+
+class ConfigurationBackup:
+    """Hands the newest configuration on while a restored store may lack it.
+
+    An instance that starts then knows the copy's configuration only, and would accept
+    the keys that a lost one has revoked.
+    """
+
+    def __init__(
+        self,
+        eras: EraMonitor,
+        topic: TopicWriter,
+        peers: PeerDirectory,
+        clock: Clock,
+        find_version: Callable[[], int],
+        apply_value: Callable[[bytes], None],
+    ) -> None:
+        self._eras = eras
+        self._topic = topic
+        self._peers = peers
+        self._clock = clock
+        self._find_version = find_version
+        self._apply_value = apply_value
+        self._value: bytes | None = None
+        self._pending: _Backup | None = None
+        self._wake_up = asyncio.Event()
+        eras.add_listener(self._wake_up.set)
+        eras.add_listener(self._apply_pending)
+
+    def note_applied(self, value: bytes) -> None:
+        """Note a configuration record of the operator after it was applied."""
+        self._value = value
+        self._apply_pending()
+
+    def apply_record(self, record: KeyedRecord) -> bool:
+        """Apply a record of the store; return whether it is such a copy."""
+        if record.key != _KEY:
+            return False
+        self._pending = _decode(record.value or b"")
+        self._apply_pending()
+        return True
+
+    async def run(self) -> None:
+        """Write the copy each time that the store was restored, until cancelled."""
+        while True:
+            await self._wake_up.wait()
+            self._wake_up.clear()
+            owners = self._peers.find_owners(_RING_KEY, _WRITERS)
+            if self._value is not None and self._peers.instance in owners:
+                await self._write(self._value)
+
+    def _apply_pending(self) -> None:
+        """Apply the copy if it is newer than the configuration of this era."""
+        backup, version = self._pending, self._find_version()
+        # Without a configuration of the store, what is in force is not known at all.
+        if backup is None or not version:
+            return
+        if self._eras.era is not None and backup.era > self._eras.era:
+            return
+        self._pending = None
+        if backup.era != self._eras.era or self._eras.is_settled(backup.era):
+            return
+        if backup.version > version:
+            self._value = backup.value
+            self._apply_value(backup.value)
+
+    async def _write(self, value: bytes) -> None:
+        era = self._eras.era
+        record = f"{era} {self._find_version()} ".encode()
+        record += zlib.compress(value, _COMPRESSION_LEVEL)
+        while era == self._eras.era and not self._eras.is_settled(era):
+            try:
+                await self._topic.write(_KEY, record)
+                return
+            except LogUnavailableError:
+                await self._clock.sleep(_RETRY_DELAY_SECONDS)
+
+
+def _decode(value: bytes) -> _Backup | None:
+    """Return the copy in a record, or None if it can't be read."""
+    era, _, rest = value.partition(b" ")
+    version, _, compressed = rest.partition(b" ")
+    if not (era.isdigit() and version.isdigit()):
+        return None
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(compressed, _MAX_CONFIGURATION_BYTES)
+    except zlib.error:
+        return None
+    if not decompressor.eof:
+        return None
+    return _Backup(int(era), int(version), content)
--- a/carobladder/entry/control_state.py
+++ b/carobladder/entry/control_state.py
@@ -60,6 +60,11 @@
         self._on_order = on_order
         self._on_order_moved = on_order_moved
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 if there is none."""
+        return self.table.configuration.version if self.table else 0
+
     @singledispatchmethod
     def apply(self, record: OperatorRecord) -> None:
         """Apply a record of the operator."""
--- /dev/null
+++ b/carobladder/entry/eramarks.py
@@ -0,0 +1,83 @@
+"""Mark in the platform's store of the newest era whose lost writes are back."""
+
+import asyncio
+import random
+
+from carobladder.clock import Clock
+from carobladder.entry.eras import EraMonitor
+from carobladder.entry.peers import PeerDirectory
+from carobladder.exceptions import LogUnavailableError
+from carobladder.fleet import KeyedRecord, TopicWriter
+
+__all__ = ["EraMarkKeeper"]
+
+_KEY = "settled-era"
+# Point on the ring of instances whose owners write the mark.
+_RING_KEY = 0
+# Instances that write it at once; a second one, in case that the first has just ended.
+_WRITERS = 2
+# The others write it after this time in seconds unless they have read it before.
+_OTHERS_DELAY_SECONDS = (15.0, 25.0)
+_RETRY_DELAY_SECONDS = 1.0
+
+
+class EraMarkKeeper:
+    """Tells an instance that starts whether the era of the store is settled.
+
+    Without the mark it can't tell a store that has just come back from a copy from one
+    that lost nothing. A copy has the mark of an earlier era at most.
+    """
+
+    def __init__(
+        self,
+        eras: EraMonitor,
+        topic: TopicWriter,
+        peers: PeerDirectory,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        self._eras = eras
+        self._topic = topic
+        self._peers = peers
+        self._clock = clock
+        self._generator = generator
+        self._stored_era: int | None = None
+        self._wake_up = asyncio.Event()
+        eras.add_settled_listener(self._wake_up.set)
+
+    def apply_record(self, record: KeyedRecord) -> bool:
+        """Apply a record of the store; return whether it is the mark."""
+        if record.key != _KEY:
+            return False
+        text = (record.value or b"").decode("ascii", "replace")
+        if text.isdecimal():
+            self._stored_era = int(text)
+            self._eras.note_settled(self._stored_era)
+        return True
+
+    async def run(self) -> None:
+        """Write the mark of each era that is settled until cancelled."""
+        while True:
+            await self._wake_up.wait()
+            self._wake_up.clear()
+            owners = self._peers.find_owners(_RING_KEY, _WRITERS)
+            if self._peers.instance not in owners:
+                delay_seconds = self._generator.uniform(*_OTHERS_DELAY_SECONDS)
+                await self._clock.sleep(delay_seconds)
+            while not self._is_stored():
+                await self._write()
+
+    def _is_stored(self) -> bool:
+        era = self._eras.settled_era
+        if era is None or era != self._eras.era:
+            return True
+        return self._stored_era is not None and self._stored_era >= era
+
+    async def _write(self) -> None:
+        era = self._eras.settled_era
+        try:
+            await self._topic.write(_KEY, str(era).encode())
+            self._stored_era = era
+        except LogUnavailableError:
+            # The store reports the outage itself when it is read.
+            await self._clock.sleep(_RETRY_DELAY_SECONDS)
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -103,6 +103,8 @@
         eras: EraMonitor | None = None,
     ) -> None:
         self.dropped = 0
+        # Reads the version of the configuration in force.
+        self.find_version: Callable[[], int] = lambda: 0
         self._eras = eras or EraMonitor()
         self._eras.add_listener(self._handle_restored_store)
         self._renewal: asyncio.Task[None] | None = None
@@ -214,9 +216,10 @@
         for follower, run in zip(self._followers, message.runs, strict=False):
             if run is not None:
                 follower.apply_peer_run(unpack_run(run))
+        is_proof = message.version <= self.find_version()
         for follower, state in zip(self._followers, message.states, strict=False):
             if state is not None:
-                follower.handle_peer_state(state, asked_at)
+                follower.handle_peer_state(state, asked_at, is_proof=is_proof)
 
     @_handle.register
     def _(self, message: HolderQuery | HolderReply, peer: Peer) -> None:
@@ -355,7 +358,12 @@
             runs = []
         states = [follower.build_topic_state() for follower, _ in peer_ends]
         answer = PeerReply(
-            message.question, self._is_reader(), states, runs, self._eras.era
+            message.question,
+            self._is_reader(),
+            states,
+            runs,
+            self._eras.era,
+            self.find_version(),
         )
         self._send(answer, peer)
 
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -91,9 +91,15 @@
         self._applier = RecordApplier(
             name, on_record, on_moved, keeps_lost_keys=policy.keeps_lost_keys
         )
-        self._settler = KeySettler(name, self._applier, self.freshness, clock)
+        # Up to which time the records of the store were read, whether this proves that
+        # all are known or not.
+        self._progress = Freshness()
+        self._settler = KeySettler(
+            name, self._applier, self._progress, clock, self._handle_settled_keys
+        )
         self._eras = eras or EraMonitor()
         self._eras.add_listener(self._handle_restored_store)
+        self._eras.add_settled_listener(lambda: self._wake_up.set())
         self._is_restored = False
         self._on_recovery = on_recovery
         self._generator = generator
@@ -110,12 +116,23 @@
         self._waiting_read: asyncio.Task[bool] | None = None
         self._first_read_done = asyncio.Event()
         self._first_attempt_done = asyncio.Event()
+        self._first_proof = asyncio.Event()
 
     @property
     def next_offset(self) -> int | None:
         """Offset after the last known record, or None before the first read."""
         return self._next_offset
 
+    @property
+    def is_proof_due(self) -> bool:
+        """Whether earlier reads were no proof, and one from now on is."""
+        unproved = self.freshness.synced_at < self._progress.synced_at
+        return unproved and self._is_era_settled()
+
+    async def wait_until_proved(self) -> None:
+        """Wait until all records up to some time were known for the first time."""
+        await self._first_proof.wait()
+
     async def wait_until_read(self) -> None:
         """Wait until the topic has been read for the first time."""
         await self._first_read_done.wait()
@@ -181,11 +198,14 @@
         if self._lag.note_end(end, self._clock.boottime()):
             self._wake_up.set()
 
-    def handle_peer_state(self, state: TopicState, asked_at: float) -> None:
+    def handle_peer_state(
+        self, state: TopicState, asked_at: float, *, is_proof: bool = True
+    ) -> None:
         """Handle the answer to a query that was sent at ``asked_at``.
 
         It proves that all records are known up to ``asked_at`` less the reported age,
-        regardless of how long the query and the answer were in transit.
+        regardless of how long the query and the answer were in transit. ``is_proof`` is
+        false if the peer knows what a restored store has not got back yet.
         """
         if self._next_offset is None or state.age_ms < 0:
             return
@@ -194,8 +214,9 @@
         if state.next_offset > self._next_offset:
             self.handle_peer_end(state.next_offset)
             return
-        self.freshness.note_read(proved_at)
-        if self._backoff.is_failing and self.freshness.synced_at > self._failed_at:
+        if is_proof:
+            self._note_read(proved_at, is_proof=True)
+        if self._backoff.is_failing and proved_at > self._failed_at:
             self._wake_up.set()
 
     def collect_run(self, first: int) -> RecordRun | None:
@@ -217,7 +238,7 @@
         ):
             return
         if run.first <= self._next_offset < run.next_offset:
-            self._apply_run(run, _PEER_SOURCE, self.freshness.synced_at)
+            self._apply_run(run, _PEER_SOURCE, self._progress.synced_at)
 
     async def _read(self) -> bool:
         """Read according to the role of this instance; return whether records came."""
@@ -233,6 +254,7 @@
         return await self._read_new_records()
 
     async def _read_snapshot(self) -> None:
+        settled_era = self._eras.settled_era
         timed = await self._fetcher.fetch_in_time(self._reader.read_newest)
         page = timed.page
         self._eras.note(page.era)
@@ -245,7 +267,9 @@
         self._next_offset = page.next_offset
         self._first_read_done.set()
         self._first_attempt_done.set()
-        self._record_success(timed.sent_at, 0.0)
+        self._record_success(timed.sent_at, 0.0, settled_era)
+        if not (self._is_era_settled() or self._settler.is_running):
+            self._settler.start()
 
     async def _read_again_after_start(self) -> None:
         """Read the records that instances starting at the same time have added."""
@@ -301,8 +325,9 @@
         are not those of the records that are known.
         """
         era, fetcher = self._eras.era, self._fetcher
+        settled_era = self._eras.settled_era
         reported_end = self._lag.end
-        synced_at = self.freshness.synced_at
+        synced_at = self._progress.synced_at
         fetch = fetcher.fetch if wait_seconds else fetcher.fetch_in_time
         timed = await fetch(lambda: self._reader.read_records(first, wait_seconds))
         page = timed.page
@@ -314,7 +339,7 @@
         elapsed_seconds = self._clock.boottime() - timed.sent_at
         waited_seconds = 0.0 if found else min(wait_seconds, elapsed_seconds)
         if is_complete:
-            self._record_success(timed.sent_at, waited_seconds)
+            self._record_success(timed.sent_at, waited_seconds, settled_era)
         else:
             self._record_partial_success(timed)
         if self._next_offset is not None and page.next_offset > self._next_offset:
@@ -368,13 +393,13 @@
         limit_seconds = age_seconds * self._generator.uniform(*_AGE_JITTER)
         while self._next_offset is not None:
             now = self._clock.boottime()
-            due_at = self.freshness.synced_at + limit_seconds
+            due_at = self._progress.synced_at + limit_seconds
             due_at = min(due_at, self._settler.due_at)
             catch_up_at = self._lag.find_due_time(self._policy.catch_up_delay_seconds)
             due_at = min(due_at, catch_up_at)
             if self._is_reader() is not as_reader:
                 return False
-            if now >= due_at:
+            if now >= due_at or self.is_proof_due:
                 return True
             await self._wake_up.wait(min(due_at - now, _ROLE_CHECK_SECONDS))
         return False
@@ -416,16 +441,38 @@
         self._note_served(timed.sent_at, _STORE_SOURCE)
         self.handle_peer_end(timed.page.end)
 
-    def _record_success(self, sent_at: float, waited_seconds: float) -> None:
+    def _record_success(
+        self, sent_at: float, waited_seconds: float, settled_era: int | None
+    ) -> None:
         """Record a successful read.
 
         A read that waited ``waited_seconds`` without finding records proves that none
-        were appended meanwhile.
+        were appended meanwhile. ``settled_era`` was known to be settled as it was sent.
         """
         self._backoff.note_success()
         self._note_served(sent_at, _STORE_SOURCE)
         proved_seconds = max(0.0, waited_seconds - _MISSED_RECORD_SECONDS)
-        self.freshness.note_read(sent_at + proved_seconds)
+        is_proof = not self._policy.needs_settled_era or (
+            self._era is None or (settled_era is not None and settled_era >= self._era)
+        )
+        self._note_read(sent_at + proved_seconds, is_proof=is_proof)
+
+    def _note_read(self, at: float, *, is_proof: bool) -> None:
+        self._progress.note_read(at)
+        if is_proof:
+            self.freshness.note_read(at)
+            self._first_proof.set()
+
+    def _is_era_settled(self) -> bool:
+        return not self._policy.needs_settled_era or self._eras.is_settled(self._era)
+
+    def _handle_settled_keys(self) -> None:
+        """Count the reads as proofs, as all that was lost is written again."""
+        if not self._policy.needs_settled_era:
+            return
+        self.freshness.note_read(self._progress.synced_at)
+        if self._era is not None:
+            self._eras.note_settled(self._era)
 
     def _note_served(self, at: float, source: str) -> None:
         """Record that the store has answered this or another instance."""
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -67,6 +67,8 @@
       time; after an error it is made at once. 0 for no second attempt.
     - ``expiry_seconds``: length of an outage of the store from which on records that
       could not be renewed may expire.
+    - ``needs_settled_era``: whether a read of a restored store is no proof that all
+      records are known while lost ones may still be written again.
     - ``keeps_lost_keys``: whether keys that a restored store has lost stay known, as
       only instances write them.
     """
@@ -80,6 +82,7 @@
     max_answer_bytes: int = 4096
     repeat_seconds: float = 0.0
     expiry_seconds: float = math.inf
+    needs_settled_era: bool = False
     keeps_lost_keys: bool = False
 
 
@@ -100,6 +103,7 @@
         ),
         catch_up_delay_seconds=_CATCH_UP_DELAY_SECONDS,
         max_answer_bytes=_OPERATOR_ANSWER_BYTES,
+        needs_settled_era=True,
         repeat_seconds=_SECOND_READ_FRACTION
         * min(revocation_seconds, configuration_seconds),
     )
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -118,12 +118,23 @@
         )
 
     async def _wait_for_first_reads(self) -> None:
-        """Wait for the first reads of the store, but not for long."""
-        followers = (self.parts.operator_follower, self.parts.targets_follower)
+        """Wait for the first reads of the store, but not for long.
+
+        The first read of the operators' records is no proof if it was sent before the
+        era of the store was known to be settled.
+        """
+        parts = self.parts
+        operator_follower = parts.operator_follower
         with suppress(TimeoutError):
             async with asyncio.timeout(_FIRST_READS_TIMEOUT_SECONDS):
-                for follower in followers:
+                for follower in (
+                    operator_follower,
+                    parts.targets_follower,
+                    parts.instances_follower,
+                ):
                     await follower.wait_until_attempted()
+                if operator_follower.is_proof_due:
+                    await operator_follower.wait_until_proved()
 
     def _build_task_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         parts = self.parts
@@ -135,6 +146,8 @@
             parts.exchange.run(),
             parts.prober.run(),
             parts.quarantine_keeper.run(),
+            parts.era_marks.run(),
+            parts.configuration_backup.run(),
             parts.move_controller.run(),
             self._run_housekeeping(),
         ]
--- a/carobladder/entry/settling.py
+++ b/carobladder/entry/settling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from carobladder.clock import Clock
 from carobladder.entry.appliers import RecordApplier
@@ -17,22 +18,37 @@
 
 
 class KeySettler:
-    """Settles the keys of a topic once all that is written again must be known."""
+    """Settles the keys of a topic once all that is written again must be known.
+
+    ``progress`` tells up to which time the records of the store were read, and
+    ``on_settled`` is called afterwards.
+    """
 
     def __init__(
-        self, topic: str, applier: RecordApplier, freshness: Freshness, clock: Clock
+        self,
+        topic: str,
+        applier: RecordApplier,
+        progress: Freshness,
+        clock: Clock,
+        on_settled: Callable[[], None] = lambda: None,
     ) -> None:
         self._topic = topic
         self._applier = applier
-        self._freshness = freshness
+        self._progress = progress
         self._clock = clock
+        self._on_settled = on_settled
         self._task: asyncio.Task[None] | None = None
         self._due_at = math.inf
 
     @property
     def due_at(self) -> float:
         """Time, in seconds of boot time, whose records are still to be read, or inf."""
-        return self._due_at if self._freshness.synced_at < self._due_at else math.inf
+        return self._due_at if self._progress.synced_at < self._due_at else math.inf
+
+    @property
+    def is_running(self) -> bool:
+        """Whether lost writes may still be written again."""
+        return self._due_at < math.inf
 
     def start(self) -> None:
         """Begin the time anew, as all keys were read from a restored store."""
@@ -49,7 +65,8 @@
 
     async def _settle_later(self) -> None:
         await self._clock.sleep(_REWRITE_SECONDS)
-        while self._freshness.synced_at < self._due_at:
+        while self._progress.synced_at < self._due_at:
             await self._clock.sleep(_POLL_SECONDS)
         self._due_at = math.inf
         emit(StoreKeysSettled(self._topic, self._applier.settle()))
+        self._on_settled()
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -90,7 +90,8 @@
     """Reply to the ``question`` of a ``PeerStatus`` with the state of each topic.
 
     ``runs`` contain the records after the requester's ``ends``, where available. Both
-    are those of the ``era`` of the store, None if it is not known.
+    are those of the ``era`` of the store, None if it is not known. ``version`` is that
+    of the sender's configuration; a restored store may have an older one for a while.
     """
 
     question: int
@@ -98,6 +99,7 @@
     states: list[TopicState | None]
     runs: list[PackedRun | None]
     era: int | None = None
+    version: int = 0
 
 
 class HolderQuery(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
--- a/tests/entry/restored_checks.py
+++ b/tests/entry/restored_checks.py
@@ -47,6 +47,7 @@
     disagreements: list[str] = field(default_factory=list)
     late_starter: list[str] = field(default_factory=list)
     false_proofs: list[str] = field(default_factory=list)
+    revoked_keys: list[str] = field(default_factory=list)
     many_calls: list[str] = field(default_factory=list)
 
 
@@ -91,6 +92,7 @@
         self._late_starter = late_starter
         self._lasting: list[_Lasting] = []
         self._deadlines: list[_Deadline] = []
+        self._refused: dict[str, float] = {}
         self._highest: dict[str, int] = {}
         self._new_records: dict[str, list[tuple[float, str, bytes | None]]] = {}
         self._returned_at: float | None = None
@@ -122,6 +124,10 @@
             )
         )
 
+    def expect_refused(self, key: str, at: float) -> None:
+        """Expect that no instance accepts a key from a time on."""
+        self._refused[key] = at
+
     def expect_unused(self, target: str, at: float) -> None:
         """Expect that a target gets no requests at a time."""
         self._deadlines.append(
@@ -156,6 +162,7 @@
         """Check all instances that run."""
         for instance in self._fleet.running:
             self._check_version(instance)
+            self._check_keys(instance)
             for lasting in self._lasting:
                 self._check_lasting(instance, lasting)
             for deadline in self._deadlines:
@@ -224,6 +231,12 @@
             self.findings.lower_versions.append(self._describe(instance, what))
         self._highest[instance.name] = version
 
+    def _check_keys(self, instance: RestoredInstance) -> None:
+        for key, at in self._refused.items():
+            if self._now > at and instance.accepts_key(key):
+                what = f"accepts {key}, {self._now - at:.2f} s too late"
+                self.findings.revoked_keys.append(self._describe(instance, what))
+
     def _check_lasting(self, instance: RestoredInstance, lasting: _Lasting) -> None:
         if self._is_late_starter(instance):
             return
--- a/tests/entry/restored_drill.py
+++ b/tests/entry/restored_drill.py
@@ -16,6 +16,7 @@
 )
 from tests.entry.restored_simulation import (
     OPERATOR_TOPIC,
+    REVOCATION_SECONDS,
     SERVERS_TOPIC,
     STEP_SECONDS,
     RestoredFleet,
@@ -183,6 +184,8 @@
             writes.append((SERVERS_TOPIC, "i-6", entry))
         for index, write in enumerate(writes):
             self._at(COPY_AT + seconds * (index + 1) / len(writes), self._put, *write)
+        revoked_at = COPY_AT + seconds * 2 / len(writes)
+        self._monitor.expect_refused("k-old", revoked_at + REVOCATION_SECONDS)
         self._at(COPY_AT + seconds + STEP_SECONDS, self._monitor.expect_lasting)
 
     def _plan_gap_writes(self, back_at: float, first_number: int) -> None:
--- a/tests/entry/restored_simulation.py
+++ b/tests/entry/restored_simulation.py
@@ -15,6 +15,7 @@
 from carobladder.clock import VirtualClock
 from carobladder.entry.control_state import ControlState
 from carobladder.entry.eras import EraMonitor
+from carobladder.entry.fence import build_fence_times
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.paces import (
     build_operator_policy,
@@ -34,6 +35,7 @@
 
 __all__ = [
     "OPERATOR_TOPIC",
+    "REVOCATION_SECONDS",
     "SERVERS_TOPIC",
     "STEP_SECONDS",
     "RestoredFleet",
@@ -224,6 +226,7 @@
             fleet.generator,
             self._eras,
         )
+        self.exchange.find_version = self.find_version
         # Not by ``set_followers``, which needs the topic of the announcements.
         self.exchange._followers = (operator, servers)
 
@@ -261,6 +264,13 @@
         """Return all targets, also those that get no requests."""
         return {target.target_id for target in self.targets.list_all()}
 
+    def accepts_key(self, key: str) -> bool:
+        """Return whether a request with this key would be forwarded now."""
+        freshness = self.followers[OPERATOR_TOPIC].freshness
+        limit_seconds = build_fence_times(REVOCATION_SECONDS).keys
+        is_fresh = freshness.is_within(limit_seconds, self._fleet.clock.boottime())
+        return is_fresh and key in self.list_keys()
+
     def read_proof(self, topic: str) -> float:
         """Return the time up to which this instance claims to know a topic."""
         now = self._fleet.clock.boottime()
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -179,9 +179,12 @@
         first, second = await self.start("a", "b")
         proof_times = []
         follower = first.instances_follower
-        follower.handle_peer_state = lambda state, asked_at: proof_times.append(
-            asked_at
-        )
+
+        def note_proof(state: TopicState, asked_at: float, *, is_proof: bool) -> None:
+            self.assertTrue(is_proof)
+            proof_times.append(asked_at)
+
+        follower.handle_peer_state = note_proof
         number = first.exchange._register_query()
         answer = PeerReply(number, True, [TopicState(9, 1)], [None])
         data = encode_datagram(answer, "b", second.directory.own_key)
--- a/tests/entry/test_listening.py
+++ b/tests/entry/test_listening.py
@@ -17,6 +17,7 @@
 from carobladder.entry import listening
 from carobladder.entry.listening import open_early_listener
 from carobladder.gateway.listeners import open_listener
+from carobladder.platform.names import INSTANCES_TOPIC
 from carobladder.settings.entry import SETTINGS_VARIABLE
 from tests.entry.fixtures import PlatformInstanceCase
 from tests.forwarding.fixtures import build_request
@@ -87,6 +88,8 @@
         return status, self.clock.monotonic() - began
 
     async def test_early_caller_is_served(self):
+        # Left by the instances that ran before.
+        self.state.put(INSTANCES_TOPIC, "settled-era", b"1")
         self.configure(1)
         self.register()
         status, _ = await self.serve_early_caller()
--- a/tests/entry/test_message_eras.py
+++ b/tests/entry/test_message_eras.py
@@ -31,6 +31,7 @@
         self.next_offset = 7
         self.ends: list[int] = []
         self.states: list[TopicState] = []
+        self.proofs: list[bool] = []
         self.runs: list[RecordRun] = []
 
     def is_behind(self, end: int) -> bool:
@@ -41,9 +42,12 @@
         """Record an offset."""
         self.ends.append(end)
 
-    def handle_peer_state(self, state: TopicState, asked_at: float) -> None:
-        """Record a proof."""
+    def handle_peer_state(
+        self, state: TopicState, asked_at: float, *, is_proof: bool
+    ) -> None:
+        """Record a state, and whether it is a proof."""
         self.states.append(state)
+        self.proofs.append(is_proof)
 
     def apply_peer_run(self, run: RecordRun) -> None:
         """Record a run of records."""
@@ -106,11 +110,11 @@
         key = self.directory.find_key("b")
         self.exchange.datagram_received(encode_datagram(message, "b", key), None)
 
-    def receive_answer(self, era: int | None) -> None:
+    def receive_answer(self, era: int | None, version: int = 0) -> None:
         """Let an answer of an era to a query of now arrive."""
         number = self.exchange._register_query()
         run = pack_run(RecordRun(7, 8, (RECORD,)))
-        self.receive(PeerReply(number, False, [TopicState(7, 10)], [run], era))
+        self.receive(PeerReply(number, False, [TopicState(7, 10)], [run], era, version))
 
     # Guards against a proof of the era before that makes a read needless.
     def test_answer_of_an_earlier_era_proves_nothing(self):
@@ -120,6 +124,14 @@
         self.assertEqual(len(self.follower.states), 1)
         self.assertEqual(len(self.follower.runs), 1)
 
+    # Guards against an instance that takes the keys of a copy for proved by one that
+    # knows what the copy lacks.
+    def test_answer_of_an_instance_with_a_newer_configuration_is_no_proof(self):
+        self.exchange.find_version = lambda: 4
+        for version in (4, 9):
+            self.receive_answer(ERA, version)
+        self.assertEqual(self.follower.proofs, [True, False])
+
     # Guards against an instance that waits for records that may never come.
     def test_offsets_of_an_earlier_era_are_ignored(self):
         self.receive(PeerStatus(0, False, [], [9], era=ERA - 1))
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import random
 import unittest
 
 from tests.entry.restored_drill import Drill, play
@@ -78,6 +79,35 @@
 )
 # Violations that a failure shows.
 SHOWN = 4
+DRAWN_SEED = 48
+DRAWN_DRILLS = 24
+
+
+def draw_drills(count: int, seed: int) -> list[Drill]:
+    """Return drills whose moments and disruptions are drawn."""
+    generator = random.Random(seed)
+    return [_draw_drill(generator, number) for number in range(count)]
+
+
+def _draw_drill(generator: random.Random, number: int) -> Drill:
+    starts_late = generator.random() < 0.4
+    # Instances that start late and ones that are cut off are the last and the first.
+    cut_off = generator.choice((None, "n0", "n3"))
+    return Drill(
+        copy_age=round(generator.uniform(0.4, 9.0), 2),
+        away=round(generator.uniform(0.1, 4.0), 2),
+        rewrite_after=round(generator.uniform(0.02, 2.0), 2),
+        seed=1000 + number,
+        more_lost=generator.choice((0, 0, 3, 8)),
+        is_silent=generator.random() < 0.5,
+        gap_writes=generator.choice((0, 0, 4, 12)),
+        gap_version=generator.random() < 0.2,
+        cut_off=cut_off,
+        reconnect_after=round(generator.uniform(0.1, 3.0), 2),
+        starts_late=starts_late,
+        late_seconds=generator.choice((None, None, 0.3, 0.6)),
+        second=generator.choice((None, None, "before rewriting", "after rewriting")),
+    )
 
 
 class RestoredStoreTest(unittest.TestCase):
@@ -123,6 +153,17 @@
     def test_routes_and_keys_are_not_undone(self):
         self.check("undone_configurations")
 
+    # Guards against an instance that takes the keys of a copy for the newest state.
+    def test_revoked_key_is_refused_by_all_in_time(self):
+        self.check("revoked_keys")
+
+    # Guards against a moment at which an instance that starts, or comes back, lets a
+    # revoked key in or goes to a target that has left.
+    def test_no_drawn_drill_lets_a_revoked_key_in_or_reuses_a_target(self):
+        drills = tuple(draw_drills(DRAWN_DRILLS, DRAWN_SEED))
+        self.check("revoked_keys", drills)
+        self.check("reused_targets", drills)
+
     # Guards against an order that is taken for withdrawn since the copy lacks it.
     def test_emptied_data_centre_stays_closed(self):
         self.check("reopened_data_centres")
