Let the client await the ends of streams that callers have

What callers of `serve` saw: the next request on a kept connection was not read while an engine kept the end of its response back after the final event: 0.54, 1.05 and 1.05 s until its answer for ends 0.5, 1.0 and 1.9 s late. The slot was held as long, and a caller that left meanwhile was counted as a cancelled stream. Cause: the relay awaited the end, so that the connection to the engine could be reused, within the request. Ruled out: `forward`, whose streams have no final event, so that their callers wait for the same end.

--- a/carobladder/clients/answers.py
+++ b/carobladder/clients/answers.py
@@ -32,6 +32,9 @@
     def release(self, connection: ClientConnection) -> None:
         """Take back a connection whose response was read to its end."""
 
+    def await_end(self, connection: ClientConnection) -> None:
+        """Take back a connection whose response lacks nothing but its end."""
+
     def count_buffered(self, size: int) -> None:
         """Add ``size`` to the buffered bytes; a negative size releases bytes."""
 
@@ -180,6 +183,12 @@
             self._connection = None
             self._owner.release(connection)
 
+    def leave_end(self) -> None:
+        """Let the client read the end of the response, whose content is complete."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            self._owner.await_end(connection)
+
     def close(self) -> None:
         """Close the connection if the response was not read to its end."""
         if self._connection is not None:
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -7,6 +7,7 @@
 
 from carobladder.clients.answers import AnswerStream
 from carobladder.clients.connection import ClientConnection, DeadlineExtender
+from carobladder.clients.ends import AnswerEnds
 from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import Clock
 from carobladder.exceptions import ConnectionBrokenError, RequestWithheldError
@@ -55,6 +56,7 @@
         self._connect_timeout_seconds = connect_timeout_seconds
         self._pool: dict[str, list[ClientConnection]] = {}
         self._prune_at = 0.0
+        self._ends = AnswerEnds(self.release)
 
     async def fetch(
         self,
@@ -158,7 +160,8 @@
         return self._buffered_bytes > most or size > most * _MAX_ANSWER_FRACTION
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections and those whose responses have no end yet."""
+        self._ends.close()
         for connections in self._pool.values():
             for connection in connections:
                 connection.abort()
@@ -229,6 +232,10 @@
         else:
             connection.abort()
 
+    def await_end(self, connection: ClientConnection) -> None:
+        """Keep a connection once its response, which lacks only its end, has ended."""
+        self._ends.add(connection)
+
     def _add_to_pool(self, connection: ClientConnection, now: float) -> None:
         connections = self._pool.setdefault(connection.address, [])
         if len(connections) >= _MAX_IDLE_FOR_ADDRESS:
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -28,8 +28,6 @@
 LAST_EVENT_HEADER = "Last-Event-ID"
 EVENT_STREAM = "text/event-stream"
 _Target = TypeVar("_Target")
-# The end of a response follows its final event immediately.
-_STREAM_END_TIMEOUT_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +217,7 @@
         if not self._tracker.finished:
             return _build_broken_error("the stream ended without its final event")
         await self._responder.end_stream()
-        await self._read_to_end(opened)
+        opened.answer.leave_end()
         return None
 
     async def _relay_first_events(self, opened: StreamAttempt[_Target]) -> None:
@@ -300,14 +298,6 @@
             self._observer.observe_gap(now - self._last_chunk_at)
         self._last_chunk_at = now
 
-    async def _read_to_end(self, opened: StreamAttempt[_Target]) -> None:
-        """Read the end of the response, so that its connection can be reused."""
-        try:
-            if await opened.answer.read(_STREAM_END_TIMEOUT_SECONDS):
-                opened.answer.close()
-        except TargetError:
-            opened.answer.close()
-
     async def _send_error(self, error: CallerError) -> None:
         """End the stream with an error event instead of the final event."""
         event = b"event: error\ndata: " + encode_error(error) + b"\n\n"
--- a/carobladder/instance/runtime.py
+++ b/carobladder/instance/runtime.py
@@ -102,6 +102,7 @@
             for task in tasks:
                 task.cancel()
         self._fleet.transport.close()
+        self._client.close()
         log_event("instance stopped", finished=finished)
         return _OK_STATUS if finished else _FAILED_STATUS
 
