Count a request once whose caller takes its answer slowly

What was logged: request_answered, and then for the same request request_refused (the route's timeout passed while the caller read its answer) or caller_left (the caller left, or the instance ended). The refusal was counted too. No answer was cut by this. Cause: the answer was sent, and its caller awaited, within the time limit of the request. Ruled out: streams, as nothing is awaited once they have ended.

--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -116,9 +116,10 @@
         """Send the response of a target, or a refusal, to the caller."""
         facts = self._codec.read_call(request.fields)
         call = None
+        answer = None
         try:
             call = self._build_call(request, facts)
-            await self._forward(call, request, responder)
+            answer = await self._forward(call, request, responder)
         except CallerError as error:
             await self._refuse(request, facts, error, responder)
         except (asyncio.CancelledError, CallerGoneError):
@@ -129,6 +130,9 @@
         if call is not None:
             seconds = self._clock.monotonic() - request.received
             self._metrics.observe_request(call.route.name, call.team, seconds)
+        if answer is not None:
+            # The request is answered, however long its caller takes to read.
+            await responder.send_answer(answer)
 
     def _build_call(self, request: Request, facts: CallMetadata) -> ForwardedCall:
         """Return the call, or raise CallerError if the request is not allowed."""
@@ -226,14 +230,15 @@
 
     async def _forward(
         self, call: ForwardedCall, request: Request, responder: Responder
-    ) -> None:
+    ) -> Answer | None:
+        """Return the answer to send, or None after a stream."""
         session = self._forwarder.start(call)
         try:
             async with asyncio.timeout(max(0.0, session.remaining_seconds)):
-                if call.route.is_streaming:
-                    await self._forward_stream(call, session, request, responder)
-                else:
-                    await self._forward_response(call, session, request, responder)
+                if not call.route.is_streaming:
+                    return await self._fetch_answer(call, session, request)
+                await self._forward_stream(call, session, request, responder)
+                return None
         except TimeoutError:
             if not session.may_have_run:
                 raise NotReadyError(
@@ -255,20 +260,14 @@
             return TargetFailedError(reason)
         return ShuttingDownError(reason, _SHUTDOWN_RETRY_SECONDS)
 
-    async def _forward_response(
-        self,
-        call: ForwardedCall,
-        session: CallSession,
-        request: Request,
-        responder: Responder,
-    ) -> None:
+    async def _fetch_answer(
+        self, call: ForwardedCall, session: CallSession, request: Request
+    ) -> Answer:
         opened, body = await session.fetch()
         answer = opened.answer
         session.note_whole_answer()
         self._log_response(call, request, answer.status, opened.target.target_id)
-        await responder.send_answer(
-            Answer(answer.status, _drop_hop_by_hop_headers(answer.headers), body)
-        )
+        return Answer(answer.status, _drop_hop_by_hop_headers(answer.headers), body)
 
     def _build_gap_observer(
         self, call: ForwardedCall, session: CallSession
