End a stream at a target that has no event left to add

What callers saw: a resumable stream with all events was cut, without its end, after its target broke off or fell silent between the last event and the end. Cause: the stream is resumed after its last event; the other target has nothing to add, and a response without an event was taken for a broken one. The tracker was finished by then, so that no later attempt could add anything either. Ruled out: streams that may not be resumed, whose end can only be awaited.

Change: a resumed response that ends rightly and without an event ends the stream. One that ends with its connection does not, as it may be broken off, nor does a first response. The tests of the target that breaks off and of the silent target failed before; the latter's stream ends within 2.8 s, while its target sends the end after 3 s.

--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -232,16 +232,28 @@
                 min(limit_seconds, remaining_seconds), self._extend_gap
             )
             if not data:
-                self._tracker.end_attempt()
-                raise _build_broken_error("the stream ended without an event")
+                self._end_without_event(opened)
+                break
             events = self._tracker.feed(data)
             if not events:
                 self._check_fault()
         await self._start_answer(opened)
+        if not events:
+            return
         await self._responder.send_chunk(events)
         self._note_chunk()
         self._check_fault()
 
+    def _end_without_event(self, opened: StreamAttempt[_Target]) -> None:
+        """Finish a resumed stream whose last event was relayed before.
+
+        Raises ConnectionBrokenError if the stream has no event or was broken off.
+        """
+        if not opened.answer.ends_with_connection:
+            self._tracker.end_attempt()
+        if not self._tracker.finished:
+            raise _build_broken_error("the stream ended without an event")
+
     def _relay_data(self, data: bytes) -> bool:
         """Relay complete events; return False if reading must stop for now.
 
