Close connections whose request was answered before its body was sent

What callers saw: a target that answers a long body first and reads on 1.5 s later kept the next request waiting as long, as it was written behind that body; the bodies arrived unchanged. A connection that grew stale or was one too many meanwhile was reset within the body. Cause: a connection was reused as soon as its response was complete. Ruled out: other bytes in place of the rest, which the tests have not shown.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -65,6 +65,11 @@
             self._lost or self._eof or transport is None or transport.is_closing()
         )
 
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Transport of the connection, or None before it is connected."""
+        return self._transport
+
     def is_stale(self, now: float) -> bool:
         """Return whether the server may have closed the connection as idle."""
         return now - self.idle_since > self.idle_seconds
@@ -141,6 +146,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def close(self) -> None:
+        """Close the connection after the bytes that were written."""
+        self._lost = True
+        self._cancel_timer()
+        if self._transport is not None:
+            self._transport.close()
+
     def send(self, request: h11.Request, body: bytes) -> None:
         """Write the whole request.
 
--- a/carobladder/clients/ends.py
+++ b/carobladder/clients/ends.py
@@ -1,16 +1,15 @@
 """Ends of responses whose content is complete already."""
 
-import asyncio
 from collections.abc import Callable
 
 from carobladder.clients.connection import ClientConnection
+from carobladder.clients.tasks import ConnectionTasks
 from carobladder.exceptions import ConnectionBrokenError
 
 __all__ = ["AnswerEnds"]
 
 # A sound server may be silent for about a second.
 _END_TIMEOUT_SECONDS = 2.0
-_MAX_AWAITED_ENDS = 64
 
 
 class AnswerEnds:
@@ -22,23 +21,15 @@
 
     def __init__(self, release: Callable[[ClientConnection], None]) -> None:
         self._release = release
-        self._awaited: dict[asyncio.Task[None], ClientConnection] = {}
+        self._tasks = ConnectionTasks(self._read_end)
 
     def add(self, connection: ClientConnection) -> None:
         """Wait for the end of a response, or close the connection if too many do."""
-        if len(self._awaited) >= _MAX_AWAITED_ENDS:
-            connection.abort()
-            return
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(self._read_end(connection))
-        self._awaited[task] = connection
-        task.add_done_callback(self._awaited.pop)
+        self._tasks.start(connection)
 
     def close(self) -> None:
         """Close the connections."""
-        for task, connection in self._awaited.items():
-            task.cancel()
-            connection.abort()
+        self._tasks.close()
 
     async def _read_end(self, connection: ClientConnection) -> None:
         try:
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -6,6 +6,7 @@
 import h11
 
 from carobladder.clients.answers import AnswerStream
+from carobladder.clients.bodies import UnsentBodies, count_unsent_bytes
 from carobladder.clients.connection import ClientConnection, DeadlineExtender
 from carobladder.clients.ends import AnswerEnds
 from carobladder.clients.ports import HttpAnswer
@@ -57,6 +58,7 @@
         self._pool: dict[str, list[ClientConnection]] = {}
         self._prune_at = 0.0
         self._ends = AnswerEnds(self.release)
+        self._bodies = UnsentBodies()
 
     async def fetch(
         self,
@@ -160,8 +162,9 @@
         return self._buffered_bytes > most or size > most * _MAX_ANSWER_FRACTION
 
     def close(self) -> None:
-        """Close the idle connections and those whose responses have no end yet."""
+        """Close the connections that no request uses."""
         self._ends.close()
+        self._bodies.close()
         for connections in self._pool.values():
             for connection in connections:
                 connection.abort()
@@ -227,10 +230,12 @@
         """Keep a connection whose response was read to its end, if it can be reused."""
         now = self._clock.monotonic()
         self._prune(now)
-        if connection.finish_cycle():
-            self._add_to_pool(connection, now)
-        else:
+        if not connection.finish_cycle():
             connection.abort()
+        elif count_unsent_bytes(connection):
+            self._bodies.add(connection)
+        else:
+            self._add_to_pool(connection, now)
 
     def await_end(self, connection: ClientConnection) -> None:
         """Keep a connection once its response, which lacks only its end, has ended."""
