--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -28,8 +28,6 @@
 LAST_EVENT_HEADER = "Last-Event-ID"
 EVENT_STREAM = "text/event-stream"
 _Target = TypeVar("_Target")
-# The end of a response follows its final event immediately.
-_STREAM_END_TIMEOUT_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +217,7 @@
         if not self._tracker.finished:
             return _build_broken_error("the stream ended without its final event")
         await self._responder.end_stream()
-        await self._read_to_end(opened)
+        opened.answer.leave_end()
         return None
 
     async def _relay_first_events(self, opened: StreamAttempt[_Target]) -> None:
@@ -234,16 +232,28 @@
                 min(limit_seconds, remaining_seconds), self._extend_gap
             )
             if not data:
-                self._tracker.end_attempt()
-                raise _build_broken_error("the stream ended without an event")
+                self._end_without_event(opened)
+                break
             events = self._tracker.feed(data)
             if not events:
                 self._check_fault()
         await self._start_answer(opened)
+        if not events:
+            return
         await self._responder.send_chunk(events)
         self._note_chunk()
         self._check_fault()
 
+    def _end_without_event(self, opened: StreamAttempt[_Target]) -> None:
+        """Finish a resumed stream whose last event was relayed before.
+
+        Raises ConnectionBrokenError if the stream has no event or was broken off.
+        """
+        if not opened.answer.ends_with_connection:
+            self._tracker.end_attempt()
+        if not self._tracker.finished:
+            raise _build_broken_error("the stream ended without an event")
+
     def _relay_data(self, data: bytes) -> bool:
         """Relay complete events; return False if reading must stop for now.
 
@@ -300,14 +310,6 @@
             self._observer.observe_gap(now - self._last_chunk_at)
         self._last_chunk_at = now
 
-    async def _read_to_end(self, opened: StreamAttempt[_Target]) -> None:
-        """Read the end of the response, so that its connection can be reused."""
-        try:
-            if await opened.answer.read(_STREAM_END_TIMEOUT_SECONDS):
-                opened.answer.close()
-        except TargetError:
-            opened.answer.close()
-
     async def _send_error(self, error: CallerError) -> None:
         """End the stream with an error event instead of the final event."""
         event = b"event: error\ndata: " + encode_error(error) + b"\n\n"
