Bound what the answers of all targets make an instance keep

What callers and targets saw: faulty targets that send one event without end let an instance grow until its process ends, and all other requests on it with it.

Cause: StreamTracker holds back up to 1 MiB of an incomplete event for each stream, and nothing bounds the sum. Bodies that are read whole had a bound of their own, for the store a constant of 64 MiB whatever memory_mb is, and a body in small parts took the memory of an object for each.

Ruled out: a smaller bound for each event, as the sum still grows with the number of streams; ending the largest holder, as it ends a request that asks for nothing. A holder may keep as much as it leaves free, so the answer that asks for more is given up, and those that hold much before those that hold little.

Change: one MemoryBudget of an eighth of memory_mb for incomplete events and whole bodies of targets, another for the answers of the store. An answer that is given up raises MemoryExceededError, is logged as answer_given_up and counted by service; the gauge answer_memory_bytes tells what is kept.

--- a/carobladder/clients/answers.py
+++ b/carobladder/clients/answers.py
@@ -14,8 +14,9 @@
     DeadlineExtender,
     Sink,
 )
-from carobladder.exceptions import ConnectionBrokenError
+from carobladder.exceptions import ConnectionBrokenError, MemoryExceededError
 from carobladder.headers import Headers
+from carobladder.memory import MemoryBudget
 
 __all__ = ["AnswerStream", "ConnectionOwner"]
 
@@ -32,11 +33,9 @@
     def release(self, connection: ClientConnection) -> None:
         """Take back a connection whose response was read to its end."""
 
-    def count_buffered(self, size: int) -> None:
-        """Add ``size`` to the buffered bytes; a negative size releases bytes."""
-
-    def exceeds_buffer_limit(self, size: int) -> bool:
-        """Return whether a response that has grown to this size must be abandoned."""
+    @property
+    def memory(self) -> MemoryBudget:
+        """Bound on the bytes of all responses that are kept."""
 
 
 class AnswerStream:
@@ -127,29 +126,26 @@
         """Return the rest of the body; ``timeout_seconds`` applies to all of it.
 
         ``gap_seconds`` bounds the time between two chunks. Raises
-        ConnectionBrokenError, also if the body exceeds the client's buffer limit.
+        ConnectionBrokenError, and MemoryExceededError if there is no room for the body.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_seconds
-        parts = []
-        size = 0
+        memory = self._owner.memory
+        # Small parts in a list would each take the memory of an object.
+        content = bytearray()
         try:
             while data := await self.read(
                 min(gap_seconds, max(0.0, deadline - loop.time()))
             ):
-                parts.append(data)
-                size += len(data)
-                self._owner.count_buffered(len(data))
-                if self._owner.exceeds_buffer_limit(size):
+                if not memory.reserve(len(data), len(content)):
                     self.close()
-                    raise ConnectionBrokenError(
-                        f"response exceeds the buffer limit at {size} bytes; "
-                        "request less at a time",
-                        request_written=True,
+                    raise MemoryExceededError(
+                        "a response is not complete", len(content) + len(data), memory
                     )
+                content += data
+            return bytes(content)
         finally:
-            self._owner.count_buffered(-size)
-        return b"".join(parts)
+            memory.release(len(content))
 
     async def skip_to_next(
         self, deadline: float, extend_deadline: DeadlineExtender | None = None
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -11,6 +11,7 @@
 from carobladder.clock import Clock
 from carobladder.exceptions import ConnectionBrokenError, RequestWithheldError
 from carobladder.headers import Headers, encode_headers
+from carobladder.memory import MemoryBudget
 
 __all__ = ["HttpClient"]
 
@@ -22,10 +23,7 @@
 # Longest time between two chunks of a body that has a timeout of its own.
 _MAX_BODY_GAP_SECONDS = 0.8
 _MAX_IDLE_FOR_ADDRESS = 128
-# Bytes of all response bodies that a client buffers at the same time, and the fraction
-# of them that one body may take.
-_MAX_BUFFERED_BYTES = 67_108_864
-_MAX_ANSWER_FRACTION = 0.5
+_DEFAULT_MEMORY_BYTES = 67_108_864
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 _BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
 
@@ -35,7 +33,7 @@
 
     With ``body_timeout_seconds`` the timeout of ``fetch`` applies to the head of a
     response only, and this one to its body, so that a large response may cross a slow
-    link.
+    link. ``memory`` bounds the bytes of all responses that are kept.
     """
 
     def __init__(
@@ -44,13 +42,12 @@
         *,
         connect_timeout_seconds: float = _CONNECT_TIMEOUT_SECONDS,
         tcp_user_timeout_seconds: float = _TCP_USER_TIMEOUT_SECONDS,
-        max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
+        memory: MemoryBudget | None = None,
         body_timeout_seconds: float | None = None,
     ) -> None:
         self._clock = clock
         self._body_timeout_seconds = body_timeout_seconds
-        self._max_buffered_bytes = max_buffered_bytes
-        self._buffered_bytes = 0
+        self.memory = memory or MemoryBudget(_DEFAULT_MEMORY_BYTES)
         self._tcp_user_timeout_seconds = tcp_user_timeout_seconds
         self._connect_timeout_seconds = connect_timeout_seconds
         self._pool: dict[str, list[ClientConnection]] = {}
@@ -148,15 +145,6 @@
         self._add_to_pool(connection, self._clock.monotonic())
         return True
 
-    def count_buffered(self, size: int) -> None:
-        """Add ``size`` to the buffered bytes; a negative size releases bytes."""
-        self._buffered_bytes += size
-
-    def exceeds_buffer_limit(self, size: int) -> bool:
-        """Return whether a response that has grown to this size must be abandoned."""
-        most = self._max_buffered_bytes
-        return self._buffered_bytes > most or size > most * _MAX_ANSWER_FRACTION
-
     def close(self) -> None:
         """Close the idle connections."""
         for connections in self._pool.values():
--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -52,6 +52,7 @@
 )
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
+from carobladder.memory import MemoryBudget
 from carobladder.platform.documents import (
     decode_operator_record,
     decode_target_entry,
@@ -75,9 +76,10 @@
 
 _MS_PER_SECOND = 1000.0
 _BYTES_PER_MB = 1_000_000
-# Answers that are buffered whole before they are forwarded may use this part of the
-# memory.
-_BUFFER_DIVISOR = 8
+# Parts of the memory for what targets and the store make the process keep: incomplete
+# events, bodies that are read whole, and bytes that are not read yet.
+_TARGETS_DIVISOR = 8
+_STORE_DIVISOR = 8
 # The store starts its answer to a read within this time, in addition to the read's
 # own wait.
 _STORE_ANSWER_SECONDS = 0.8
@@ -128,16 +130,19 @@
         self._clock = clock
         self._generator = random.Random()
         self._revocation_seconds = settings.key_revocation_ms / _MS_PER_SECOND
+        memory_bytes = settings.memory_mb * _BYTES_PER_MB
+        self._target_memory = MemoryBudget(memory_bytes // _TARGETS_DIVISOR)
         self._client = HttpClient(
             clock,
             connect_timeout_seconds=_CONNECT_SECONDS,
-            max_buffered_bytes=settings.memory_mb * _BYTES_PER_MB // _BUFFER_DIVISOR,
+            memory=self._target_memory,
         )
         store_client = HttpClient(
             clock,
             connect_timeout_seconds=_CONNECT_SECONDS,
             tcp_user_timeout_seconds=_STORE_SILENCE_SECONDS,
             body_timeout_seconds=_STORE_BODY_SECONDS,
+            memory=MemoryBudget(memory_bytes // _STORE_DIVISOR),
         )
         self._store = PlatformStore(
             store_client, settings.store_address, _STORE_ANSWER_SECONDS
@@ -166,6 +171,11 @@
         )
         self._reader_role = ReaderRole(self._ledger, self._peers.count_peers)
         self._metrics = ForwardMetrics()
+        self._metrics.add_gauge(
+            "answer_memory_bytes",
+            "Bytes of the answers of targets that are kept",
+            lambda: float(self._target_memory.used_bytes),
+        )
         self._server_metrics = GatewayMetrics(
             connection_registry=self._metrics.registry
         )
@@ -386,6 +396,7 @@
             build_fence_times(self._revocation_seconds),
             self._generator,
             self._metrics,
+            self._target_memory,
         )
         return GatewayServer(
             handler,
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import ClassVar
 
+from carobladder.memory import MemoryBudget
+
 __all__ = [
     "AnswerOverdueError",
     "AnswerTimeoutError",
@@ -24,6 +26,7 @@
     "KnowledgeOutdatedError",
     "LogUnavailableError",
     "MalformedRequestError",
+    "MemoryExceededError",
     "MethodNotAllowedError",
     "MissingResourceError",
     "NoCapacityError",
@@ -129,6 +132,25 @@
     """Report that no bytes of an answer came within the caller's time limit."""
 
 
+class MemoryExceededError(ConnectionBrokenError):
+    """Report an answer that was given up because it needs more memory than is left.
+
+    ``held_bytes`` is what it needs at least, ``used_bytes`` what the process keeps of
+    all answers, and ``limit_bytes`` the bound on that.
+    """
+
+    def __init__(self, reason: str, held_bytes: int, budget: MemoryBudget) -> None:
+        super().__init__(
+            f"{reason} at {held_bytes} bytes, while all answers keep "
+            f"{budget.used_bytes} of {budget.limit_bytes}; request less at a time",
+            request_written=True,
+            answer_started=True,
+        )
+        self.held_bytes = held_bytes
+        self.used_bytes = budget.used_bytes
+        self.limit_bytes = budget.limit_bytes
+
+
 class TargetRefusedError(TargetError):
     """Report that a target answered with a refusal instead of running the request."""
 
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -10,6 +10,7 @@
     AnswerOverdueError,
     AnswerTimeoutError,
     CallerError,
+    MemoryExceededError,
     NoTargetError,
     PromptQuarantinedError,
     TargetError,
@@ -33,6 +34,7 @@
 from carobladder.headers import Headers
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import (
+    AnswerGivenUp,
     AttemptFailed,
     ForwardMetrics,
     emit,
@@ -202,6 +204,8 @@
         metrics.count_failed_attempt(denial_reason or "sent again")
         if error.request_written and not isinstance(error, TargetRefusedError):
             metrics.count_broken_answer(progress)
+        if isinstance(error, MemoryExceededError):
+            self._report_given_up(target, error)
         emit(
             AttemptFailed(
                 request_id=self._call.facts.request_id,
@@ -219,6 +223,18 @@
         if denial_reason is not None:
             raise self._build_final_error(f"{error}; not sent again: {denial_reason}")
 
+    def _report_given_up(self, target: FleetTarget, error: MemoryExceededError) -> None:
+        self._forwarder.metrics.count_given_up_answer(self._call.service.name)
+        emit(
+            AnswerGivenUp(
+                self._call.facts.request_id,
+                target.target_id,
+                error.held_bytes,
+                error.used_bytes,
+                error.limit_bytes,
+            )
+        )
+
     def _read_silence(self) -> float | None:
         """Return the seconds since the last byte of the newest answer, or its send."""
         return self._read_age(self._find_silence_start())
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -34,6 +34,7 @@
     StreamRelay,
 )
 from carobladder.headers import Headers
+from carobladder.memory import MemoryBudget
 from carobladder.placement.keys import choose_version, hash_parts
 from carobladder.retries import EventIdTracker
 from carobladder.routing import Route, RouteTable, Service
@@ -101,8 +102,10 @@
         age_limits: ConfigurationAgeLimits,
         generator: random.Random,
         metrics: ForwardMetrics,
+        memory: MemoryBudget,
     ) -> None:
         self._metrics = metrics
+        self._memory = memory
         self._forwarder = forwarder
         self._codec = codec
         self._clock = clock
@@ -310,7 +313,7 @@
             timeouts,
             observer,
             _select_stream_headers,
-            EventIdTracker(),
+            EventIdTracker(self._memory),
             sends_error_event=False,
             extend_wait=session.extend_wait,
         )
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -6,7 +6,12 @@
 from typing import Generic, Protocol, TypeVar
 
 from carobladder.clients.answers import AnswerStream
-from carobladder.exceptions import CallerError, ConnectionBrokenError, TargetError
+from carobladder.exceptions import (
+    CallerError,
+    ConnectionBrokenError,
+    MemoryExceededError,
+    TargetError,
+)
 from carobladder.gateway.ports import Answer, Responder
 from carobladder.gateway.problems import encode_error
 from carobladder.headers import Headers
@@ -170,6 +175,7 @@
             return False
         finally:
             opened.close()
+            self._tracker.discard_incomplete()
 
     def _build_resume_headers(self) -> Headers:
         last_index = self._tracker.last_index
@@ -279,6 +285,11 @@
                 "bytes arrived, but no complete event within the stream gap timeout"
             )
         fault = self._tracker.fault
+        if fault is StreamFault.MEMORY_EXCEEDED:
+            tracker = self._tracker
+            raise MemoryExceededError(
+                "an event is not complete", tracker.refused_bytes, tracker.budget
+            )
         if fault is not StreamFault.NONE:
             raise _build_broken_error(f"the stream is invalid: {fault}")
 
--- a/carobladder/retries/streams.py
+++ b/carobladder/retries/streams.py
@@ -2,6 +2,8 @@
 
 from enum import StrEnum
 
+from carobladder.memory import MemoryBudget
+
 __all__ = ["EventIdTracker", "StreamFault", "StreamTracker"]
 
 _EVENT_END = b"\n\n"
@@ -19,22 +21,26 @@
     WRONG_INDEX = "wrong_index"
     BAD_INDEX = "bad_index"
     EVENT_TOO_LARGE = "event_too_large"
+    MEMORY_EXCEEDED = "memory_exceeded"
 
 
 class StreamTracker:
     """Filter that passes complete events with consecutive token indices, from 0.
 
     Incomplete events are held back: if the stream breaks inside an event, the caller
-    has no part of it that the resumed stream would repeat. The stream ends with a
-    ``[DONE]`` event.
+    has no part of it that the resumed stream would repeat. ``budget`` bounds the bytes
+    that all streams hold back; ``refused_bytes`` is the size of the event that it had
+    no room for. The stream ends with a ``[DONE]`` event.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
         self.last_index: int | None = None
         self.finished = False
         self.relayed = False
         self.fault = StreamFault.NONE
         self._all_indexed = True
+        self.budget = budget or MemoryBudget(2 * _MAX_EVENT_BYTES)
+        self.refused_bytes = 0
         self._incomplete_event = bytearray()
 
     @property
@@ -50,12 +56,17 @@
 
     def start_attempt(self) -> None:
         """Discard the incomplete event and the fault of the previous attempt."""
-        self._incomplete_event.clear()
+        self.discard_incomplete()
         self.fault = StreamFault.NONE
 
     def end_attempt(self) -> None:
         """Handle the regular end of the attempt's response."""
 
+    def discard_incomplete(self) -> None:
+        """Discard the incomplete event and return its memory."""
+        self.budget.release(len(self._incomplete_event))
+        self._incomplete_event.clear()
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the complete events to relay now.
 
@@ -70,7 +81,7 @@
                 self._hold_back(data)
                 return b""
             data = bytes(self._incomplete_event) + data
-            self._incomplete_event.clear()
+            self.discard_incomplete()
         data = self._normalise_line_ends(data)
         start = 0
         while not self.finished:
@@ -99,10 +110,18 @@
         return _EVENT_END in self._normalise_line_ends(tail + data)
 
     def _hold_back(self, data: bytes) -> None:
-        self._incomplete_event += data
-        if len(self._incomplete_event) > _MAX_EVENT_BYTES:
-            self.fault = StreamFault.EVENT_TOO_LARGE
-            self._incomplete_event.clear()
+        held = len(self._incomplete_event)
+        if held + len(data) > _MAX_EVENT_BYTES:
+            self._give_up_event(StreamFault.EVENT_TOO_LARGE)
+        elif not self.budget.reserve(len(data), held):
+            self.refused_bytes = held + len(data)
+            self._give_up_event(StreamFault.MEMORY_EXCEEDED)
+        else:
+            self._incomplete_event += data
+
+    def _give_up_event(self, fault: StreamFault) -> None:
+        self.fault = fault
+        self.discard_incomplete()
 
     def _accept_event(self, data: bytes, start: int, end: int) -> bool:
         if data.startswith(b"id:", start):
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -6,6 +6,7 @@
 from carobladder.telemetry.events.base import Event
 
 __all__ = [
+    "AnswerGivenUp",
     "AnswerOfOtherRequestDropped",
     "AttemptFailed",
     "CallerLeft",
@@ -85,6 +86,21 @@
     target_heard_seconds: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerGivenUp(Event):
+    """An answer of a target was given up, as there was no room for more of it.
+
+    ``held_bytes`` is what it needed at least, ``used_bytes`` what the answers of all
+    targets kept, and ``limit_bytes`` the bound on that.
+    """
+
+    request_id: str
+    target: str
+    held_bytes: int
+    used_bytes: int
+    limit_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerOfOtherRequestDropped(Event):
     """A target sent the answer of an earlier request first."""
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -65,6 +65,7 @@
         self._failed_attempts = self._build_counter("failed_attempts", "decision")
         self._broken_streams = self._build_counter("broken_streams", "reason")
         self._broken_answers = self._build_counter("broken_answers", "progress")
+        self._given_up_answers = self._build_counter("given_up_answers", "service")
 
     @property
     def content_type(self) -> str:
@@ -133,6 +134,11 @@
         """Count an answer of a target that broke off, by how much of it had come."""
         self._broken_answers.labels(progress).inc()
 
+    def count_given_up_answer(self, service: str) -> None:
+        """Count an answer that was given up, as there was no room for more of it."""
+        label = self._service_labels.get_label(service)
+        self._given_up_answers.labels(label).inc()
+
     def count_broken_stream(self, reason: str) -> None:
         """Count a stream that was aborted."""
         self._broken_streams.labels(reason).inc()
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -206,6 +206,7 @@
             ConfigurationAgeLimits(keys=4.5, refusals=3.0),
             generator,
             self.metrics,
+            self.client.memory,
         )
         self.server = GatewayServer(
             handler,
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -6,7 +6,8 @@
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import VirtualClock
-from carobladder.exceptions import ConnectionBrokenError
+from carobladder.exceptions import ConnectionBrokenError, MemoryExceededError
+from carobladder.memory import MemoryBudget
 from tests.gateway.scripted_servers import ScriptedServer, plain_answer, read_head
 
 TEST_TIMEOUT_SECONDS = 30.0
@@ -219,7 +220,7 @@
     """Guard against faulty servers that send bytes until the client closes."""
 
     async def asyncSetUp(self):
-        self.client = HttpClient(VirtualClock(), max_buffered_bytes=2_000_000)
+        self.client = HttpClient(VirtualClock(), memory=MemoryBudget(2_000_000))
         self.addCleanup(self.client.close)
 
     async def read(self, start: bytes, piece: bytes) -> tuple[float, int]:
@@ -244,7 +245,7 @@
                 )
                 await answer.read_all(TEST_TIMEOUT_SECONDS)
         self.assertTrue(caught.exception.request_written)
-        self.assertEqual(self.client._buffered_bytes, 0)
+        self.assertEqual(self.client.memory.used_bytes, 0)
         return loop.time() - began, sent
 
     async def test_endless_bytes(self):
@@ -290,9 +291,36 @@
 
             tasks = [asyncio.create_task(fetch()) for _ in range(4)]
             await asyncio.sleep(0.3)
-            self.assertLessEqual(self.client._buffered_bytes, 2_000_000)
+            self.assertLessEqual(self.client.memory.used_bytes, 2_000_000)
             release.set()
             whole = [await task for task in tasks]
         self.assertIn(True, whole)
         self.assertIn(False, whole)
-        self.assertEqual(self.client._buffered_bytes, 0)
+        self.assertEqual(self.client.memory.used_bytes, 0)
+
+    # Guards against a sound answer that ends because endless ones take the memory.
+    async def test_small_answer_beside_endless_ones_is_complete(self):
+        async def send(reader, writer, number):
+            if b" /small " in await read_head(reader):
+                writer.write(plain_answer(b"y" * 20_000))
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            while True:
+                writer.write(b"z" * 1000)
+                await writer.drain()
+
+        async with ScriptedServer(send) as server:
+
+            async def fetch(path: str) -> bytes:
+                answer = await self.client.fetch(
+                    "GET", server.address, path, timeout_seconds=TEST_TIMEOUT_SECONDS
+                )
+                return answer.body
+
+            endless = [asyncio.create_task(fetch("/endless")) for _ in range(20)]
+            for _ in range(10):
+                self.assertEqual(len(await fetch("/small")), 20_000)
+            ended = await asyncio.gather(*endless, return_exceptions=True)
+        for error in ended:
+            self.assertIsInstance(error, MemoryExceededError)
+        self.assertEqual(self.client.memory.used_bytes, 0)
--- a/tests/retries/test_streams.py
+++ b/tests/retries/test_streams.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from carobladder.memory import MemoryBudget
 from carobladder.retries import EventIdTracker, StreamFault, StreamTracker
 
 DONE = b"data: [DONE]\n\n"
@@ -167,3 +168,55 @@
                     relayed = b"".join(tracker.feed(part) for part in parts)
                     self.assertEqual(relayed, event.replace(b"\r\n", b"\n"))
                     self.assertEqual(tracker.last_index, 0)
+
+
+class StreamMemoryTest(unittest.TestCase):
+    """Guard against incomplete events that together take all memory."""
+
+    def setUp(self):
+        self.budget = MemoryBudget(1_000_000)
+
+    def feed_endless(self, count: int) -> list[StreamTracker]:
+        """Feed as many streams in turn until each is given up; return them."""
+        trackers = [EventIdTracker(self.budget) for _ in range(count)]
+        while not all(tracker.fault for tracker in trackers):
+            for tracker in trackers:
+                tracker.feed(b"z" * 1000)
+                self.assertLessEqual(self.budget.used_bytes, self.budget.limit_bytes)
+        return trackers
+
+    # Guards against a bound on each stream but none on their sum.
+    def test_sum_of_incomplete_events_is_bounded(self):
+        for count in (1, 10, 900):
+            with self.subTest(count=count):
+                for tracker in self.feed_endless(count):
+                    self.assertIs(tracker.fault, StreamFault.MEMORY_EXCEEDED)
+                self.assertEqual(self.budget.used_bytes, 0)
+
+    # Guards against ending a sound stream instead of those that take the memory.
+    def test_small_event_beside_large_ones_is_relayed(self):
+        trackers = [EventIdTracker(self.budget) for _ in range(100)]
+        for _ in range(9):
+            for tracker in trackers:
+                tracker.feed(b"z" * 1000)
+        sound = EventIdTracker(self.budget)
+        self.assertEqual(sound.feed(b"id: 1\ndata: " + b"y" * 5000), b"")
+        while not any(tracker.fault for tracker in trackers):
+            for tracker in trackers:
+                tracker.feed(b"z" * 1000)
+        self.assertEqual(sound.feed(b"y" * 1000), b"")
+        self.assertEqual(sound.feed(b"\n\n")[-2:], b"\n\n")
+        self.assertIs(sound.fault, StreamFault.NONE)
+
+    # Guards against memory that stays reserved after an event, an attempt or a stream.
+    def test_memory_is_returned(self):
+        tracker = StreamTracker(self.budget)
+        tracker.feed(b"id: 0\ndata: ")
+        self.assertEqual(self.budget.used_bytes, 12)
+        tracker.feed(b"x\n\nid: 1")
+        self.assertEqual(self.budget.used_bytes, 5)
+        tracker.start_attempt()
+        self.assertEqual(self.budget.used_bytes, 0)
+        tracker.feed(b"id: 1")
+        tracker.discard_incomplete()
+        self.assertEqual(self.budget.used_bytes, 0)
