See callers leave while their long requests are handled

Cause: reading pauses above 65,536 bytes that no one has asked for, and those of the request itself counted. It resumed when the next bytes were awaited, after the answer, so the end of the connection was not seen meanwhile.

Change: the bytes count that are left once a request is parsed. A caller may pipeline 65,536 bytes beyond it, and one read of the transport more. While reading is paused above that bound the socket is polled ten times a second for the end of the connection.

What remains: a caller that has pipelined more than the bound and the receive buffer of the kernel is not seen to close its connection, as the end is behind bytes that the kernel cannot take; a reset is seen.

--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -13,6 +13,7 @@
 )
 from carobladder.gateway.endings import ConnectionEnd, EndRecorder
 from carobladder.gateway.exchanges import Exchange
+from carobladder.gateway.intake import CallerIntake
 from carobladder.gateway.ports import Request
 from carobladder.gateway.requests import (
     RequestLimits,
@@ -23,13 +24,12 @@
     create_request_id,
     validate_head,
 )
+from carobladder.gateway.sending import AnswerSender
 from carobladder.gateway.serverstate import ServerState
 from carobladder.telemetry import log_event
 
 __all__ = ["CallerConnection"]
 
-# Bytes that a caller may pipeline while its previous request is being handled.
-_MAX_PIPELINED_BYTES = 65_536
 # After an early response the caller's bytes are discarded for this long, because
 # closing with unread bytes would reset the connection and lose the response.
 _LINGER_SECONDS = 1.0
@@ -54,13 +54,11 @@
         self._bytes_arrived: asyncio.Future[None] | None = None
         self._wait_began = 0.0
         self._timer: asyncio.TimerHandle | None = None
-        self._write_resumed: asyncio.Future[None] | None = None
-        self._unread_bytes = 0
-        self._reading_paused = False
-        self.writing_paused = False
         self._idle = True
         self._discarding = False
         self._recorder = EndRecorder(state.metrics.connections, state.clock)
+        self._intake: CallerIntake | None = None
+        self._sender: AnswerSender | None = None
 
     @property
     def _limits(self) -> RequestLimits:
@@ -76,10 +74,29 @@
         """Whether bytes of the next request have been read already."""
         return bool(self._http.trailing_data[0])
 
+    @property
+    def writing_paused(self) -> bool:
+        """Whether the send buffer is full because the caller reads slowly."""
+        return self._open_sender.paused
+
+    @property
+    def _open_intake(self) -> CallerIntake:
+        assert self._intake is not None
+        return self._intake
+
+    @property
+    def _open_sender(self) -> AnswerSender:
+        assert self._sender is not None
+        return self._sender
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that handles the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._intake = CallerIntake(transport, self._cancel)
+        self._sender = AnswerSender(
+            transport, self._recorder, lambda: self._limits.stalled_write_seconds
+        )
         self._state.add(self)
         self._task = self._loop.create_task(self._run())
 
@@ -91,11 +108,7 @@
         # connection as idle.
         self._idle = False
         self._http.receive_data(data)
-        self._unread_bytes += len(data)
-        if self._unread_bytes > _MAX_PIPELINED_BYTES and not self._reading_paused:
-            self._reading_paused = True
-            assert self._transport is not None
-            self._transport.pause_reading()
+        self._open_intake.add(len(data))
         _wake(self._bytes_arrived)
 
     def eof_received(self) -> bool:
@@ -107,18 +120,18 @@
         """Cancel the request that is being handled."""
         assert self._task is not None
         assert self._transport is not None
+        self._open_intake.stop_checks()
         self._recorder.report(self._http, self._transport)
         self._task.cancel()
         self._task.add_done_callback(lambda _: self._state.remove(self))
 
     def pause_writing(self) -> None:
         """Record that the send buffer is full because the caller reads slowly."""
-        self.writing_paused = True
+        self._open_sender.pause()
 
     def resume_writing(self) -> None:
         """Resume a handler that waits for space in the send buffer."""
-        self.writing_paused = False
-        _wake(self._write_resumed)
+        self._open_sender.resume()
 
     def close_if_idle(self) -> None:
         """Close the connection if it is waiting for its next request.
@@ -148,37 +161,12 @@
 
     def write(self, event: h11.Event) -> None:
         """Send an event; raise CallerGoneError if the connection is closed."""
-        transport = self._transport
-        assert transport is not None
-        if transport.is_closing():
-            raise CallerGoneError("the caller closed its connection")
-        data = self._http.send(event)
-        if data:
-            transport.write(data)
+        self._open_sender.check_open()
+        self._open_sender.write(self._http.send(event) or b"")
 
     async def drain(self) -> None:
-        """Wait while the send buffer is full.
-
-        Aborts the connection and raises CallerGoneError once the caller has taken
-        nothing during a timeout.
-        """
-        transport = self._transport
-        assert transport is not None
-        while self.writing_paused:
-            unsent_bytes = transport.get_write_buffer_size()
-            self._write_resumed = self._loop.create_future()
-            try:
-                async with asyncio.timeout(self._limits.stalled_write_seconds):
-                    await self._write_resumed
-            except TimeoutError:
-                if transport.get_write_buffer_size() >= unsent_bytes:
-                    self._recorder.note(ConnectionEnd.CALLER_STALLED)
-                    transport.abort()
-                    raise CallerGoneError(
-                        "the caller stopped reading its response"
-                    ) from None
-            finally:
-                self._write_resumed = None
+        """Wait while the send buffer is full."""
+        await self._open_sender.drain()
 
     def _cancel(self) -> None:
         if self._task is not None:
@@ -316,6 +304,8 @@
             if size > self._limits.max_body_bytes:
                 raise build_body_too_large_error(self._limits)
             parts.append(bytes(event.data))
+        # Reading goes on while the request is handled, to see its caller leave.
+        self._open_intake.settle(len(self._http.trailing_data[0]))
         return build_request(
             head,
             b"".join(parts),
@@ -336,11 +326,7 @@
 
         Raises TimeoutError after the idle timeout, or the one of a request.
         """
-        self._unread_bytes = 0
-        if self._reading_paused:
-            self._reading_paused = False
-            assert self._transport is not None
-            self._transport.resume_reading()
+        self._open_intake.settle(0)
         self._bytes_arrived = self._loop.create_future()
         self._set_timer()
         try:
@@ -375,25 +361,8 @@
 
     def _close(self, end: ConnectionEnd) -> None:
         """Close the connection once its caller has taken what was sent."""
-        transport = self._transport
-        assert transport is not None
         self._recorder.note(end)
-        transport.close()
-        self._watch_close()
-
-    def _watch_close(self) -> None:
-        """Abort the closed connection once its caller takes nothing any more."""
-        assert self._transport is not None
-        if unsent_bytes := self._transport.get_write_buffer_size():
-            seconds = self._limits.stalled_write_seconds
-            self._loop.call_later(seconds, self._abort_if_stalled, unsent_bytes)
-
-    def _abort_if_stalled(self, unsent_bytes: int) -> None:
-        assert self._transport is not None
-        if self._transport.get_write_buffer_size() >= unsent_bytes:
-            self._transport.abort()
-        else:
-            self._watch_close()
+        self._open_sender.close()
 
     def _linger(self) -> None:
         transport = self._transport
@@ -404,8 +373,7 @@
             return
         if transport.can_write_eof():
             transport.write_eof()
-        if self._reading_paused:
-            transport.resume_reading()
+        self._open_intake.resume()
         self._loop.call_later(_LINGER_SECONDS, transport.abort)
 
 
--- a/carobladder/gateway/exchanges.py
+++ b/carobladder/gateway/exchanges.py
@@ -18,7 +18,9 @@
 class EventWriter(Protocol):
     """Connection that the events of a response are written to."""
 
-    writing_paused: bool
+    @property
+    def writing_paused(self) -> bool:
+        """Whether the send buffer is full because the caller reads slowly."""
 
     @property
     def has_next_request(self) -> bool:
--- /dev/null
+++ b/carobladder/gateway/intake.py
@@ -0,0 +1,79 @@
+"""Reading of the bytes that a caller sends."""
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+
+__all__ = ["MAX_PIPELINED_BYTES", "CallerIntake"]
+
+# Bytes beyond the current request after which reading pauses. One read of the
+# transport may exceed it.
+MAX_PIPELINED_BYTES = 65_536
+# Interval in which a connection that is not read is checked for its caller.
+_CHECK_SECONDS = 0.1
+_LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class CallerIntake:
+    """Reading side of a caller's connection, which pauses while much is unparsed.
+
+    The transport does not see the end of a connection that it does not read, so
+    ``on_left`` is called if the caller closes the connection meanwhile. The kernel only
+    tells so if all that the caller sent fits its receive buffer.
+    """
+
+    def __init__(self, transport: asyncio.Transport, on_left: Callable[[], None]):
+        self._loop = asyncio.get_running_loop()
+        self._transport = transport
+        self._on_left = on_left
+        self._unparsed_bytes = 0
+        self._paused = False
+        self._check: asyncio.TimerHandle | None = None
+
+    def add(self, byte_count: int) -> None:
+        """Count bytes that arrived, and pause reading above the bound."""
+        self._unparsed_bytes += byte_count
+        if self._unparsed_bytes > MAX_PIPELINED_BYTES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+            self._schedule_check()
+
+    def settle(self, unparsed_bytes: int) -> None:
+        """Set the number of bytes that the parser left, and resume reading below it."""
+        self._unparsed_bytes = unparsed_bytes
+        if unparsed_bytes <= MAX_PIPELINED_BYTES:
+            self.resume()
+
+    def resume(self) -> None:
+        """Resume reading."""
+        if not self._paused:
+            return
+        self._paused = False
+        self.stop_checks()
+        self._transport.resume_reading()
+
+    def stop_checks(self) -> None:
+        """End the checks for the caller, as the connection is closed."""
+        if self._check is not None:
+            self._check.cancel()
+            self._check = None
+
+    def _schedule_check(self) -> None:
+        self._check = self._loop.call_later(_CHECK_SECONDS, self._check_caller)
+
+    def _check_caller(self) -> None:
+        if _has_left(self._transport.get_extra_info("socket")):
+            self._check = None
+            self._on_left()
+        else:
+            self._schedule_check()
+
+
+def _has_left(sock: socket.socket) -> bool:
+    """Return whether the peer has closed or reset the connection of a socket."""
+    if sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return any(events & _LEFT_EVENTS for _, events in poll.poll(0))
