Refuse requests by their heads before long bodies are read

Seen: a body is read whole before its route and key are looked at, so callers without a key make an instance keep up to max_body_bytes each: 60 callers with 4 MiB but for the last byte took it to 307 MB, with memory_mb = 160.

Change: the handler gets a look at the head when a body of more than 65,536 bytes is declared or has arrived in chunks, and when the caller waits for a 100. It refuses an unknown route, an unknown key and a request that ends after the instance, through the same path as after the body, so that answer, log and metric are the same. Errors that may be over once the body has arrived (no configuration, one that is not proven to be new) still wait for it. Shorter bodies are read first, so that their connections can be kept. The bytes of a caller that still sends are discarded for the time of a request at most, one second after its last byte, so that it gets the refusal and no reset.

A request to a service that is not declared, on an instance that ends before its deadline, is now refused as shutting_down (503) and not as not_ready (503).

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -395,6 +395,7 @@
             self._generator,
             adds_request_id=False,
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
+            head_handler=handler,
         )
 
 
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -5,6 +5,7 @@
     calls,
     crashwatch,
     handler,
+    heads,
     loadmonitor,
     outcomes,
     partguard,
@@ -15,6 +16,7 @@
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.crashwatch import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
+from carobladder.forwarding.heads import *  # noqa: F403
 from carobladder.forwarding.loadmonitor import *  # noqa: F403
 from carobladder.forwarding.outcomes import *  # noqa: F403
 from carobladder.forwarding.partguard import *  # noqa: F403
@@ -26,6 +28,7 @@
     *calls.__all__,
     *crashwatch.__all__,
     *handler.__all__,
+    *heads.__all__,
     *loadmonitor.__all__,
     *outcomes.__all__,
     *partguard.__all__,
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from carobladder.clock import Clock
@@ -12,7 +11,6 @@
     BadCredentialsError,
     CallerError,
     CallerGoneError,
-    KnowledgeOutdatedError,
     NotReadyError,
     ShuttingDownError,
     TargetFailedError,
@@ -25,6 +23,11 @@
     ForwardedCall,
     Forwarder,
 )
+from carobladder.forwarding.heads import (
+    SHUTDOWN_RETRY_SECONDS,
+    ConfigurationAgeLimits,
+    HeadValidator,
+)
 from carobladder.forwarding.refusals import RefusalWriter
 from carobladder.gateway.ports import Answer, Request, Responder
 from carobladder.gateway.relay import (
@@ -46,7 +49,7 @@
     emit,
 )
 
-__all__ = ["ConfigurationAgeLimits", "ForwardHandler"]
+__all__ = ["ForwardHandler"]
 
 # Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
@@ -71,21 +74,8 @@
 _CALLER_PATIENCE_GAPS = 8.0
 # Part of that time in which another target must send the next event.
 _RESUME_SECONDS = 0.4
-_DEFAULT_TIMEOUT_SECONDS = 60.0
-# Other instances take a caller at once.
-_SHUTDOWN_RETRY_SECONDS = 0.05
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigurationAgeLimits:
-    """Maximum ages in seconds of the configuration that a decision may rely on.
-
-    ``keys`` applies to requests that need a key, as the key may have been revoked
-    since. ``refusals`` applies to errors that state that a key or route does not exist.
-    """
-
-    keys: float
-    refusals: float
+# Errors that a request gets however long its body takes. Others may be over by then.
+_LASTING_ERRORS = (UnknownPathError, BadCredentialsError, ShuttingDownError)
 
 
 class ForwardHandler:
@@ -108,9 +98,9 @@
         self._clock = clock
         self._find_table = find_table
         self._freshness = freshness
-        self._age_limits = age_limits
         self._generator = generator
         self._refusals = RefusalWriter(generator)
+        self._heads = HeadValidator(clock, find_table, freshness, age_limits)
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Send the response of a target, or a refusal, to the caller."""
@@ -130,72 +120,44 @@
             seconds = self._clock.monotonic() - request.received
             self._metrics.observe_request(call.route.name, call.team, seconds)
 
+    def check_head(self, request: Request) -> None:
+        """Raise the CallerError that the head decides, whatever the body is."""
+        try:
+            self._heads.validate(request, self._codec.read_call(request.fields))
+        except _LASTING_ERRORS:
+            raise
+        except CallerError:
+            return
+
+    async def refuse(
+        self, request: Request, error: CallerError, responder: Responder
+    ) -> None:
+        """Log, count and send an error to a request without its body."""
+        facts = self._codec.read_call(request.fields)
+        await self._refuse(request, facts, error, responder)
+
     def _build_call(self, request: Request, facts: CallMetadata) -> ForwardedCall:
         """Return the call, or raise CallerError if the request is not allowed."""
-        table = self._find_table()
-        if table is None:
-            raise NotReadyError("no configuration has been read yet")
-        path = request.target.partition("?")[0]
-        route = table.find_route(facts.host, path)
-        if route is None:
-            raise self._verify_denial(UnknownPathError(f"no route for {path}"))
-        team, priority = self._authenticate(table, route, facts)
+        head = self._heads.validate(request, facts)
         shared_parts = facts.shared_parts
         prefix_keys = _compute_prefix_keys(shared_parts)
-        service = self._choose_service(table, route, prefix_keys)
-        time_left = facts.time_left_seconds
-        seconds = route.timeout_seconds or _DEFAULT_TIMEOUT_SECONDS
-        if time_left is not None:
-            seconds = min(seconds, time_left)
-        deadline = request.received + seconds
-        if request.server_ends_at is not None and deadline > request.server_ends_at:
-            raise ShuttingDownError("the instance shuts down", _SHUTDOWN_RETRY_SECONDS)
         return ForwardedCall(
-            route=route,
-            service=service,
+            route=head.route,
+            service=self._choose_service(head.table, head.route, prefix_keys),
             facts=facts,
-            team=team,
-            priority=priority,
+            team=head.team,
+            priority=head.priority,
             method=request.method,
             request_target=request.target,
             headers=self._filter_request_headers(request),
             body=request.body,
             prefix_keys=prefix_keys,
             last_part_tokens=tuple(part.tokens for part in reversed(shared_parts)),
-            deadline=deadline,
-            configuration_version=table.configuration.version,
+            deadline=head.deadline,
+            configuration_version=head.table.configuration.version,
             configuration_age_seconds=self._freshness.age(self._clock.boottime()),
         )
 
-    def _authenticate(
-        self, table: RouteTable, route: Route, facts: CallMetadata
-    ) -> tuple[str, int]:
-        """Return the name of the team and the priority of its request.
-
-        Raises CallerError if the key is missing, unknown or cannot be checked.
-        """
-        if route.public or not table.needs_keys:
-            return "", route.priority
-        now = self._clock.boottime()
-        if not self._freshness.is_within(self._age_limits.keys, now):
-            raise KnowledgeOutdatedError(
-                "the store was not read recently; keys may be revoked"
-            )
-        team = table.find_team(facts.key or "")
-        if team is None:
-            raise self._verify_denial(BadCredentialsError("no team has this key"))
-        priority = route.priority if team.priority is None else team.priority
-        return team.name, priority
-
-    def _verify_denial(self, error: CallerError) -> CallerError:
-        """Return the error, or another one if the configuration may be outdated."""
-        now = self._clock.boottime()
-        if self._freshness.is_within(self._age_limits.refusals, now):
-            return error
-        return KnowledgeOutdatedError(
-            f"{error.message}, but the store was not read recently"
-        )
-
     def _choose_service(
         self, table: RouteTable, route: Route, prefix_keys: tuple[int, ...]
     ) -> Service:
@@ -253,7 +215,7 @@
         reason = "the instance ended before the response"
         if session.may_have_run:
             return TargetFailedError(reason)
-        return ShuttingDownError(reason, _SHUTDOWN_RETRY_SECONDS)
+        return ShuttingDownError(reason, SHUTDOWN_RETRY_SECONDS)
 
     async def _forward_response(
         self,
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -13,6 +13,7 @@
 )
 from carobladder.gateway.endings import ConnectionEnd, EndRecorder
 from carobladder.gateway.exchanges import Exchange
+from carobladder.gateway.headchecks import HeadCheck, HeadRefusedError
 from carobladder.gateway.intake import CallerIntake
 from carobladder.gateway.ports import Request
 from carobladder.gateway.requests import (
@@ -30,8 +31,7 @@
 
 __all__ = ["CallerConnection"]
 
-# After an early response the caller's bytes are discarded for this long, because
-# closing with unread bytes would reset the connection and lose the response.
+# Time for which bytes are discarded after an early response.
 _LINGER_SECONDS = 1.0
 _WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 
@@ -55,7 +55,6 @@
         self._wait_began = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._idle = True
-        self._discarding = False
         self._recorder = EndRecorder(state.metrics.connections, state.clock)
         self._intake: CallerIntake | None = None
         self._sender: AnswerSender | None = None
@@ -102,7 +101,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer bytes until the task asks for the next event."""
-        if self._discarding:
+        if self._open_intake.discarding:
+            self._open_intake.add(len(data))
             return
         # Set here and not by the task: before the task runs, a drain could close this
         # connection as idle.
@@ -198,10 +198,13 @@
         exchange = Exchange(self, self._state, request_id)
         try:
             request = await self._read_request(request_id)
+        except HeadRefusedError as error:
+            await self._refuse_early(error, exchange)
+            return False
         except CallerError as error:
             exchange.keep_alive = False
             await exchange.send_error(error)
-            self._linger()
+            self._linger(_LINGER_SECONDS)
             return False
         if request is None:
             self._close(ConnectionEnd.IDLE_TIMEOUT)
@@ -222,6 +225,17 @@
             self._abort_transport(ConnectionEnd.ANSWER_BROKEN)
         return False
 
+    async def _refuse_early(
+        self, refusal: HeadRefusedError, exchange: Exchange
+    ) -> None:
+        """Send the refusal of a request, whose caller may still send its body."""
+        exchange.keep_alive = False
+        exchange.head_only = refusal.request.method == "HEAD"
+        handler = self._state.head_handler
+        assert handler is not None
+        await handler.refuse(refusal.request, refusal.error, exchange)
+        self._linger(self._limits.read_seconds)
+
     def _closes_for_drain(self) -> bool:
         """Return whether to close the connection after this response due to a drain.
 
@@ -294,7 +308,10 @@
         if not isinstance(head, h11.Request):
             raise CallerGoneError("the caller closed its connection")
         validate_head(head, self._limits)
-        if self._http.they_are_waiting_for_100_continue:
+        check = HeadCheck(self._state, head, request_id, received)
+        waits = self._http.they_are_waiting_for_100_continue
+        check.run_before_body(is_awaited=waits)
+        if waits:
             self.write(h11.InformationalResponse(status_code=100, headers=[]))
         parts: list[bytes] = []
         size = 0
@@ -303,6 +320,7 @@
             size += len(event.data)
             if size > self._limits.max_body_bytes:
                 raise build_body_too_large_error(self._limits)
+            check.run_within_body(size)
             parts.append(bytes(event.data))
         # Reading goes on while the request is handled, to see its caller leave.
         self._open_intake.settle(len(self._http.trailing_data[0]))
@@ -364,17 +382,15 @@
         self._recorder.note(end)
         self._open_sender.close()
 
-    def _linger(self) -> None:
+    def _linger(self, limit_seconds: float) -> None:
         transport = self._transport
         assert transport is not None
-        self._discarding = True
         self._recorder.note(ConnectionEnd.REFUSED)
         if transport.is_closing():
             return
         if transport.can_write_eof():
             transport.write_eof()
-        self._open_intake.resume()
-        self._loop.call_later(_LINGER_SECONDS, transport.abort)
+        self._open_intake.discard(limit_seconds)
 
 
 def _wake(waiter: asyncio.Future[None] | None) -> None:
--- /dev/null
+++ b/carobladder/gateway/headchecks.py
@@ -0,0 +1,76 @@
+"""Refusal of requests whose heads decide it, before their bodies are read."""
+
+import h11
+
+from carobladder.exceptions import CallerError, CarobladderError
+from carobladder.gateway.ports import Request
+from carobladder.gateway.requests import build_request
+from carobladder.gateway.serverstate import ServerState
+
+__all__ = ["SHORT_BODY_BYTES", "HeadCheck", "HeadRefusedError"]
+
+# A body up to this length is read before a refusal, so that its connection can be kept.
+SHORT_BODY_BYTES = 65_536
+
+
+class HeadRefusedError(CarobladderError):
+    """Report a request that is refused before its body is read."""
+
+    def __init__(self, request: Request, error: CallerError) -> None:
+        super().__init__(error.message)
+        self.request = request
+        self.error = error
+
+
+class HeadCheck:
+    """Check of one request by its head; ``received`` is in monotonic seconds."""
+
+    def __init__(
+        self, state: ServerState, head: h11.Request, request_id: str, received: float
+    ) -> None:
+        self._state = state
+        self._head = head
+        self._request_id = request_id
+        self._received = received
+        self._done = False
+
+    def run_before_body(self, *, is_awaited: bool) -> None:
+        """Raise HeadRefusedError if the handler refuses a head with a long body.
+
+        ``is_awaited`` states that the caller waits before it sends a body.
+        """
+        if is_awaited or _read_declared_length(self._head) > SHORT_BODY_BYTES:
+            self._run()
+
+    def run_within_body(self, size: int) -> None:
+        """Raise HeadRefusedError if a body has become long; ``size`` is in bytes."""
+        if size > SHORT_BODY_BYTES:
+            self._run()
+
+    def _run(self) -> None:
+        handler = self._state.head_handler
+        if handler is None or self._done:
+            return
+        self._done = True
+        request = self._build_request()
+        try:
+            handler.check_head(request)
+        except CallerError as error:
+            raise HeadRefusedError(request, error) from None
+
+    def _build_request(self) -> Request:
+        return build_request(
+            self._head,
+            b"",
+            self._request_id,
+            self._received,
+            server_ends_at=self._state.ends_at,
+        )
+
+
+def _read_declared_length(head: h11.Request) -> int:
+    """Return the length of the body in bytes, 0 if the head does not declare it."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
--- a/carobladder/gateway/intake.py
+++ b/carobladder/gateway/intake.py
@@ -12,6 +12,9 @@
 MAX_PIPELINED_BYTES = 65_536
 # Interval in which a connection that is not read is checked for its caller.
 _CHECK_SECONDS = 0.1
+# After an early response the caller's bytes are discarded, because closing with unread
+# bytes would reset the connection and lose the response.
+_LINGER_SECONDS = 1.0
 _LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -29,10 +32,15 @@
         self._on_left = on_left
         self._unparsed_bytes = 0
         self._paused = False
+        self.discarding = False
+        self._arrived_at = 0.0
         self._check: asyncio.TimerHandle | None = None
 
     def add(self, byte_count: int) -> None:
         """Count bytes that arrived, and pause reading above the bound."""
+        if self.discarding:
+            self._arrived_at = self._loop.time()
+            return
         self._unparsed_bytes += byte_count
         if self._unparsed_bytes > MAX_PIPELINED_BYTES and not self._paused:
             self._paused = True
@@ -53,6 +61,25 @@
         self.stop_checks()
         self._transport.resume_reading()
 
+    def discard(self, limit_seconds: float) -> None:
+        """Discard all bytes, and abort the connection once the caller sends no more.
+
+        The connection is aborted after ``limit_seconds`` at the latest, but not before
+        the caller has had a second for the response.
+        """
+        self.discarding = True
+        self._arrived_at = self._loop.time()
+        self.resume()
+        self._abort_when_silent(self._arrived_at + limit_seconds)
+
+    def _abort_when_silent(self, ends_at: float) -> None:
+        now = self._loop.time()
+        silent_at = self._arrived_at + _LINGER_SECONDS
+        if now >= silent_at or now >= ends_at:
+            self._transport.abort()
+            return
+        self._loop.call_at(min(silent_at, ends_at), self._abort_when_silent, ends_at)
+
     def stop_checks(self) -> None:
         """End the checks for the caller, as the connection is closed."""
         if self._check is not None:
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from carobladder.exceptions import CallerError
 from carobladder.headers import Headers
 from carobladder.targets import RequestClass, TargetState
 
@@ -15,6 +16,7 @@
     "ChatTurn",
     "Directory",
     "Handler",
+    "HeadHandler",
     "Permit",
     "Placement",
     "Ranking",
@@ -314,3 +316,18 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Respond to the request; a raised CallerError is sent as JSON."""
+
+
+class HeadHandler(Protocol):
+    """Handler that can refuse a request before its body is read.
+
+    The body of the request is empty.
+    """
+
+    def check_head(self, request: Request) -> None:
+        """Raise the CallerError that the head decides, whatever the body is."""
+
+    async def refuse(
+        self, request: Request, error: CallerError, responder: Responder
+    ) -> None:
+        """Log, count and send an error to a request without its body."""
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -8,7 +8,7 @@
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection
 from carobladder.gateway.listeners import BACKLOG, open_listener
-from carobladder.gateway.ports import Handler
+from carobladder.gateway.ports import Handler, HeadHandler
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.serverstate import OpenConnection, ServerState
 from carobladder.telemetry import GatewayMetrics, ListenerClosed, emit
@@ -37,6 +37,7 @@
         *,
         adds_request_id: bool = True,
         keep_alive_seconds: int = 0,
+        head_handler: HeadHandler | None = None,
     ) -> None:
         self._state = ServerState(
             handler,
@@ -46,6 +47,7 @@
             generator,
             adds_request_id,
             keep_alive_seconds,
+            head_handler=head_handler,
         )
         self._state.no_connections.set()
         self._server: asyncio.Server | None = None
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from carobladder.clock import Clock
-from carobladder.gateway.ports import Handler
+from carobladder.gateway.ports import Handler, HeadHandler
 from carobladder.gateway.requests import RequestLimits
 from carobladder.telemetry import GatewayMetrics
 
@@ -35,6 +35,7 @@
     callers, 0 for none. ``limits`` may be replaced while connections are open.
     ``ends_at`` is the monotonic time from which on no response can be sent, set once
     idle connections have been closed; once ``ended`` is set, that time is over.
+    ``head_handler`` refuses requests before their bodies are read, if there is one.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -48,6 +49,7 @@
     draining: bool = False
     ends_at: float | None = None
     ended: bool = False
+    head_handler: HeadHandler | None = None
     connections: set["OpenConnection"] = field(default_factory=set)
     no_connections: asyncio.Event = field(default_factory=asyncio.Event)
 
--- /dev/null
+++ b/tests/entry/test_request_memory.py
@@ -0,0 +1,78 @@
+"""Tests of the program's memory while many callers send long requests."""
+
+import asyncio
+import contextlib
+import unittest
+
+from tests.entry.program import EntryProgramCase, build_program_route
+from tests.forwarding.fixtures import ScriptedTarget, build_request, build_response
+
+_CALLERS = 60
+_BODY_BYTES = 4_194_304
+_PIECE = b"x" * 65_536
+# The program holds all bodies that it reads at the end of this time.
+_HOLD_SECONDS = 2.0
+_SEND_SECONDS = 5.0
+_ANSWER_SECONDS = 8.0
+
+
+async def answer(request: bytes, writer) -> None:
+    """Answer every request."""
+    writer.write(build_response(request, b"ok"))
+
+
+class RequestMemoryCase(EntryProgramCase):
+    """Base class of tests that send long bodies to the program, but for their ends."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.target = ScriptedTarget(answer)
+        server = await self.enterAsyncContext(self.target.server)
+        self.register("i-0", "sound", server.address)
+        self.configure([build_program_route("sound", "sound", kind="safe")], ["sound"])
+        await self.start_program()
+
+    async def send_bodies(self, **fields) -> list[bytes]:
+        """Return the answers to requests whose last bytes come after a while."""
+        gate = asyncio.Event()
+        asyncio.get_running_loop().call_later(_HOLD_SECONDS, gate.set)
+        calls = [self._send_body(gate, fields) for _ in range(_CALLERS)]
+        return await asyncio.gather(*calls)
+
+    async def _send_body(self, gate: asyncio.Event, fields: dict[str, str]) -> bytes:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        head = build_request(
+            "/sound/x",
+            Content_Length=str(_BODY_BYTES),
+            **{"Carobladder_Deadline": "9000", **fields},
+        )
+        read = asyncio.create_task(reader.read())
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(_SEND_SECONDS):
+                writer.write(head + _PIECE[:-1])
+                for _ in range(_BODY_BYTES // len(_PIECE) - 1):
+                    writer.write(_PIECE)
+                    await writer.drain()
+                await gate.wait()
+                writer.write(b"x")
+        try:
+            async with asyncio.timeout(_ANSWER_SECONDS):
+                return await read
+        except (TimeoutError, ConnectionError):
+            return b""
+        finally:
+            writer.transport.abort()
+
+
+class RefusedBodiesTest(RequestMemoryCase):
+    """Guard against callers without a key that make the process outgrow its memory."""
+
+    async def test_bodies_of_callers_without_a_key_are_not_kept(self):
+        answers = await self.send_bodies(X_Api_Key="wrong")
+        self.assertLess(self.read_peak_mb(), self.MEMORY_MB)
+        self.assertEqual({each[9:12] for each in answers}, {b"401"})
+        self.assertIsNone(self.process.returncode)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -214,6 +214,7 @@
             GatewayMetrics(),
             generator,
             adds_request_id=False,
+            head_handler=handler,
         )
 
     async def __aenter__(self) -> "Instance":
