Bound the memory of request bodies

Seen: 60 callers with a key, each with a body of 4 MiB but for its last byte, took an instance to 427 MB, with memory_mb = 160, and nothing bounded the sum.

Change: bodies of more than 65,536 bytes reserve their declared length, or what has arrived in chunks, of a budget of an eighth of memory_mb. Above it the request is refused with 503 (memory_short) before its body is read, or in its middle if it has no length. Retry-After is the time at which the first of the others must be complete if all are still being sent, and 0.3 s if one is being handled. Shorter bodies are read without a reservation. The bytes are returned when the request ends, as the body is kept for other attempts.

What remains: short bodies are bounded by the number of connections only. On an instance whose memory_mb is below 16 times maxBodyBytes the longest bodies are always refused. carobladder serve has no budget.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -52,6 +52,7 @@
 )
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
+from carobladder.memory import MemoryBudget
 from carobladder.platform.documents import (
     decode_operator_record,
     decode_target_entry,
@@ -78,6 +79,8 @@
 # Answers that are buffered whole before they are forwarded may use this part of the
 # memory.
 _BUFFER_DIVISOR = 8
+# Long bodies of requests may use this part. Each is copied on its way to a target.
+_BODY_DIVISOR = 8
 # The store starts its answer to a read within this time, in addition to the read's
 # own wait.
 _STORE_ANSWER_SECONDS = 0.8
@@ -133,6 +136,7 @@
             connect_timeout_seconds=_CONNECT_SECONDS,
             max_buffered_bytes=settings.memory_mb * _BYTES_PER_MB // _BUFFER_DIVISOR,
         )
+        self._body_bytes = settings.memory_mb * _BYTES_PER_MB // _BODY_DIVISOR
         store_client = HttpClient(
             clock,
             connect_timeout_seconds=_CONNECT_SECONDS,
@@ -396,6 +400,7 @@
             adds_request_id=False,
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
             head_handler=handler,
+            body_budget=MemoryBudget(self._body_bytes),
         )
 
 
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -24,6 +24,7 @@
     "KnowledgeOutdatedError",
     "LogUnavailableError",
     "MalformedRequestError",
+    "MemoryShortError",
     "MethodNotAllowedError",
     "MissingResourceError",
     "NoCapacityError",
@@ -253,6 +254,15 @@
     code = "knowledge_outdated"
 
 
+class MemoryShortError(NotReadyError):
+    """Report that other requests use the memory that this one needs.
+
+    ``retry_after_seconds`` is the time until one of them must have returned some.
+    """
+
+    code = "memory_short"
+
+
 class NoTargetError(NotReadyError):
     """Report that no target of the service may receive the request."""
 
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -8,17 +8,21 @@
 from carobladder.exceptions import (
     CallerError,
     CallerGoneError,
-    InternalFaultError,
     RequestTimeoutError,
 )
+from carobladder.gateway.bodies import RequestBody
+from carobladder.gateway.bodymemory import BodyReservation
 from carobladder.gateway.endings import ConnectionEnd, EndRecorder
 from carobladder.gateway.exchanges import Exchange
-from carobladder.gateway.headchecks import HeadCheck, HeadRefusedError
+from carobladder.gateway.headchecks import (
+    HeadCheck,
+    HeadRefusedError,
+    read_declared_length,
+)
 from carobladder.gateway.intake import CallerIntake
 from carobladder.gateway.ports import Request
 from carobladder.gateway.requests import (
     RequestLimits,
-    build_body_too_large_error,
     build_request,
     convert_protocol_error,
     create_parser,
@@ -58,6 +62,7 @@
         self._recorder = EndRecorder(state.metrics.connections, state.clock)
         self._intake: CallerIntake | None = None
         self._sender: AnswerSender | None = None
+        self._reservation: BodyReservation | None = None
 
     @property
     def _limits(self) -> RequestLimits:
@@ -180,7 +185,7 @@
     async def _run(self) -> None:
         try:
             while await self._serve_next():
-                pass
+                self._release_body()
         except asyncio.CancelledError:
             if self._idle or self._http.our_state in _WHOLE_ANSWER_STATES:
                 self._close(ConnectionEnd.CALLER_CLOSED)
@@ -191,6 +196,13 @@
         except h11.LocalProtocolError as error:
             log_event("response is not valid HTTP", logging.ERROR, error=str(error))
             self._abort_transport(ConnectionEnd.ANSWER_BROKEN)
+        finally:
+            self._release_body()
+
+    def _release_body(self) -> None:
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
 
     async def _serve_next(self) -> bool:
         """Handle one request; return whether another may follow."""
@@ -211,7 +223,7 @@
             return False
         exchange.head_only = request.method == "HEAD"
         exchange.keep_alive = self._http.their_state is h11.DONE
-        await self._handle(request, exchange)
+        await exchange.handle(request)
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._recorder.answer_count += 1
@@ -243,27 +255,6 @@
         """
         return self._state.draining and not self.has_next_request
 
-    async def _handle(self, request: Request, exchange: "Exchange") -> None:
-        try:
-            await self._state.handler.handle(request, exchange)
-            if not exchange.started:
-                raise InternalFaultError("the handler sent no response")
-        except CallerError as error:
-            if not exchange.started:
-                await exchange.send_error(error)
-        except CallerGoneError:
-            raise
-        except Exception as error:
-            log_event(
-                "request failed due to an internal error",
-                logging.ERROR,
-                request_id=request.request_id,
-                path=request.path,
-                error=repr(error),
-            )
-            if not exchange.started:
-                await exchange.send_error(InternalFaultError("internal error"))
-
     async def _read_request(self, request_id: str) -> Request | None:
         """Return the next request, or None after the idle timeout."""
         self._idle = not self.has_next_request
@@ -310,23 +301,19 @@
         validate_head(head, self._limits)
         check = HeadCheck(self._state, head, request_id, received)
         waits = self._http.they_are_waiting_for_100_continue
-        check.run_before_body(is_awaited=waits)
+        self._reservation = BodyReservation(self._state.body_memory, self._read_end)
+        body = RequestBody(check, self._reservation)
+        body.begin(read_declared_length(head), is_awaited=waits)
         if waits:
             self.write(h11.InformationalResponse(status_code=100, headers=[]))
-        parts: list[bytes] = []
-        size = 0
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             assert isinstance(event, h11.Data)
-            size += len(event.data)
-            if size > self._limits.max_body_bytes:
-                raise build_body_too_large_error(self._limits)
-            check.run_within_body(size)
-            parts.append(bytes(event.data))
+            body.add(bytes(event.data), self._limits)
         # Reading goes on while the request is handled, to see its caller leave.
         self._open_intake.settle(len(self._http.trailing_data[0]))
         return build_request(
             head,
-            b"".join(parts),
+            body.join(),
             request_id,
             received,
             server_ends_at=self._state.ends_at,
@@ -354,6 +341,13 @@
             if self._timer is not None:
                 self._timer.cancel()
 
+    @property
+    def _read_end(self) -> float:
+        """Monotonic time at which reading the request is given up."""
+        waited_seconds = self._loop.time() - self._wait_began
+        remaining_seconds = self._limits.read_seconds - waited_seconds
+        return self._state.clock.monotonic() + remaining_seconds
+
     @property
     def _wait_end(self) -> float:
         limits = self._limits
--- a/carobladder/gateway/exchanges.py
+++ b/carobladder/gateway/exchanges.py
@@ -1,14 +1,16 @@
 """Responses to the requests of callers."""
 
+import logging
 from typing import Protocol
 
 import h11
 
-from carobladder.exceptions import CallerError
-from carobladder.gateway.ports import Answer
+from carobladder.exceptions import CallerError, CallerGoneError, InternalFaultError
+from carobladder.gateway.ports import Answer, Request
 from carobladder.gateway.problems import build_error_answer
 from carobladder.gateway.serverstate import ServerState
 from carobladder.headers import Headers, encode_headers
+from carobladder.telemetry import log_event
 
 __all__ = ["EventWriter", "Exchange"]
 
@@ -51,6 +53,28 @@
         """Whether the server has ended, so that the time for a response is over."""
         return self._state.ended
 
+    async def handle(self, request: Request) -> None:
+        """Let the handler respond, and send an error if it does not."""
+        try:
+            await self._state.handler.handle(request, self)
+            if not self.started:
+                raise InternalFaultError("the handler sent no response")
+        except CallerError as error:
+            if not self.started:
+                await self.send_error(error)
+        except CallerGoneError:
+            raise
+        except Exception as error:
+            log_event(
+                "request failed due to an internal error",
+                logging.ERROR,
+                request_id=request.request_id,
+                path=request.path,
+                error=repr(error),
+            )
+            if not self.started:
+                await self.send_error(InternalFaultError("internal error"))
+
     async def send_answer(self, answer: Answer) -> None:
         """Send a complete response."""
         headers = list(answer.headers)
--- a/carobladder/gateway/headchecks.py
+++ b/carobladder/gateway/headchecks.py
@@ -1,5 +1,7 @@
 """Refusal of requests whose heads decide it, before their bodies are read."""
 
+from typing import NoReturn
+
 import h11
 
 from carobladder.exceptions import CallerError, CarobladderError
@@ -7,9 +9,10 @@
 from carobladder.gateway.requests import build_request
 from carobladder.gateway.serverstate import ServerState
 
-__all__ = ["SHORT_BODY_BYTES", "HeadCheck", "HeadRefusedError"]
+__all__ = ["SHORT_BODY_BYTES", "HeadCheck", "HeadRefusedError", "read_declared_length"]
 
-# A body up to this length is read before a refusal, so that its connection can be kept.
+# A body up to this length is read before a refusal, so that its connection can be kept,
+# and beside any number of long ones.
 SHORT_BODY_BYTES = 65_536
 
 
@@ -34,20 +37,8 @@
         self._received = received
         self._done = False
 
-    def run_before_body(self, *, is_awaited: bool) -> None:
-        """Raise HeadRefusedError if the handler refuses a head with a long body.
-
-        ``is_awaited`` states that the caller waits before it sends a body.
-        """
-        if is_awaited or _read_declared_length(self._head) > SHORT_BODY_BYTES:
-            self._run()
-
-    def run_within_body(self, size: int) -> None:
-        """Raise HeadRefusedError if a body has become long; ``size`` is in bytes."""
-        if size > SHORT_BODY_BYTES:
-            self._run()
-
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Raise HeadRefusedError if the handler refuses the head; ask it once."""
         handler = self._state.head_handler
         if handler is None or self._done:
             return
@@ -58,6 +49,12 @@
         except CallerError as error:
             raise HeadRefusedError(request, error) from None
 
+    def refuse(self, error: CallerError) -> NoReturn:
+        """Raise HeadRefusedError with an error, or the error if no handler sends it."""
+        if self._state.head_handler is None:
+            raise error
+        raise HeadRefusedError(self._build_request(), error)
+
     def _build_request(self) -> Request:
         return build_request(
             self._head,
@@ -68,7 +65,7 @@
         )
 
 
-def _read_declared_length(head: h11.Request) -> int:
+def read_declared_length(head: h11.Request) -> int:
     """Return the length of the body in bytes, 0 if the head does not declare it."""
     for name, value in head.headers:
         if name == b"content-length":
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -11,6 +11,7 @@
 from carobladder.gateway.ports import Handler, HeadHandler
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.serverstate import OpenConnection, ServerState
+from carobladder.memory import MemoryBudget
 from carobladder.telemetry import GatewayMetrics, ListenerClosed, emit
 
 __all__ = ["GatewayServer"]
@@ -38,6 +39,7 @@
         adds_request_id: bool = True,
         keep_alive_seconds: int = 0,
         head_handler: HeadHandler | None = None,
+        body_budget: MemoryBudget | None = None,
     ) -> None:
         self._state = ServerState(
             handler,
@@ -48,6 +50,7 @@
             adds_request_id,
             keep_alive_seconds,
             head_handler=head_handler,
+            body_budget=body_budget,
         )
         self._state.no_connections.set()
         self._server: asyncio.Server | None = None
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -6,8 +6,10 @@
 from typing import Protocol
 
 from carobladder.clock import Clock
+from carobladder.gateway.bodymemory import BodyMemory
 from carobladder.gateway.ports import Handler, HeadHandler
 from carobladder.gateway.requests import RequestLimits
+from carobladder.memory import MemoryBudget
 from carobladder.telemetry import GatewayMetrics
 
 __all__ = ["OpenConnection", "ServerState"]
@@ -36,6 +38,7 @@
     ``ends_at`` is the monotonic time from which on no response can be sent, set once
     idle connections have been closed; once ``ended`` is set, that time is over.
     ``head_handler`` refuses requests before their bodies are read, if there is one.
+    ``body_budget`` bounds the long bodies of all requests, if there is one.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -50,9 +53,15 @@
     ends_at: float | None = None
     ended: bool = False
     head_handler: HeadHandler | None = None
+    body_budget: MemoryBudget | None = None
+    body_memory: BodyMemory = field(init=False)
     connections: set["OpenConnection"] = field(default_factory=set)
     no_connections: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        """Share the budget of request bodies between the connections."""
+        self.body_memory = BodyMemory(self.body_budget, self.clock)
+
     @property
     def announced_idle_seconds(self) -> int:
         """Idle time in whole seconds to announce in a response, 0 for none."""
--- a/tests/entry/test_request_memory.py
+++ b/tests/entry/test_request_memory.py
@@ -14,6 +14,7 @@
 _HOLD_SECONDS = 2.0
 _SEND_SECONDS = 5.0
 _ANSWER_SECONDS = 8.0
+_NEIGHBOUR_SECONDS = 0.05
 
 
 async def answer(request: bytes, writer) -> None:
@@ -74,5 +75,27 @@
         self.assertIsNone(self.process.returncode)
 
 
+class HeldBodiesTest(RequestMemoryCase):
+    """Guard against bodies that are sent slowly and outgrow the memory together."""
+
+    async def call_neighbour(self, statuses: list[bytes]) -> None:
+        while True:
+            answered = await self.call("/sound/x", _ANSWER_SECONDS)
+            statuses.append(answered[9:12])
+            await asyncio.sleep(_NEIGHBOUR_SECONDS)
+
+    async def test_bodies_that_are_sent_slowly_stay_within_the_memory(self):
+        statuses: list[bytes] = []
+        neighbour = asyncio.create_task(self.call_neighbour(statuses))
+        answers = await self.send_bodies()
+        neighbour.cancel()
+        self.assertLess(self.read_peak_mb(), self.MEMORY_MB)
+        self.assertEqual({each[9:12] for each in answers}, {b"200", b"503"})
+        refusals = [each for each in answers if each[9:12] == b"503"]
+        self.assertTrue(all(b"retry-after: " in each.lower() for each in refusals))
+        self.assertEqual(set(statuses), {b"200"})
+        self.assertIsNone(self.process.returncode)
+
+
 if __name__ == "__main__":
     unittest.main()
