Bound the answers that callers have not taken

Seen: 100 callers, one after another, that read one byte of an answer of 4 MB took an instance to 558 MB, and 150 within 4.2 s to 754 MB, with memory_mb = 160. A caller that takes nothing is cut after 30 s only, and nothing bounds the sum.

Change: the bytes in full send buffers may use a sixteenth of memory_mb together. Above it the connection is cut that has taken nothing for the longest time, of those that hold at least the mean; the others go on. connection_cut names it with the reason caller_slow.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -81,6 +81,9 @@
 _BUFFER_DIVISOR = 8
 # Long bodies of requests may use this part. Each is copied on its way to a target.
 _BODY_DIVISOR = 8
+# Answers that callers have not taken yet may use this part. The process grows by more
+# than that, as freed blocks of changing sizes leave gaps.
+_UNSENT_DIVISOR = 16
 # The store starts its answer to a read within this time, in addition to the read's
 # own wait.
 _STORE_ANSWER_SECONDS = 0.8
@@ -131,12 +134,12 @@
         self._clock = clock
         self._generator = random.Random()
         self._revocation_seconds = settings.key_revocation_ms / _MS_PER_SECOND
+        self._memory_bytes = settings.memory_mb * _BYTES_PER_MB
         self._client = HttpClient(
             clock,
             connect_timeout_seconds=_CONNECT_SECONDS,
-            max_buffered_bytes=settings.memory_mb * _BYTES_PER_MB // _BUFFER_DIVISOR,
+            max_buffered_bytes=self._memory_bytes // _BUFFER_DIVISOR,
         )
-        self._body_bytes = settings.memory_mb * _BYTES_PER_MB // _BODY_DIVISOR
         store_client = HttpClient(
             clock,
             connect_timeout_seconds=_CONNECT_SECONDS,
@@ -400,7 +403,8 @@
             adds_request_id=False,
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
             head_handler=handler,
-            body_budget=MemoryBudget(self._body_bytes),
+            body_budget=MemoryBudget(self._memory_bytes // _BODY_DIVISOR),
+            max_unsent_bytes=self._memory_bytes // _UNSENT_DIVISOR,
         )
 
 
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -99,7 +99,10 @@
         self._transport = transport
         self._intake = CallerIntake(transport, self._cancel)
         self._sender = AnswerSender(
-            transport, self._recorder, lambda: self._limits.stalled_write_seconds
+            transport,
+            self._recorder,
+            self._state.send_memory,
+            lambda: self._limits.stalled_write_seconds,
         )
         self._state.add(self)
         self._task = self._loop.create_task(self._run())
@@ -126,6 +129,7 @@
         assert self._task is not None
         assert self._transport is not None
         self._open_intake.stop_checks()
+        self._open_sender.end()
         self._recorder.report(self._http, self._transport)
         self._task.cancel()
         self._task.add_done_callback(lambda _: self._state.remove(self))
--- a/carobladder/gateway/endings.py
+++ b/carobladder/gateway/endings.py
@@ -28,6 +28,7 @@
 
     CALLER_CLOSED = "caller_closed"
     CALLER_STALLED = "caller_stalled"
+    CALLER_SLOW = "caller_slow"
     IDLE_TIMEOUT = "idle_timeout"
     IDLE_IN_DRAIN = "idle_in_drain"
     ANSWERED = "answered"
@@ -63,12 +64,21 @@
         self._clock = clock
         self._opened_at = clock.monotonic()
         self._end: ConnectionEnd | None = None
+        self._drops_answer = False
 
     def note(self, end: ConnectionEnd) -> None:
         """Record why the instance ends the connection; the first reason holds."""
         if self._end is None:
             self._end = end
 
+    def note_cut(self, end: ConnectionEnd) -> None:
+        """Record why bytes are dropped that the caller has not taken yet.
+
+        It holds even if the instance was to close the connection after them.
+        """
+        self._end = end
+        self._drops_answer = True
+
     def report(self, parser: h11.Connection, transport: asyncio.Transport) -> None:
         """Count the end of the connection, and log what it leaves unanswered."""
         end = self._end or ConnectionEnd.CALLER_CLOSED
@@ -77,6 +87,8 @@
         if end is not ConnectionEnd.CALLER_CLOSED:
             unread_bytes = count_unread_bytes(transport.get_extra_info("socket"))
         progress = find_progress(parser, bool(unparsed_bytes or unread_bytes))
+        if self._drops_answer:
+            progress = RequestProgress.ANSWERING
         self._metrics.count_end(end, progress)
         by_caller = end is ConnectionEnd.CALLER_CLOSED
         if progress is RequestProgress.NONE:
--- a/carobladder/gateway/sending.py
+++ b/carobladder/gateway/sending.py
@@ -5,6 +5,7 @@
 
 from carobladder.exceptions import CallerGoneError
 from carobladder.gateway.endings import ConnectionEnd, EndRecorder
+from carobladder.gateway.sendmemory import SendMemory
 
 __all__ = ["AnswerSender"]
 
@@ -20,19 +21,28 @@
         self,
         transport: asyncio.Transport,
         recorder: EndRecorder,
+        memory: SendMemory,
         get_stall_seconds: Callable[[], float],
     ) -> None:
         self.paused = False
         self._loop = asyncio.get_running_loop()
         self._transport = transport
         self._recorder = recorder
+        self._memory = memory
         self._get_stall_seconds = get_stall_seconds
         self._resumed: asyncio.Future[None] | None = None
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the send buffer."""
+        return self._transport.get_write_buffer_size()
+
     def write(self, data: bytes) -> None:
         """Add bytes to the send buffer."""
         if data:
             self._transport.write(data)
+            if self.paused:
+                self._memory.note_write(self)
 
     def check_open(self) -> None:
         """Raise CallerGoneError if the connection is closed."""
@@ -46,6 +56,7 @@
     def resume(self) -> None:
         """Resume a handler that waits for space in the send buffer."""
         self.paused = False
+        self._memory.forget(self)
         if self._resumed is not None and not self._resumed.done():
             self._resumed.set_result(None)
 
@@ -71,6 +82,15 @@
             finally:
                 self._resumed = None
 
+    def cut(self) -> None:
+        """Abort the connection, as unsent answers use too much memory."""
+        self._recorder.note_cut(ConnectionEnd.CALLER_SLOW)
+        self._transport.abort()
+
+    def end(self) -> None:
+        """Forget the connection, which is closed."""
+        self._memory.forget(self)
+
     def close(self) -> None:
         """Close the connection once its caller has taken what was sent."""
         self._transport.close()
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -40,6 +40,7 @@
         keep_alive_seconds: int = 0,
         head_handler: HeadHandler | None = None,
         body_budget: MemoryBudget | None = None,
+        max_unsent_bytes: int | None = None,
     ) -> None:
         self._state = ServerState(
             handler,
@@ -51,6 +52,7 @@
             keep_alive_seconds,
             head_handler=head_handler,
             body_budget=body_budget,
+            max_unsent_bytes=max_unsent_bytes,
         )
         self._state.no_connections.set()
         self._server: asyncio.Server | None = None
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -9,6 +9,7 @@
 from carobladder.gateway.bodymemory import BodyMemory
 from carobladder.gateway.ports import Handler, HeadHandler
 from carobladder.gateway.requests import RequestLimits
+from carobladder.gateway.sendmemory import SendMemory
 from carobladder.memory import MemoryBudget
 from carobladder.telemetry import GatewayMetrics
 
@@ -39,6 +40,7 @@
     idle connections have been closed; once ``ended`` is set, that time is over.
     ``head_handler`` refuses requests before their bodies are read, if there is one.
     ``body_budget`` bounds the long bodies of all requests, if there is one.
+    ``max_unsent_bytes`` bounds the answers that callers have not taken yet.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -54,13 +56,16 @@
     ended: bool = False
     head_handler: HeadHandler | None = None
     body_budget: MemoryBudget | None = None
+    max_unsent_bytes: int | None = None
     body_memory: BodyMemory = field(init=False)
+    send_memory: SendMemory = field(init=False)
     connections: set["OpenConnection"] = field(default_factory=set)
     no_connections: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
-        """Share the budget of request bodies between the connections."""
+        """Share the bounds on memory between the connections."""
         self.body_memory = BodyMemory(self.body_budget, self.clock)
+        self.send_memory = SendMemory(self.max_unsent_bytes, self.clock)
 
     @property
     def announced_idle_seconds(self) -> int:
