--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -85,6 +85,11 @@
 # events, bodies that are read whole, and bytes that are not read yet.
 _TARGETS_DIVISOR = 8
 _STORE_DIVISOR = 8
+# Long bodies of requests may use this part. Each is copied on its way to a target.
+_BODY_DIVISOR = 8
+# Answers that callers have not taken yet may use this part. The process grows by more
+# than that, as freed blocks of changing sizes leave gaps.
+_UNSENT_DIVISOR = 16
 # The store starts its answer to a read within this time, in addition to the read's
 # own wait.
 _STORE_ANSWER_SECONDS = 0.8
@@ -137,8 +142,8 @@
         self._clock = clock
         self._generator = random.Random()
         self._revocation_seconds = settings.key_revocation_ms / _MS_PER_SECOND
-        memory_bytes = settings.memory_mb * _BYTES_PER_MB
-        self._target_memory = MemoryBudget(memory_bytes // _TARGETS_DIVISOR)
+        self._memory_bytes = settings.memory_mb * _BYTES_PER_MB
+        self._target_memory = MemoryBudget(self._memory_bytes // _TARGETS_DIVISOR)
         self._client = HttpClient(
             clock,
             connect_timeout_seconds=_CONNECT_SECONDS,
@@ -149,7 +154,7 @@
             connect_timeout_seconds=_CONNECT_SECONDS,
             tcp_user_timeout_seconds=_STORE_SILENCE_SECONDS,
             body_timeout_seconds=_STORE_BODY_SECONDS,
-            memory=MemoryBudget(memory_bytes // _STORE_DIVISOR),
+            memory=MemoryBudget(self._memory_bytes // _STORE_DIVISOR),
         )
         self._store = PlatformStore(
             store_client, settings.store_address, _STORE_ANSWER_SECONDS
@@ -457,6 +462,9 @@
             self._generator,
             adds_request_id=False,
             keep_alive_seconds=KEEP_ALIVE_SECONDS,
+            head_handler=handler,
+            body_budget=MemoryBudget(self._memory_bytes // _BODY_DIVISOR),
+            max_unsent_bytes=self._memory_bytes // _UNSENT_DIVISOR,
         )
 
 
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -8,30 +8,34 @@
 from carobladder.exceptions import (
     CallerError,
     CallerGoneError,
-    InternalFaultError,
     RequestTimeoutError,
 )
+from carobladder.gateway.bodies import RequestBody
+from carobladder.gateway.bodymemory import BodyReservation
 from carobladder.gateway.endings import ConnectionEnd, EndRecorder
 from carobladder.gateway.exchanges import Exchange
+from carobladder.gateway.headchecks import (
+    HeadCheck,
+    HeadRefusedError,
+    read_declared_length,
+)
+from carobladder.gateway.intake import CallerIntake
 from carobladder.gateway.ports import Request
 from carobladder.gateway.requests import (
     RequestLimits,
-    build_body_too_large_error,
     build_request,
     convert_protocol_error,
     create_parser,
     create_request_id,
     validate_head,
 )
+from carobladder.gateway.sending import AnswerSender
 from carobladder.gateway.serverstate import ServerState
 from carobladder.telemetry import log_event
 
 __all__ = ["CallerConnection"]
 
-# Bytes that a caller may pipeline while its previous request is being handled.
-_MAX_PIPELINED_BYTES = 65_536
-# After an early response the caller's bytes are discarded for this long, because
-# closing with unread bytes would reset the connection and lose the response.
+# Time for which bytes are discarded after an early response.
 _LINGER_SECONDS = 1.0
 _WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 
@@ -54,13 +58,11 @@
         self._bytes_arrived: asyncio.Future[None] | None = None
         self._wait_began = 0.0
         self._timer: asyncio.TimerHandle | None = None
-        self._write_resumed: asyncio.Future[None] | None = None
-        self._unread_bytes = 0
-        self._reading_paused = False
-        self.writing_paused = False
         self._idle = True
-        self._discarding = False
         self._recorder = EndRecorder(state.metrics.connections, state.clock)
+        self._intake: CallerIntake | None = None
+        self._sender: AnswerSender | None = None
+        self._reservation: BodyReservation | None = None
 
     @property
     def _limits(self) -> RequestLimits:
@@ -76,26 +78,45 @@
         """Whether bytes of the next request have been read already."""
         return bool(self._http.trailing_data[0])
 
+    @property
+    def writing_paused(self) -> bool:
+        """Whether the send buffer is full because the caller reads slowly."""
+        return self._open_sender.paused
+
+    @property
+    def _open_intake(self) -> CallerIntake:
+        assert self._intake is not None
+        return self._intake
+
+    @property
+    def _open_sender(self) -> AnswerSender:
+        assert self._sender is not None
+        return self._sender
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the task that handles the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._intake = CallerIntake(transport, self._cancel)
+        self._sender = AnswerSender(
+            transport,
+            self._recorder,
+            self._state.send_memory,
+            lambda: self._limits.stalled_write_seconds,
+        )
         self._state.add(self)
         self._task = self._loop.create_task(self._run())
 
     def data_received(self, data: bytes) -> None:
         """Buffer bytes until the task asks for the next event."""
-        if self._discarding:
+        if self._open_intake.discarding:
+            self._open_intake.add(len(data))
             return
         # Set here and not by the task: before the task runs, a drain could close this
         # connection as idle.
         self._idle = False
         self._http.receive_data(data)
-        self._unread_bytes += len(data)
-        if self._unread_bytes > _MAX_PIPELINED_BYTES and not self._reading_paused:
-            self._reading_paused = True
-            assert self._transport is not None
-            self._transport.pause_reading()
+        self._open_intake.add(len(data))
         _wake(self._bytes_arrived)
 
     def eof_received(self) -> bool:
@@ -107,18 +128,19 @@
         """Cancel the request that is being handled."""
         assert self._task is not None
         assert self._transport is not None
+        self._open_intake.stop_checks()
+        self._open_sender.end()
         self._recorder.report(self._http, self._transport)
         self._task.cancel()
         self._task.add_done_callback(lambda _: self._state.remove(self))
 
     def pause_writing(self) -> None:
         """Record that the send buffer is full because the caller reads slowly."""
-        self.writing_paused = True
+        self._open_sender.pause()
 
     def resume_writing(self) -> None:
         """Resume a handler that waits for space in the send buffer."""
-        self.writing_paused = False
-        _wake(self._write_resumed)
+        self._open_sender.resume()
 
     def close_if_idle(self) -> None:
         """Close the connection if it is waiting for its next request.
@@ -148,37 +170,12 @@
 
     def write(self, event: h11.Event) -> None:
         """Send an event; raise CallerGoneError if the connection is closed."""
-        transport = self._transport
-        assert transport is not None
-        if transport.is_closing():
-            raise CallerGoneError("the caller closed its connection")
-        data = self._http.send(event)
-        if data:
-            transport.write(data)
+        self._open_sender.check_open()
+        self._open_sender.write(self._http.send(event) or b"")
 
     async def drain(self) -> None:
-        """Wait while the send buffer is full.
-
-        Aborts the connection and raises CallerGoneError once the caller has taken
-        nothing during a timeout.
-        """
-        transport = self._transport
-        assert transport is not None
-        while self.writing_paused:
-            unsent_bytes = transport.get_write_buffer_size()
-            self._write_resumed = self._loop.create_future()
-            try:
-                async with asyncio.timeout(self._limits.stalled_write_seconds):
-                    await self._write_resumed
-            except TimeoutError:
-                if transport.get_write_buffer_size() >= unsent_bytes:
-                    self._recorder.note(ConnectionEnd.CALLER_STALLED)
-                    transport.abort()
-                    raise CallerGoneError(
-                        "the caller stopped reading its response"
-                    ) from None
-            finally:
-                self._write_resumed = None
+        """Wait while the send buffer is full."""
+        await self._open_sender.drain()
 
     def _cancel(self) -> None:
         if self._task is not None:
@@ -192,7 +189,7 @@
     async def _run(self) -> None:
         try:
             while await self._serve_next():
-                pass
+                self._release_body()
         except asyncio.CancelledError:
             if self._idle or self._http.our_state in _WHOLE_ANSWER_STATES:
                 self._close(ConnectionEnd.CALLER_CLOSED)
@@ -203,6 +200,13 @@
         except h11.LocalProtocolError as error:
             log_event("response is not valid HTTP", logging.ERROR, error=str(error))
             self._abort_transport(ConnectionEnd.ANSWER_BROKEN)
+        finally:
+            self._release_body()
+
+    def _release_body(self) -> None:
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
 
     async def _serve_next(self) -> bool:
         """Handle one request; return whether another may follow."""
@@ -210,17 +214,21 @@
         exchange = Exchange(self, self._state, request_id)
         try:
             request = await self._read_request(request_id)
+        except HeadRefusedError as error:
+            await self._refuse_early(error, exchange)
+            return False
         except CallerError as error:
             exchange.keep_alive = False
             await exchange.send_error(error)
-            self._linger()
+            self._linger(_LINGER_SECONDS)
             return False
         if request is None:
             self._close(ConnectionEnd.IDLE_TIMEOUT)
             return False
         exchange.head_only = request.method == "HEAD"
         exchange.keep_alive = self._http.their_state is h11.DONE
-        await self._handle(request, exchange)
+        await exchange.handle(request)
+        await self.drain()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._recorder.answer_count += 1
@@ -234,6 +242,17 @@
             self._abort_transport(ConnectionEnd.ANSWER_BROKEN)
         return False
 
+    async def _refuse_early(
+        self, refusal: HeadRefusedError, exchange: Exchange
+    ) -> None:
+        """Send the refusal of a request, whose caller may still send its body."""
+        exchange.keep_alive = False
+        exchange.head_only = refusal.request.method == "HEAD"
+        handler = self._state.head_handler
+        assert handler is not None
+        await handler.refuse(refusal.request, refusal.error, exchange)
+        self._linger(self._limits.read_seconds)
+
     def _closes_for_drain(self) -> bool:
         """Return whether to close the connection after this response due to a drain.
 
@@ -241,27 +260,6 @@
         """
         return self._state.draining and not self.has_next_request
 
-    async def _handle(self, request: Request, exchange: "Exchange") -> None:
-        try:
-            await self._state.handler.handle(request, exchange)
-            if not exchange.started:
-                raise InternalFaultError("the handler sent no response")
-        except CallerError as error:
-            if not exchange.started:
-                await exchange.send_error(error)
-        except CallerGoneError:
-            raise
-        except Exception as error:
-            log_event(
-                "request failed due to an internal error",
-                logging.ERROR,
-                request_id=request.request_id,
-                path=request.path,
-                error=repr(error),
-            )
-            if not exchange.started:
-                await exchange.send_error(InternalFaultError("internal error"))
-
     async def _read_request(self, request_id: str) -> Request | None:
         """Return the next request, or None after the idle timeout."""
         self._idle = not self.has_next_request
@@ -306,19 +304,21 @@
         if not isinstance(head, h11.Request):
             raise CallerGoneError("the caller closed its connection")
         validate_head(head, self._limits)
-        if self._http.they_are_waiting_for_100_continue:
+        check = HeadCheck(self._state, head, request_id, received)
+        waits = self._http.they_are_waiting_for_100_continue
+        self._reservation = BodyReservation(self._state.body_memory, self._read_end)
+        body = RequestBody(check, self._reservation)
+        body.begin(read_declared_length(head), is_awaited=waits)
+        if waits:
             self.write(h11.InformationalResponse(status_code=100, headers=[]))
-        parts: list[bytes] = []
-        size = 0
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             assert isinstance(event, h11.Data)
-            size += len(event.data)
-            if size > self._limits.max_body_bytes:
-                raise build_body_too_large_error(self._limits)
-            parts.append(bytes(event.data))
+            body.add(bytes(event.data), self._limits)
+        # Reading goes on while the request is handled, to see its caller leave.
+        self._open_intake.settle(len(self._http.trailing_data[0]))
         return build_request(
             head,
-            b"".join(parts),
+            body.join(),
             request_id,
             received,
             server_ends_at=self._state.ends_at,
@@ -336,11 +336,7 @@
 
         Raises TimeoutError after the idle timeout, or the one of a request.
         """
-        self._unread_bytes = 0
-        if self._reading_paused:
-            self._reading_paused = False
-            assert self._transport is not None
-            self._transport.resume_reading()
+        self._open_intake.settle(0)
         self._bytes_arrived = self._loop.create_future()
         self._set_timer()
         try:
@@ -350,6 +346,13 @@
             if self._timer is not None:
                 self._timer.cancel()
 
+    @property
+    def _read_end(self) -> float:
+        """Monotonic time at which reading the request is given up."""
+        waited_seconds = self._loop.time() - self._wait_began
+        remaining_seconds = self._limits.read_seconds - waited_seconds
+        return self._state.clock.monotonic() + remaining_seconds
+
     @property
     def _wait_end(self) -> float:
         limits = self._limits
@@ -375,38 +378,18 @@
 
     def _close(self, end: ConnectionEnd) -> None:
         """Close the connection once its caller has taken what was sent."""
-        transport = self._transport
-        assert transport is not None
         self._recorder.note(end)
-        transport.close()
-        self._watch_close()
-
-    def _watch_close(self) -> None:
-        """Abort the closed connection once its caller takes nothing any more."""
-        assert self._transport is not None
-        if unsent_bytes := self._transport.get_write_buffer_size():
-            seconds = self._limits.stalled_write_seconds
-            self._loop.call_later(seconds, self._abort_if_stalled, unsent_bytes)
-
-    def _abort_if_stalled(self, unsent_bytes: int) -> None:
-        assert self._transport is not None
-        if self._transport.get_write_buffer_size() >= unsent_bytes:
-            self._transport.abort()
-        else:
-            self._watch_close()
+        self._open_sender.close()
 
-    def _linger(self) -> None:
+    def _linger(self, limit_seconds: float) -> None:
         transport = self._transport
         assert transport is not None
-        self._discarding = True
         self._recorder.note(ConnectionEnd.REFUSED)
         if transport.is_closing():
             return
         if transport.can_write_eof():
             transport.write_eof()
-        if self._reading_paused:
-            transport.resume_reading()
-        self._loop.call_later(_LINGER_SECONDS, transport.abort)
+        self._open_intake.discard(limit_seconds)
 
 
 def _wake(waiter: asyncio.Future[None] | None) -> None:
--- a/carobladder/gateway/exchanges.py
+++ b/carobladder/gateway/exchanges.py
@@ -1,14 +1,16 @@
 """Responses to the requests of callers."""
 
+import logging
 from typing import Protocol
 
 import h11
 
-from carobladder.exceptions import CallerError
-from carobladder.gateway.ports import Answer
+from carobladder.exceptions import CallerError, CallerGoneError, InternalFaultError
+from carobladder.gateway.ports import Answer, Request
 from carobladder.gateway.problems import build_error_answer
 from carobladder.gateway.serverstate import ServerState
 from carobladder.headers import Headers, encode_headers
+from carobladder.telemetry import log_event
 
 __all__ = ["EventWriter", "Exchange"]
 
@@ -18,7 +20,9 @@
 class EventWriter(Protocol):
     """Connection that the events of a response are written to."""
 
-    writing_paused: bool
+    @property
+    def writing_paused(self) -> bool:
+        """Whether the send buffer is full because the caller reads slowly."""
 
     @property
     def has_next_request(self) -> bool:
@@ -49,8 +53,33 @@
         """Whether the server has ended, so that the time for a response is over."""
         return self._state.ended
 
+    async def handle(self, request: Request) -> None:
+        """Let the handler respond, and send an error if it does not."""
+        try:
+            await self._state.handler.handle(request, self)
+            if not self.started:
+                raise InternalFaultError("the handler sent no response")
+        except CallerError as error:
+            if not self.started:
+                await self.send_error(error)
+        except CallerGoneError:
+            raise
+        except Exception as error:
+            log_event(
+                "request failed due to an internal error",
+                logging.ERROR,
+                request_id=request.request_id,
+                path=request.path,
+                error=repr(error),
+            )
+            if not self.started:
+                await self.send_error(InternalFaultError("internal error"))
+
     async def send_answer(self, answer: Answer) -> None:
-        """Send a complete response."""
+        """Send a complete response.
+
+        The caller may take it after the handler has returned, which keeps a copy.
+        """
         headers = list(answer.headers)
         has_length = any(name.lower() == "content-length" for name, _ in headers)
         # The body of a response to HEAD is omitted, so its length may be unknown.
@@ -61,7 +90,6 @@
         if answer.body and not self.head_only:
             self._connection.write(h11.Data(data=answer.body))
         self._connection.write(h11.EndOfMessage())
-        await self._connection.drain()
 
     async def start_stream(self, status: int, headers: Headers) -> None:
         """Send the status and headers of a streamed response."""
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -8,9 +8,10 @@
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection
 from carobladder.gateway.listeners import BACKLOG, open_listener
-from carobladder.gateway.ports import Handler
+from carobladder.gateway.ports import Handler, HeadHandler
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.serverstate import OpenConnection, ServerState
+from carobladder.memory import MemoryBudget
 from carobladder.telemetry import GatewayMetrics, ListenerClosed, emit
 
 __all__ = ["GatewayServer"]
@@ -37,6 +38,9 @@
         *,
         adds_request_id: bool = True,
         keep_alive_seconds: int = 0,
+        head_handler: HeadHandler | None = None,
+        body_budget: MemoryBudget | None = None,
+        max_unsent_bytes: int | None = None,
     ) -> None:
         self._state = ServerState(
             handler,
@@ -46,6 +50,9 @@
             generator,
             adds_request_id,
             keep_alive_seconds,
+            head_handler=head_handler,
+            body_budget=body_budget,
+            max_unsent_bytes=max_unsent_bytes,
         )
         self._state.no_connections.set()
         self._server: asyncio.Server | None = None
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -6,8 +6,11 @@
 from typing import Protocol
 
 from carobladder.clock import Clock
-from carobladder.gateway.ports import Handler
+from carobladder.gateway.bodymemory import BodyMemory
+from carobladder.gateway.ports import Handler, HeadHandler
 from carobladder.gateway.requests import RequestLimits
+from carobladder.gateway.sendmemory import SendMemory
+from carobladder.memory import MemoryBudget
 from carobladder.telemetry import GatewayMetrics
 
 __all__ = ["OpenConnection", "ServerState"]
@@ -35,6 +38,9 @@
     callers, 0 for none. ``limits`` may be replaced while connections are open.
     ``ends_at`` is the monotonic time from which on no response can be sent, set once
     idle connections have been closed; once ``ended`` is set, that time is over.
+    ``head_handler`` refuses requests before their bodies are read, if there is one.
+    ``body_budget`` bounds the long bodies of all requests, if there is one.
+    ``max_unsent_bytes`` bounds the answers that callers have not taken yet.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -48,9 +54,19 @@
     draining: bool = False
     ends_at: float | None = None
     ended: bool = False
+    head_handler: HeadHandler | None = None
+    body_budget: MemoryBudget | None = None
+    max_unsent_bytes: int | None = None
+    body_memory: BodyMemory = field(init=False)
+    send_memory: SendMemory = field(init=False)
     connections: set["OpenConnection"] = field(default_factory=set)
     no_connections: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def __post_init__(self) -> None:
+        """Share the bounds on memory between the connections."""
+        self.body_memory = BodyMemory(self.body_budget, self.clock)
+        self.send_memory = SendMemory(self.max_unsent_bytes, self.clock)
+
     @property
     def announced_idle_seconds(self) -> int:
         """Idle time in whole seconds to announce in a response, 0 for none."""
