Handle signals that arrive while an instance loads

What was seen: the soak of planned work sends SIGHUP to an instance that is starting, and the process ends with the default action of the signal; its callers in the accept queue are reset. SIGTERM does the same, without a drain. Cause: the listener opens before the program loads, but signals are handled only by the event loop, after it.

Ruled out: an error of the program (no line in its log, exit by signal 1).

The time in which the interpreter itself starts remains.

--- a/carobladder/entry/program.py
+++ b/carobladder/entry/program.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import sys
+from collections.abc import Collection
 
 from carobladder.clock import SystemClock
 from carobladder.entry.runtime import run_platform_instance
@@ -16,10 +17,13 @@
 _MS_PER_SECOND = 1000
 
 
-def main(listener: socket.socket | None = None) -> int:
+def main(
+    listener: socket.socket | None = None, early_signals: Collection[int] = ()
+) -> int:
     """Run until SIGTERM or SIGINT and return the exit status.
 
-    ``listener`` is the callers' socket if it is open already.
+    ``listener`` is the callers' socket if it is open already, ``early_signals`` are
+    the signals that arrived so far.
     """
     try:
         path = find_entry_settings()
@@ -30,5 +34,7 @@
     clock = SystemClock()
     incarnation = round(clock.now().timestamp() * _MS_PER_SECOND)
     with configure_json_logging(settings.log_level, settings.instance, incarnation):
-        asyncio.run(run_platform_instance(path, clock, incarnation, listener))
+        asyncio.run(
+            run_platform_instance(path, clock, incarnation, listener, early_signals)
+        )
     return 0
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -3,8 +3,9 @@
 import asyncio
 import signal
 import socket
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Collection, Coroutine, Sequence
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -188,16 +189,27 @@
     clock: Clock,
     incarnation: int,
     listener: socket.socket | None = None,
+    early_signals: Collection[int] = (),
 ) -> None:
-    """Run an instance with its settings file until SIGTERM or SIGINT."""
+    """Run an instance with its settings file until SIGTERM or SIGINT.
+
+    ``early_signals`` are signals that arrived before, which are handled first.
+    """
     settings = load_entry_settings(path)
     defaulted = list_defaulted_settings(path)
     instance = PlatformInstance(settings, clock, incarnation, defaulted)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
+    reload = partial(_reload, instance, path)
+    handlers: dict[int, Callable[[], None]] = {
+        signal.SIGTERM: stop.set,
+        signal.SIGINT: stop.set,
+        signal.SIGHUP: reload,
+    }
+    for number, handle in handlers.items():
+        loop.add_signal_handler(number, handle)
+    for number in early_signals:
+        handlers[number]()
     await instance.serve(stop, listener)
 
 
