--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,60 @@
+"""Play seeded runs of the soak and print their findings."""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from tests.soak.bed import Options, play
+from tests.soak.judges import judge
+from tests.soak.records import End, Finding, Record
+
+
+def main() -> int:
+    """Play runs; return 1 if one has a finding."""
+    parser = argparse.ArgumentParser(prog="tests.soak", description=__doc__)
+    parser.add_argument("--first", type=int, default=1, help="first seed")
+    parser.add_argument("--seeds", type=int, default=50, help="number of runs")
+    parser.add_argument("--seconds", type=float, default=20.0, help="of each run")
+    parser.add_argument("--callers", type=int, default=18)
+    parser.add_argument("--logs", type=Path, help="folder for the instances' logs")
+    arguments = parser.parse_args()
+    finding_count = 0
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        with tempfile.TemporaryDirectory(prefix="soak-") as name:
+            folder = arguments.logs / str(seed) if arguments.logs else Path(name)
+            folder.mkdir(parents=True, exist_ok=True)
+            options = Options(seed, arguments.seconds, folder, arguments.callers)
+            record = asyncio.run(play(options))
+        findings = judge(record)
+        _print_run(seed, record, findings)
+        finding_count += len(findings)
+    print(f"{arguments.seeds} runs, {finding_count} findings")
+    return 1 if finding_count else 0
+
+
+def _print_run(seed: int, record: Record, findings: list[Finding]) -> None:
+    ends = Counter(each.end.value for each in record.sent)
+    answered = (each for each in record.sent if each.end is End.ANSWERED)
+    statuses = Counter(each.status for each in answered)
+    print(
+        f"seed {seed}: {len(record.sent)} requests, {len(record.runs)} runs, "
+        f"{len(record.terminations)} terminations, ends {dict(sorted(ends.items()))}, "
+        f"statuses {dict(sorted(statuses.items()))}, "
+        f"{_count_crossed(record)} crossed a close, {len(findings)} findings",
+        flush=True,
+    )
+    for finding in findings:
+        print(f"  {finding.rule} {finding.text}", flush=True)
+
+
+def _count_crossed(record: Record) -> int:
+    """Count requests that crossed a close and that no target ran."""
+    ran = {run.request_id for run in record.runs}
+    return sum(each.is_crossed and each.request_id not in ran for each in record.sent)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/judges.py
@@ -0,0 +1,131 @@
+"""Judges of a run, by what callers and targets saw."""
+
+from collections.abc import Iterator
+
+from tests.soak.records import GRACE_SECONDS, TENANT, End, Finding, Record, Run, Sent
+
+__all__ = ["judge"]
+
+_REFUSALS = frozenset({408, 421, 429, 503})
+_OWN_FAILURES = frozenset({500, 502, 504})
+# Share of the time limit after which an answer that ends is late, not lost.
+_USED_SHARE = 0.95
+# Requests sent this long after SIGTERM may still end with the grace time.
+_EARLY_SECONDS = 3.0
+_LAST_SHARE = 5 / 6
+
+
+def judge(record: Record) -> list[Finding]:
+    """Return all findings of a run."""
+    runs: dict[str, list[Run]] = {}
+    for run in record.runs:
+        runs.setdefault(run.request_id, []).append(run)
+    findings = [Finding("FAULT", text) for text in record.faults]
+    findings += _find_unasked(record)
+    for sent in record.sent:
+        own = runs.get(sent.request_id, [])
+        for rule, text in _judge_request(record, sent, own):
+            findings.append(Finding(rule, f"{text}: {_describe(sent, own)}"))
+    return findings
+
+
+def _judge_request(
+    record: Record, sent: Sent, runs: list[Run]
+) -> Iterator[tuple[str, str]]:
+    if not sent.route.is_idempotent:
+        if len(runs) > 1:
+            yield "TWICE", f"{len(runs)} runs"
+        if sent.end is End.ANSWERED and sent.status in _REFUSALS and runs:
+            yield "REFUSED", "refused, and has run"
+    yield from _find_mixed(sent, runs)
+    yield from _find_lost(record, sent, runs)
+
+
+def _find_unasked(record: Record) -> Iterator[Finding]:
+    sent = {each.request_id: each for each in record.sent}
+    for run in record.runs:
+        asked = sent.get(run.request_id)
+        if asked is None:
+            yield Finding("UNASKED", f"{run.request_id} was not sent")
+        elif (run.method, run.path, run.body) != (
+            asked.method,
+            asked.path,
+            asked.body,
+        ):
+            yield Finding("UNASKED", f"{run.request_id} was changed")
+        elif run.tenant != TENANT or run.key:
+            yield Finding("UNASKED", f"{run.request_id}: tenant {run.tenant!r}")
+
+
+def _find_mixed(sent: Sent, runs: list[Run]) -> Iterator[tuple[str, str]]:
+    if not sent.status:
+        return
+    receipt = sent.headers.get("carobladder-response-signature", "")
+    run = next((run for run in runs if run.receipt == receipt), None)
+    echoed = sent.headers.get("carobladder-request-id", sent.request_id)
+    is_success = 200 <= sent.status < 300
+    if echoed != sent.request_id or (receipt and run is None):
+        yield "MIXED", f"answer of request {echoed}, receipt {receipt!r}"
+    elif run is None:
+        if is_success:
+            yield "MIXED", "success without a receipt"
+    elif run.status != sent.status:
+        yield "MIXED", f"status of the run is {run.status}"
+    elif not run.answer.startswith(sent.answer):
+        yield "MIXED", "bytes that are not the target's"
+    elif is_success and sent.end is End.ANSWERED and sent.answer != run.answer:
+        yield "MIXED", f"{len(sent.answer)} of {len(run.answer)} bytes look whole"
+
+
+def _find_lost(
+    record: Record, sent: Sent, runs: list[Run]
+) -> Iterator[tuple[str, str]]:
+    if sent.end is End.GIVEN_UP and not _began_in_start(record, sent):
+        yield "LOST", "no answer after the time limit"
+    if sent.sent is None or _is_excused(record, sent, runs):
+        return
+    if sent.end is End.CUT and runs:
+        yield "LOST", "cut after it was passed on"
+    elif sent.end is End.CUT and not sent.is_crossed:
+        yield "LOST", f"cut {sent.ended - sent.sent:.3f} s after its last byte"
+    elif _is_own_failure(sent) and any(run.status == 200 for run in runs):
+        yield "LOST", "failure though its target was sound"
+
+
+def _is_own_failure(sent: Sent) -> bool:
+    return (
+        sent.end is End.ANSWERED
+        and sent.status in _OWN_FAILURES
+        and "carobladder-response-signature" not in sent.headers
+    )
+
+
+def _began_in_start(record: Record, sent: Sent) -> bool:
+    """Return whether the request waited for a process that was starting."""
+    return any(
+        start.instance == sent.instance and start.began <= sent.began <= start.ready
+        for start in record.starts
+    )
+
+
+def _is_excused(record: Record, sent: Sent, runs: list[Run]) -> bool:
+    if any(run.broke_off for run in runs):
+        return True
+    if sent.elapsed >= sent.limit_seconds * _USED_SHARE:
+        return True
+    return bool(runs) and any(
+        termination.instance == sent.instance
+        and sent.began <= termination.at + _EARLY_SECONDS
+        and sent.ended >= termination.at + GRACE_SECONDS * _LAST_SHARE
+        for termination in record.terminations
+    )
+
+
+def _describe(sent: Sent, runs: list[Run]) -> str:
+    last = "unfinished" if sent.sent is None else f"{sent.sent:.3f}"
+    ran = ", ".join(f"{run.receipt} at {run.began:.3f}" for run in runs) or "none"
+    return (
+        f"{sent.request_id} {sent.method} {sent.path} at {sent.instance}, "
+        f"{len(sent.body)} bytes, began {sent.began:.3f}, sent {last}, {sent.end} "
+        f"{sent.ended:.3f}, status {sent.status}, reused {sent.reused}; runs: {ran}"
+    )
