Let targets of the soak stream slowly, fall silent in chunks and close idle connections

Also: callers with short time budgets, a timeout of 12 s, up to 120 routes more, make soak, and the requests that crossed a close in what a run prints.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: build test demo measure slopes faults replay moves lint format venv docs
+.PHONY: build test demo measure slopes faults soak replay moves lint format venv docs
 
 venv: $(VENV)/.installed
 
@@ -45,6 +45,9 @@
 faults: venv
 	$(BIN)/python -m tests.faults
 
+soak: venv
+	$(BIN)/python -m tests.soak --seeds 50 --seconds 20
+
 docs: venv
 	$(BIN)/python -m carobladder.settings.reference > docs/settings.md
 	$(BIN)/python -m carobladder.settings.entry_reference > docs/entry-settings.md
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from tests.soak.bed import Options, play
-from tests.soak.judges import judge
+from tests.soak.judges import judge, list_crossed
 from tests.soak.records import End, Finding, Record
 
 
@@ -36,6 +36,7 @@
 
 
 def _print_run(seed: int, record: Record, findings: list[Finding]) -> None:
+    crossed = list_crossed(record)
     ends = Counter(each.end.value for each in record.sent)
     answered = (each for each in record.sent if each.end is End.ANSWERED)
     statuses = Counter(each.status for each in answered)
@@ -43,18 +44,14 @@
         f"seed {seed}: {len(record.sent)} requests, {len(record.runs)} runs, "
         f"{len(record.terminations)} terminations, ends {dict(sorted(ends.items()))}, "
         f"statuses {dict(sorted(statuses.items()))}, "
-        f"{_count_crossed(record)} crossed a close, {len(findings)} findings",
+        f"{len(crossed)} crossed a close, {len(findings)} findings",
         flush=True,
     )
+    for text in crossed:
+        print(f"  crossed: {text}", flush=True)
     for finding in findings:
         print(f"  {finding.rule} {finding.text}", flush=True)
 
 
-def _count_crossed(record: Record) -> int:
-    """Count requests that crossed a close and that no target ran."""
-    ran = {run.request_id for run in record.runs}
-    return sum(each.is_crossed and each.request_id not in ran for each in record.sent)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/soak/bed.py
+++ b/tests/soak/bed.py
@@ -192,9 +192,11 @@
         end = began + _READY_SECONDS
         while not await _ask_ready(instance.readiness):
             instance.listening = instance.listening or await _accepts(instance.address)
+            if instance.stopping:
+                break
             if self._now() > end:
                 self.record.faults.append(f"{instance.name} is not ready")
-                return
+                break
             await asyncio.sleep(0.05)
         instance.listening = True
         self.record.starts.append(Start(instance.name, began, self._now()))
@@ -266,7 +268,7 @@
         self._idle_ms = generator.choice(_IDLE_MS)
         extra_routes = [
             _build_route(f"extra-{number}", "safe", "shop", 3000)
-            for number in range(generator.choice((0, 0, 4, 40)))
+            for number in range(generator.choice((0, 0, 4, 120)))
         ]
         extra_keys = [f"key{number:017}" for number in range(generator.randrange(4))]
         limits = {"headerTimeoutMs": generator.choice(_HEADER_MS), **_LIMITS}
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,7 +14,7 @@
 KEY = "n2ctnfzs989anu6wsjnb"
 _CONNECT_SECONDS = 1.0
 _RETRY_SECONDS = 0.05
-_DEADLINES_MS = (6000, 9000)
+_DEADLINES_MS = (800, 6000, 9000, 12_000)
 # Waiting beyond the time limit shows whether the instance ends the request at all.
 _GIVE_UP_SECONDS = 1.0
 _LONGEST_BODY_BYTES = 72_000
--- a/tests/soak/judges.py
+++ b/tests/soak/judges.py
@@ -4,7 +4,7 @@
 
 from tests.soak.records import GRACE_SECONDS, TENANT, End, Finding, Record, Run, Sent
 
-__all__ = ["judge"]
+__all__ = ["judge", "list_crossed"]
 
 _REFUSALS = frozenset({408, 421, 429, 503})
 _OWN_FAILURES = frozenset({500, 502, 504})
@@ -29,6 +29,16 @@
     return findings
 
 
+def list_crossed(record: Record) -> list[str]:
+    """Describe requests that crossed a close and that no target ran."""
+    ran = {run.request_id for run in record.runs}
+    return [
+        _describe(each, [])
+        for each in record.sent
+        if each.is_crossed and each.request_id not in ran
+    ]
+
+
 def _judge_request(
     record: Record, sent: Sent, runs: list[Run]
 ) -> Iterator[tuple[str, str]]:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -54,7 +54,7 @@
         Route("look", "safe", ("shop", "depot"), 4000),
         Route("order", "unsafe", ("shop", "depot"), 4000),
         Route("brief", "unsafe", ("shop",), 400),
-        Route("draft", "streaming", ("engine",), 6000),
+        Route("draft", "streaming", ("engine",), 12_000),
         Route("chat", "streaming", ("engine",), 6000, is_resumable=True),
     )
 }
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -13,7 +13,9 @@
 
 _QUICK_SECONDS = (0.005, 0.06)
 _SILENT_SECONDS = (0.5, 1.9)
+_IDLE_SECONDS = 2
 _EVENT_GAP_SECONDS = (0.005, 0.08)
+_SLOW_GAP_SECONDS = (0.1, 0.5)
 _LONGEST_ANSWER_BYTES = 72_000
 _SLOTS = 12
 _RESET = struct.pack("ii", 1, 0)
@@ -21,6 +23,7 @@
     *("whole",) * 8,
     *("silent",) * 5,
     *("chunked",) * 2,
+    *("silent-chunked",) * 2,
     *("endless",) * 2,
     *("copy",) * 2,
     "late-close",
@@ -33,6 +36,7 @@
 _STREAM = (
     *("chunked",) * 8,
     *("silent",) * 6,
+    *("slow",) * 3,
     *("endless",) * 3,
     "failed",
     "busy",
@@ -40,6 +44,7 @@
     "reset",
     "spoiled",
 )
+_IN_PIECES = frozenset({"chunked", "silent-chunked", "endless"})
 _BREAKING = frozenset({"cut", "reset", "spoiled"})
 
 
@@ -75,7 +80,7 @@
     ) -> None:
         """Serve one connection, one request at a time."""
         late_copy = b""
-        while (message := await read_message(reader)) is not None:
+        while (message := await _read_in_time(reader)) is not None:
             writer.write(late_copy)
             if message.headers.get("carobladder-expect-instance") != self._name:
                 status = 200 if message.start.startswith("GET /health ") else 421
@@ -99,7 +104,10 @@
 
     @property
     def _identity(self) -> dict[str, str]:
-        return {"Carobladder-Instance-Id": self._name}
+        return {
+            "Carobladder-Instance-Id": self._name,
+            "Keep-Alive": f"timeout={_IDLE_SECONDS}",
+        }
 
     def _now(self) -> float:
         return time.monotonic() - self._started
@@ -169,7 +177,7 @@
             writer.write(format_answer(500, self._headers, self.run.answer))
         elif self.kind == "spoiled":
             writer.write(b"\x00\x01 no answer\r\n\r\n")
-        elif self._route.is_stream or self.kind in ("chunked", "endless"):
+        elif self._route.is_stream or self.kind in _IN_PIECES:
             await self._write_pieces(writer)
         else:
             await self._write_whole(writer)
@@ -195,7 +203,7 @@
     async def _write_pieces(self, writer: asyncio.StreamWriter) -> None:
         pieces = self._split()
         stop = self._generator.randrange(len(pieces) + 1)
-        silent_at = stop if self.kind == "silent" else -1
+        silent_at = stop if self.kind.startswith("silent") else -1
         if silent_at == 0:
             await self._pause(_SILENT_SECONDS)
         writer.write(self._build_head())
@@ -206,6 +214,8 @@
             await writer.drain()
             if number + 1 == silent_at:
                 await self._pause(_SILENT_SECONDS)
+            elif self.kind == "slow":
+                await self._pause(_SLOW_GAP_SECONDS)
             elif self._route.is_stream:
                 await self._pause(_EVENT_GAP_SECONDS)
         if self.kind == "reset":
@@ -251,6 +261,15 @@
     writer.transport.abort()
 
 
+async def _read_in_time(reader: asyncio.StreamReader) -> Head | None:
+    """Return the next request, or None if the connection ends or stays idle."""
+    try:
+        async with asyncio.timeout(_IDLE_SECONDS):
+            return await read_message(reader)
+    except TimeoutError:
+        return None
+
+
 async def _close(writer: asyncio.StreamWriter) -> None:
     writer.close()
     await writer.wait_closed()
