Refuse requests that are being read at the end of the grace time

Cause: all tasks were cancelled, and the task of a connection that reads aborts it. It has not run and never will, so a 503 is true, and its caller may go elsewhere at once.

Change: at the end of the grace time the wait for further bytes ends with a refusal; only requests that are handled are cancelled. Bytes that have just arrived are looked at first.

--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -9,6 +9,7 @@
     CallerError,
     CallerGoneError,
     RequestTimeoutError,
+    ShuttingDownError,
 )
 from carobladder.gateway.bodies import RequestBody
 from carobladder.gateway.bodymemory import BodyReservation
@@ -157,9 +158,17 @@
         """Cancel the request that is being handled; its handler may send an error."""
         if self._idle:
             self.close_if_idle()
-            return
-        self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
-        self._cancel()
+        elif self._bytes_arrived is not None:
+            self._end_reading(self._bytes_arrived)
+        else:
+            self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
+            self._cancel()
+
+    def _end_reading(self, waiter: asyncio.Future[None]) -> None:
+        """Refuse the request that is being read unless bytes have just arrived."""
+        if not waiter.done():
+            reason = "the instance ended before the request was read"
+            waiter.set_exception(ShuttingDownError(reason))
 
     def abort(self) -> None:
         """Abort the connection and cancel its request."""
