Tell the rest of a refused body from a pipelined request

Cause: after a whole response all unparsed bytes count as the next request. Change: not while the body of the request is still awaited. The new test failed before.

--- a/carobladder/gateway/endings.py
+++ b/carobladder/gateway/endings.py
@@ -114,6 +114,9 @@
     ``has_bytes`` tells whether bytes arrived that are not parsed yet.
     """
     if parser.our_state in _WHOLE_ANSWER_STATES:
+        # The bytes belong to the body of a request that was refused before its end.
+        if parser.their_state is h11.SEND_BODY:
+            return RequestProgress.NONE
         return RequestProgress.PIPELINED if has_bytes else RequestProgress.NONE
     if parser.our_state is h11.IDLE:
         return RequestProgress.HEAD if has_bytes else RequestProgress.NONE
--- a/tests/gateway/test_endings.py
+++ b/tests/gateway/test_endings.py
@@ -50,6 +50,21 @@
         (record,) = logs.records
         self.assertEqual((record.reason, record.progress), ("caller_closed", "body"))
 
+    # Guards against an early refusal that looks like a request without an answer.
+    async def test_rest_of_a_body_that_was_refused_is_no_other_request(self):
+        await self.start(max_body_bytes=8)
+        chunk = b"20\r\n" + b"x" * 32 + b"\r\n"
+        with self.assertNoLogs("carobladder", "INFO"):
+            answer = await self.exchange(
+                HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + 2 * chunk
+            )
+            self.assertIn(b" 413 ", answer[:20])
+            self.writer.write(chunk)
+            await asyncio.sleep(0.02)
+            self.writer.close()
+            await self.wait_for_end()
+        self.assertEqual(self.count_ends("refused", "none"), 1)
+
     async def test_request_that_is_handled_at_the_end_of_the_instance_is_logged(self):
         async def wait_for_ever(request, responder) -> None:
             await asyncio.Event().wait()
