Let connections with bytes always ready take turns

What callers saw: beside 200 streams of whole events without end, with targets and callers in processes of their own, 8 of 22 sound requests got 503 and the median took 2.4 s; beside streams of tiny events or bodies of one-byte chunks none was answered in 8 s.

Cause: each connection reads up to 256 KB in an iteration of the event loop and parses all of it, which takes 0.1 s and more for small chunks; with many such connections an iteration lasts seconds. What is read and not consumed, up to 262 KB for each connection, and incomplete heads of up to 64 KB were not counted in any sum.

Ruled out: a smaller read alone, as the iteration still grows with the number of connections.

Change: connections read at most 16 KB at once into a shared buffer. One that reads 4 KB or more, or has more than 128 events of the parser at hand, waits for its next turn; four turns start in an iteration. Unread bytes are limited to 32 KB for each connection; they and incomplete heads, chunk lines and trailers are charged to the budget for answers. Reading pauses if there is no room for unread bytes, and an incomplete head without room is given up.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -1,11 +1,12 @@
 """One HTTP/1.1 connection to a server, driven by h11."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 import h11
 
+from carobladder.clients.reads import EVENTS_IN_A_TURN, ReadFlow, SharedReads
+from carobladder.clients.sockets import enable_keepalive
 from carobladder.exceptions import AnswerOverdueError, ConnectionBrokenError
 
 __all__ = ["DEFAULT_IDLE_SECONDS", "ClientConnection", "DeadlineExtender", "Sink"]
@@ -21,16 +22,12 @@
 DEFAULT_IDLE_SECONDS = 4.0
 # Interim responses (1xx) that may precede the final response.
 _MAX_INTERIM_ANSWERS = 16
-_KEEP_ALIVE_PROBES = 3
-_MS_PER_SECOND = 1000
-# Reading from the socket pauses while more than this is buffered but not consumed.
-_HIGH_WATER_BYTES = 262_144
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Client side of a persistent connection, which serves one request at a time."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, reads: SharedReads) -> None:
         self.address = address
         self.reused = False
         self.idle_since = 0.0
@@ -47,8 +44,10 @@
         self._lost = False
         self._eof = False
         self.timed_out = False
-        self._paused = False
-        self._unread_bytes = 0
+        self._buffer = reads.buffer
+        self._flow = ReadFlow(reads, self._continue_parsing)
+        # Whether parsing waits for a turn, as the bytes at hand hold many events.
+        self._parsing_paused = False
         self._request: h11.Request | None = None
         self._sink: Sink | None = None
         self._push_result: asyncio.Future[bool] | None = None
@@ -73,45 +72,28 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._flow.start(transport)
 
     def enable_keepalive(self, seconds: float) -> None:
-        """Let the kernel close the connection if the peer's kernel sends no ACKs.
+        """Let the kernel close the connection if the peer's kernel sends no ACKs."""
+        if self._transport is not None:
+            enable_keepalive(self._transport, seconds)
 
-        TCP_USER_TIMEOUT is ``seconds``; keep-alive probes detect an idle connection's
-        failure in about the same time.
-        """
-        transport = self._transport
-        handle = transport.get_extra_info("socket") if transport else None
-        if handle is None:
-            return
-        whole_seconds = max(1, round(seconds / _KEEP_ALIVE_PROBES))
-        handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, whole_seconds)
-        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, whole_seconds)
-        handle.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES - 1
-        )
-        handle.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            round(seconds * _MS_PER_SECOND),
-        )
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections read into, one after the other."""
+        return self._buffer
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
         """Feed the parser, or abort the connection if no request is in flight."""
         if self._idle:
             self.abort()
             return
         self.answer_started = True
-        self._http.receive_data(data)
+        self._http.receive_data(bytes(self._buffer[:nbytes]))
+        self._flow.note_received(nbytes)
         if self._sink is not None:
             self._push_received(self._sink)
-            return
-        self._unread_bytes += len(data)
-        if self._unread_bytes > _HIGH_WATER_BYTES and not self._paused:
-            self._paused = True
-            assert self._transport is not None
-            self._transport.pause_reading()
+        self._flow.pause_if_full()
         self._wake()
 
     def eof_received(self) -> bool:
@@ -127,6 +109,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Wake the reader, which then raises ConnectionBrokenError."""
         self._lost = True
+        self._flow.close()
         self._cancel_timer()
         self._wake()
         if self._push_result is not None and not self._push_result.done():
@@ -137,6 +120,7 @@
     def abort(self) -> None:
         """Close the connection immediately, which cancels the request at the server."""
         self._lost = True
+        self._flow.close()
         self._cancel_timer()
         if self._transport is not None:
             self._transport.abort()
@@ -189,11 +173,15 @@
         Raises ConnectionBrokenError.
         """
         self._arm_timer(self._loop.time() + timeout_seconds, extend_deadline)
+        while self._parsing_paused and not self._lost:
+            await self._wait()
         parts: list[bytes] = []
         while True:
             event = self._next_event()
             if isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
+                if self._pause_parsing(len(parts)):
+                    return b"".join(parts)
             elif event is h11.NEED_DATA:
                 if parts:
                     return parts[0] if len(parts) == 1 else b"".join(parts)
@@ -278,9 +266,8 @@
         self._idle = True
         self._extend_deadline = None
         self.request_written = False
-        self._unread_bytes = 0
-        if self._paused:
-            self._resume()
+        self._parsing_paused = False
+        self._flow.reset()
         return True
 
     @property
@@ -305,12 +292,16 @@
             pushed.set_result(at_end)
 
     def _push(self, sink: Sink) -> bool | None:
-        """Return True at the end, False if the sink stops, None to wait for bytes."""
+        """Return True at the end, False if the sink stops, None to go on later."""
+        count = 0
         while True:
             event = self._next_event()
             if type(event) is h11.Data:
                 if not sink(bytes(event.data)):
                     return False
+                count += 1
+                if self._pause_parsing(count):
+                    return None
             elif event is h11.NEED_DATA:
                 return None
             elif isinstance(event, h11.EndOfMessage):
@@ -324,15 +315,24 @@
         except h11.RemoteProtocolError as error:
             raise self._build_error(f"invalid answer: {error}") from None
         if event is h11.NEED_DATA:
-            self._unread_bytes = 0
-            if self._paused:
-                self._resume()
+            self._flow.note_consumed(len(self._http.trailing_data[0]))
         return event
 
-    def _resume(self) -> None:
-        self._paused = False
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+    def _pause_parsing(self, count: int) -> bool:
+        """Return whether to go on in a later turn after this number of events."""
+        if count < EVENTS_IN_A_TURN or self._eof or self._lost:
+            return False
+        self._parsing_paused = True
+        self._flow.wait_for_turn()
+        return True
+
+    def _continue_parsing(self) -> None:
+        if not self._parsing_paused:
+            return
+        self._parsing_paused = False
+        if self._sink is not None:
+            self._push_received(self._sink)
+        self._wake()
 
     async def _wait(self) -> None:
         if self._lost:
--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -8,6 +8,7 @@
 from carobladder.clients.answers import AnswerStream
 from carobladder.clients.connection import ClientConnection, DeadlineExtender
 from carobladder.clients.ports import HttpAnswer
+from carobladder.clients.reads import SharedReads
 from carobladder.clock import Clock
 from carobladder.exceptions import ConnectionBrokenError, RequestWithheldError
 from carobladder.headers import Headers, encode_headers
@@ -48,6 +49,7 @@
         self._clock = clock
         self._body_timeout_seconds = body_timeout_seconds
         self.memory = memory or MemoryBudget(_DEFAULT_MEMORY_BYTES)
+        self._reads = SharedReads(self.memory)
         self._tcp_user_timeout_seconds = tcp_user_timeout_seconds
         self._connect_timeout_seconds = connect_timeout_seconds
         self._pool: dict[str, list[ClientConnection]] = {}
@@ -187,7 +189,9 @@
         try:
             async with asyncio.timeout_at(connect_at):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(address), host.strip("[]"), int(port)
+                    lambda: ClientConnection(address, self._reads),
+                    host.strip("[]"),
+                    int(port),
                 )
         except (OSError, ValueError, OverflowError) as error:
             raise ConnectionBrokenError(
