Pass comments and empty events of a stream with less work

Tiny events without end were the slowest of the bytes without end: 16 KB of three-byte comments took 11 to 25 ms, in which all other requests wait, and four such reads fit in an iteration.

Change: events are split at once, and comments and empty ones are passed without a search for an id.

--- a/carobladder/retries/streams.py
+++ b/carobladder/retries/streams.py
@@ -84,13 +84,10 @@
             self.discard_incomplete()
         data = self._normalise_line_ends(data)
         start = 0
-        while not self.finished:
-            end = data.find(_EVENT_END, start)
-            if end < 0:
+        for event in data.split(_EVENT_END)[:-1]:
+            if self.finished or not self._accept_event(event):
                 break
-            if not self._accept_event(data, start, end):
-                break
-            start = end + len(_EVENT_END)
+            start += len(event) + len(_EVENT_END)
         if not (self.fault or self.finished):
             self._hold_back(data[start:])
         if start:
@@ -123,18 +120,21 @@
         self.fault = fault
         self.discard_incomplete()
 
-    def _accept_event(self, data: bytes, start: int, end: int) -> bool:
-        if data.startswith(b"id:", start):
-            line = start
+    def _accept_event(self, event: bytes) -> bool:
+        if not event or (event.startswith(b":") and b"\n" not in event):
+            # A comment, of which there may be thousands in the bytes of one read.
+            return True
+        if event.startswith(b"id:"):
+            line = 0
         else:
             # Payloads are JSON on one line, so a line that starts with "id:" never
             # belongs to a payload.
-            line = data.find(b"\nid:", start, end) + 1
+            line = event.find(b"\nid:") + 1
             if line == 0:
-                self._accept_unindexed(data[start:end])
+                self._accept_unindexed(event)
                 return True
-        line_end = data.find(b"\n", line, end)
-        return self._accept_index(data[line + 3 : line_end if line_end >= 0 else end])
+        line_end = event.find(b"\n", line)
+        return self._accept_index(event[line + 3 : line_end if line_end >= 0 else None])
 
     def _accept_index(self, text: bytes) -> bool:
         try:
