Keep requests at targets that end a common silence

What targets saw: two targets were silent for 1.3 s and went on, one 0.25 s after the other, or each with one answer 0.25 s before the rest; 4 and 6 of 8 requests that may be repeated were sent a second time just then, and the answers under way were lost (the requests, where their time was short: 504). Cause: a silent target is left for one that was heard since the middle of the silence, thus as soon as the first one speaks again, even if the silent one has been heard as well. Ruled out: the retry budget, which bounds this but does not prevent it, and requests that may run only once.

Change: for 0.4 s after a target with requests has ended a silence of more than 0.5 s, it is neither left nor taken for one that answers. One that stays silent is left after that.

--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -13,6 +13,10 @@
 # A load report is ignored after this time.
 _LOAD_EXPIRY_SECONDS = 2.5
 _INITIAL_LATENCY_SECONDS = 0.1
+# A silence of a target with requests, and the time after it in which the target may
+# still answer those that waited.
+_SILENCE_SECONDS = 0.5
+_RESUME_SECONDS = 0.4
 # An overloaded target gets no requests and thus sends no load reports while its load
 # falls. The part that no instance has reported is assumed to decay after this time.
 _LOAD_HOLD_SECONDS = 0.2
@@ -55,6 +59,8 @@
     failures: int = 0
     paused_until: float = 0.0
     last_byte_at: float = float("-inf")
+    _busy_since: float = float("inf")
+    _resumed_at: float = float("-inf")
     reachable: bool = True
     _load: TargetLoad | None = None
     _load_at: float = 0.0
@@ -93,16 +99,33 @@
         self.failures = 0
         self.reachable = True
 
+    def note_sent(self, now: float) -> None:
+        """Count a request that is about to be sent to the target."""
+        if not self.in_flight:
+            self._busy_since = now
+        self.in_flight += 1
+
     def note_byte(self, now: float) -> None:
         """Record that the target has sent a part of a response."""
+        if now - max(self.last_byte_at, self._busy_since) > _SILENCE_SECONDS:
+            self._resumed_at = now
         self.last_byte_at = now
         self._end_avoidance(now)
 
-    def is_responsive(self, silent_since: float) -> bool:
-        """Return whether nothing speaks for a silence of the target since this time.
+    def has_just_resumed(self, now: float) -> bool:
+        """Return whether the target has ended a silence only just now.
+
+        Targets that fell silent together go on at slightly different times.
+        """
+        return now - self._resumed_at < _RESUME_SECONDS
+
+    def is_responsive(self, silent_since: float, now: float) -> bool:
+        """Return whether nothing speaks for a silence of the target since a time.
 
         One that has no requests is responsive unless a connection to it has failed.
         """
+        if self.has_just_resumed(now):
+            return False
         if self.last_byte_at > silent_since:
             return True
         return not self.in_flight and self.reachable
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -122,20 +122,20 @@
         """
         service = criteria.service.name
         registered = self._table.list_registered(service)
-        if not any(t.health.is_responsive(silent_since) for t in registered):
+        if not any(t.health.is_responsive(silent_since, now) for t in registered):
             # Spares the rest to requests that wait in large numbers.
             return False
         candidates = self._moves.filter_possible(
             service, self._list_available(criteria, now), registered
         )
-        return any(target.health.is_responsive(silent_since) for target in candidates)
+        return any(t.health.is_responsive(silent_since, now) for t in candidates)
 
-    def list_silent(self, service: str, silent_since: float) -> set[str]:
+    def list_silent(self, service: str, silent_since: float, now: float) -> set[str]:
         """Return the ids of the targets that are silent since a time."""
         return {
             target.target_id
             for target in self._table.list_registered(service)
-            if not target.health.is_responsive(silent_since)
+            if not target.health.is_responsive(silent_since, now)
         }
 
     def has_limited(self, service: str) -> bool:
--- a/carobladder/forwarding/choices.py
+++ b/carobladder/forwarding/choices.py
@@ -36,7 +36,7 @@
     def note_left(self, heard_since: float) -> None:
         """Pass over all targets in the next choice that are silent since a time."""
         self._silent_ids = self._selector.list_silent(
-            self._call.service.name, heard_since
+            self._call.service.name, heard_since, self._clock.monotonic()
         )
 
     def choose(self) -> FleetTarget | None:
@@ -52,10 +52,16 @@
         return target
 
     def has_alternative(self, target: FleetTarget | None, heard_since: float) -> bool:
-        """Return whether another target can be chosen that seems to answer."""
+        """Return whether another target can be chosen that seems to answer.
+
+        None is taken for a target that has just ended its silence.
+        """
+        now = self._clock.monotonic()
+        if target is not None and target.health.has_just_resumed(now):
+            return False
         excluded = self._tried_ids | ({target.target_id} if target else set())
         return self._selector.has_responsive(
-            self._build_criteria(excluded), heard_since, self._clock.monotonic()
+            self._build_criteria(excluded), heard_since, now
         )
 
     def is_overloaded(self) -> bool:
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -138,7 +138,7 @@
         sent_at = self.clock.monotonic()
         outcome = SendOutcome(call.route, target, self.tallies, self.times, self.clock)
         loop = asyncio.get_running_loop()
-        target.health.in_flight += 1
+        target.health.note_sent(sent_at)
         self.report_sent()
         silence_timeout = self.compute_silence_timeout(call, target)
         silence_timer = None
