Show two more requests that a drain leaves without an answer (failing)

Causes: the end of the drain cancels connections that have no request at their handler; and a drain closes a kept connection right after an answer whose headers, sent before the drain, announced no close.

The judges of the soak now excuse only the break of the last target, and a failure of one that was to go on with a broken stream.

--- a/tests/gateway/test_drain_end.py
+++ b/tests/gateway/test_drain_end.py
@@ -1,28 +1,97 @@
-"""Tests of requests that a drain finds unfinished at its end."""
+"""Tests of requests that come as a drain closes their connections."""
 
 import asyncio
+import contextlib
+import socket
+import time
 
+from carobladder.gateway.ports import Answer
 from tests.gateway.test_connections import HEAD, ConnectionTest
 
 LIMIT_SECONDS = 0.6
 TIMEOUT_SECONDS = 5.0
 BODY = b"x" * 10
+REQUEST = HEAD + b"Content-Length: 0\r\n\r\n"
+CALLERS = 10
+
+
+def block(seconds: float) -> None:
+    """Keep the event loop busy."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        pass
 
 
 class DrainEndTest(ConnectionTest):
     """Guard against requests that end with neither an answer nor a refusal."""
 
-    # Guards against a reset while the last bytes of a body are on their way.
+    async def read_status(self, reader: asyncio.StreamReader) -> bytes:
+        """Return the status line, or nothing if the connection was closed."""
+        with contextlib.suppress(ConnectionResetError):
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                return await reader.readline()
+        return b""
+
+    def connect_without_loop(self) -> socket.socket:
+        """Connect and send a request in the last moment of a drain."""
+        caller = socket.create_connection(("127.0.0.1", self.gateway.server.port))
+        self.addCleanup(caller.close)
+        caller.sendall(REQUEST)
+        caller.setblocking(False)
+        return caller
+
+    async def read_from(self, caller: socket.socket) -> bytes:
+        """Return the first bytes of an answer, or nothing."""
+        with contextlib.suppress(ConnectionResetError):
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                return await asyncio.get_running_loop().sock_recv(caller, 4096)
+        return b""
+
+    # Guards against a close while the last bytes of a body are on their way.
     async def test_request_that_is_being_read_is_refused(self):
         await self.start()
         head = HEAD + b"Content-Length: %d\r\n\r\n" % len(BODY)
         self.writer.write(head + BODY[:5])
         await asyncio.sleep(0.02)
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            finished = await self.gateway.server.finish_drain(LIMIT_SECONDS)
-            try:
-                status = await self.reader.readline()
-            except ConnectionResetError:
-                status = b"connection reset"
-        self.assertFalse(finished)
-        self.assertIn(b" 503 ", status)
+        self.assertFalse(await self.gateway.server.finish_drain(LIMIT_SECONDS))
+        self.assertIn(b" 503 ", await self.read_status(self.reader))
+
+    # Guards against a close of connections that were accepted at the last moment.
+    async def test_requests_that_arrive_at_the_end_are_refused(self):
+        async def wait(request, responder) -> None:
+            await asyncio.Event().wait()
+
+        await self.start(wait)
+        self.writer.write(REQUEST)
+        await asyncio.sleep(0.02)
+        drain = asyncio.create_task(self.gateway.server.finish_drain(LIMIT_SECONDS))
+        await asyncio.sleep(LIMIT_SECONDS - 0.01)
+        # The event loop finds the requests and the end of the drain together.
+        block(0.02)
+        callers = [self.connect_without_loop() for _ in range(CALLERS)]
+        self.assertFalse(await drain)
+        for caller in callers:
+            self.assertIn(b"HTTP/1.1 ", await self.read_from(caller))
+
+    # Guards against a close right after an answer whose headers announced none.
+    async def test_next_request_after_an_answer_without_notice_is_answered(self):
+        release = asyncio.Event()
+
+        async def answer_slowly(request, responder) -> None:
+            if release.is_set():
+                await responder.send_answer(Answer(200, (), b"next"))
+                return
+            await responder.start_stream(200, ())
+            await responder.send_chunk(b"first")
+            await release.wait()
+            await responder.end_stream()
+
+        await self.start(answer_slowly)
+        self.writer.write(REQUEST)
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        self.assertNotIn(b"connection: close", head.lower())
+        self.gateway.server.begin_drain()
+        release.set()
+        await self.reader.readuntil(b"0\r\n\r\n")
+        self.writer.write(REQUEST)
+        self.assertIn(b" 200 ", await self.read_status(self.reader))
--- a/tests/soak/judges.py
+++ b/tests/soak/judges.py
@@ -98,7 +98,7 @@
         yield "LOST", "cut after it was passed on"
     elif sent.end is End.CUT and not sent.is_crossed:
         yield "LOST", f"cut {sent.ended - sent.sent:.3f} s after its last byte"
-    elif _is_own_failure(sent) and any(run.status == 200 for run in runs):
+    elif _is_own_failure(sent) and runs and runs[-1].status == 200:
         yield "LOST", "failure though its target was sound"
 
 
@@ -119,7 +119,7 @@
 
 
 def _is_excused(record: Record, sent: Sent, runs: list[Run]) -> bool:
-    if any(run.broke_off for run in runs):
+    if runs and _is_broken(runs):
         return True
     if sent.elapsed >= sent.limit_seconds * _USED_SHARE:
         return True
@@ -131,6 +131,13 @@
     )
 
 
+def _is_broken(runs: list[Run]) -> bool:
+    """Return whether the last target broke off, or failed to go on for one that did."""
+    last = runs[-1]
+    went_on = any(run.broke_off for run in runs[:-1])
+    return last.broke_off or (went_on and last.status != 200)
+
+
 def _describe(sent: Sent, runs: list[Run]) -> str:
     last = "unfinished" if sent.sent is None else f"{sent.sent:.3f}"
     ran = ", ".join(f"{run.receipt} at {run.began:.3f}" for run in runs) or "none"
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -142,6 +142,13 @@
         sent = build_sent("order", end=End.CUT, status=0, answer=b"")
         self.assertEqual(list_rules([sent], [build_run("order")]), ["LOST"])
 
+    # An early break that excuses the cut of a later, sound run.
+    def test_finds_cuts_of_repeated_requests(self):
+        sent = build_sent("look", end=End.CUT, status=0, answer=b"")
+        broken = build_run("look", broke_off=True)
+        runs = [broken, build_run("look", receipt="i-2")]
+        self.assertEqual(list_rules([sent], runs), ["LOST"])
+
     # A stream of a sound target that ends before its last event.
     def test_finds_cut_streams(self):
         sent = build_sent("draft", end=End.CUT, answer=b"who", ended=14.0)
