Refuse late arrivals and close no connection that its caller may still use

Causes: the end of a drain cancelled connections whose requests had arrived but were not at their handler yet; and a drain closed a connection right after an answer whose headers, sent before the drain, announced no close.

Change: at the end only requests that are handled are cancelled, and what is read after it is refused. A connection whose last answer announced an idle time is closed when that time is over, unless the grace time ends before.

--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -38,6 +38,8 @@
 
 # Time for which bytes are discarded after an early response.
 _LINGER_SECONDS = 1.0
+# Time for the next request on a connection whose idle time was not announced.
+_UNANNOUNCED_IDLE_SECONDS = 0.5
 _WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 
 
@@ -60,6 +62,8 @@
         self._wait_began = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._idle = True
+        self._handling = False
+        self._usable_until = 0.0
         self._recorder = EndRecorder(state.metrics.connections, state.clock)
         self._intake: CallerIntake | None = None
         self._sender: AnswerSender | None = None
@@ -151,18 +155,22 @@
         self._loop.call_soon(self._loop.call_soon, self._close_if_still_idle)
 
     def _close_if_still_idle(self) -> None:
-        if self._idle and self._transport is not None:
+        if not self._idle or self._transport is None:
+            return
+        if self._state.ended or self._loop.time() >= self._usable_until:
             self._close(ConnectionEnd.IDLE_IN_DRAIN)
+        else:
+            self._loop.call_at(self._usable_until, self.close_if_idle)
 
     def end_request(self) -> None:
         """Cancel the request that is being handled; its handler may send an error."""
-        if self._idle:
+        if self._handling:
+            self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
+            self._cancel()
+        elif self._idle:
             self.close_if_idle()
         elif self._bytes_arrived is not None:
             self._end_reading(self._bytes_arrived)
-        else:
-            self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
-            self._cancel()
 
     def _end_reading(self, waiter: asyncio.Future[None]) -> None:
         """Refuse the request that is being read unless bytes have just arrived."""
@@ -236,15 +244,15 @@
             return False
         exchange.head_only = request.method == "HEAD"
         exchange.keep_alive = self._http.their_state is h11.DONE
+        self._handling = True
         await exchange.handle(request)
         await self.drain()
+        self._handling = False
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._recorder.answer_count += 1
-            if not self._closes_for_drain():
-                return True
-            self._close(ConnectionEnd.ANSWERED)
-            return False
+            self._note_reuse()
+            return True
         if self._http.our_state is h11.MUST_CLOSE:
             self._close(ConnectionEnd.ANSWERED)
         else:
@@ -262,12 +270,16 @@
         await handler.refuse(refusal.request, refusal.error, exchange)
         self._linger(self._limits.read_seconds)
 
-    def _closes_for_drain(self) -> bool:
-        """Return whether to close the connection after this response due to a drain.
+    def _note_reuse(self) -> None:
+        """Note until when the caller may use the connection for another request.
 
-        The headers may have been sent before the drain, without Connection: close.
+        The headers of a response may have been sent before a drain, and have announced
+        no close.
         """
-        return self._state.draining and not self.has_next_request
+        idle_seconds = self._state.announced_idle_seconds or _UNANNOUNCED_IDLE_SECONDS
+        self._usable_until = self._loop.time() + idle_seconds
+        if self._state.draining:
+            self._loop.call_at(self._usable_until, self.close_if_idle)
 
     async def _read_request(self, request_id: str) -> Request | None:
         """Return the next request, or None after the idle timeout."""
@@ -277,13 +289,16 @@
                 return None
             self._idle = False
             self._renew_limits()
-            return await self._parse_request(request_id)
+            request = await self._parse_request(request_id)
         except TimeoutError:
             raise RequestTimeoutError(
                 f"the request was not complete after {self._limits.read_seconds} s"
             ) from None
         except h11.RemoteProtocolError as error:
             raise convert_protocol_error(error, self._limits) from None
+        if self._state.ended:
+            raise ShuttingDownError("the instance ended before the request was read")
+        return request
 
     def _renew_limits(self) -> None:
         """Begin an idle time or a request with the present limits."""
