--- a/carobladder/clients/reads.py
+++ b/carobladder/clients/reads.py
@@ -58,7 +58,7 @@
     def __init__(self, shared: SharedReads, on_turn: Callable[[], None]) -> None:
         self.waits_for_turn = False
         self._shared = shared
-        self._on_turn = on_turn
+        self._on_turn: Callable[[], None] | None = on_turn
         self._transport: asyncio.Transport | None = None
         self._unread_bytes = 0
         self._reserved_bytes = 0
@@ -116,10 +116,13 @@
         self._shared.memory.release(self._reserved_bytes)
         self._reserved_bytes = 0
         self._is_closed = True
+        # Without this cycle the connection and its parser are freed at once, and not
+        # only by the next full garbage collection.
+        self._on_turn = None
 
     def _start_turn(self) -> None:
         self.waits_for_turn = False
-        if not self._is_closed:
+        if self._on_turn is not None:
             self._on_turn()
             self._update_reading()
 
--- a/tests/clients/test_reads.py
+++ b/tests/clients/test_reads.py
@@ -1,10 +1,16 @@
 """Tests of the work and the memory that bytes of servers cost at once."""
 
 import asyncio
+import contextlib
+import gc
 import unittest
+import weakref
 from collections import Counter
+from unittest import mock
 
+from carobladder.clients.connection import ClientConnection
 from carobladder.clients.http import HttpClient
+from carobladder.clients.reads import ReadFlow
 from carobladder.clock import SystemClock
 from carobladder.exceptions import ConnectionBrokenError, MemoryExceededError
 from carobladder.memory import MemoryBudget
@@ -227,6 +233,30 @@
             answer.close()
             self.assertEqual(self.memory.used_bytes, 0)
 
+    # Guards against connections that are kept, with their bytes, until a full garbage
+    # collection.
+    async def test_ended_connection_is_freed_without_garbage_collection(self):
+        async def send(reader, writer, number):
+            await read_head(reader)
+            writer.write(_HEAD + b"x: " + b"y" * 100_000)
+            await reader.read()
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        connections: list[weakref.ref[ClientConnection]] = []
+
+        class Flow(ReadFlow):
+            def start(self, transport):
+                connections.append(weakref.ref(transport.get_protocol()))
+                super().start(transport)
+
+        with mock.patch("carobladder.clients.connection.ReadFlow", Flow):
+            async with ScriptedServer(send) as server:
+                with contextlib.suppress(ConnectionBrokenError):
+                    await self.open(server.address)
+                await asyncio.sleep(0.05)
+        self.assertEqual([each() for each in connections], [None])
+
     # Guards against memory that stays reserved when a server ends its connection.
     async def test_memory_is_returned_when_the_server_breaks_off(self):
         async def send(reader, writer, number):
