Keep connections that are accepted as the listener closes

Callers saw: connections without an answer, reset or silent, and no log line of the instance. Cause: asyncio accepts a connection in one iteration of the event loop and adds it to its server in the next one. If the server is closed in between, adding it fails an assertion and the connection is dropped, with a log line in debug mode only. Also, a drain whose time ended while it took over the accept queue dropped the rest of the queue. Ruled out: the accept queue itself, which is taken over already. Change: the event loop stops accepting, and what it has accepted is added, before the queue is taken over and the listener closes. This part of a drain has no time limit any more; the waits before and after it share the limit.

--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -110,16 +110,21 @@
         loop = asyncio.get_running_loop()
         ends_at = self._state.clock.monotonic() + limit_seconds
         loop.call_later(_IDLE_GRACE_SECONDS, self._set_end, ends_at)
-        try:
-            async with asyncio.timeout(limit_seconds):
-                await self._state.no_connections.wait()
-                await self._stop_listening()
+        loop_ends_at = loop.time() + limit_seconds
+        await self._wait_without_connections(loop_ends_at)
+        await self._stop_listening()
+        if await self._wait_without_connections(loop_ends_at):
+            return True
+        await self._end_requests()
+        return False
+
+    async def _wait_without_connections(self, ends_at: float) -> bool:
+        """Return whether all connections are closed by a time of the event loop."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout_at(ends_at):
                 await self._state.no_connections.wait()
-        except TimeoutError:
-            await self._stop_listening()
-            await self._end_requests()
-            return False
-        return True
+                return True
+        return False
 
     def _set_end(self, ends_at: float) -> None:
         self._state.ends_at = ends_at
@@ -127,19 +132,22 @@
     async def _stop_listening(self) -> None:
         """Close the listener and take over the connections in its accept queue.
 
-        The kernel resets what is in the queue of a listener that is closed.
+        The kernel resets what is in the queue of a listener that is closed, and asyncio
+        drops without a log what it has accepted but not added to the closed server.
         """
         if self._server is None or not self._server.is_serving():
             return
+        assert self._listener is not None
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._listener)
+        for _ in range(_ACCEPT_ITERATIONS):
+            await asyncio.sleep(0)
         waiting = self._accept_waiting()
         self._server.close()
         emit(ListenerClosed(len(waiting)))
-        loop = asyncio.get_running_loop()
         for sock in waiting:
             with suppress(OSError):
                 await loop.connect_accepted_socket(self._create_connection, sock)
-        for _ in range(_ACCEPT_ITERATIONS):
-            await asyncio.sleep(0)
 
     def _accept_waiting(self) -> list[socket.socket]:
         assert self._listener is not None
