Refuse requests that are not read whole when an instance ends

Callers saw: a reset, which promises nothing, for a request whose body was not complete when the time of a drain ended, or whose last bytes had just been received and not been parsed. Cause: the end of a drain cancels the task of each connection that is not idle. The handler of a request answers its cancellation with an error; a request without a handler has nobody who does. Ruled out: idle connections, and requests that wait in the parser behind an answer. Change: reading a request ends with 503 once the server has ended. A request that proves whole is handed to the handler, which knows the end of the server. Result: 503 for a request with half of its body, and an answer for one whose bytes arrive in the iteration of the end.

--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -5,14 +5,10 @@
 
 import h11
 
-from carobladder.exceptions import (
-    CallerError,
-    CallerGoneError,
-    RequestTimeoutError,
-)
+from carobladder.exceptions import CallerError, CallerGoneError, RequestTimeoutError
 from carobladder.gateway.bodies import RequestBody
 from carobladder.gateway.bodymemory import BodyReservation
-from carobladder.gateway.endings import ConnectionEnd, EndRecorder
+from carobladder.gateway.endings import WHOLE_ANSWER_STATES, ConnectionEnd, EndRecorder
 from carobladder.gateway.exchanges import Exchange
 from carobladder.gateway.headchecks import (
     HeadCheck,
@@ -23,6 +19,7 @@
 from carobladder.gateway.ports import Request
 from carobladder.gateway.requests import (
     RequestLimits,
+    build_end_error,
     build_request,
     convert_protocol_error,
     create_parser,
@@ -37,7 +34,6 @@
 
 # Time for which bytes are discarded after an early response.
 _LINGER_SECONDS = 1.0
-_WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 
 
 class CallerConnection(asyncio.Protocol):
@@ -154,12 +150,14 @@
             self._close(ConnectionEnd.IDLE_IN_DRAIN)
 
     def end_request(self) -> None:
-        """Cancel the request that is being handled; its handler may send an error."""
+        """Refuse the request that is being read, or cancel the one that is handled."""
         if self._idle:
             self.close_if_idle()
-            return
-        self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
-        self._cancel()
+        elif self._bytes_arrived is None:
+            self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
+            self._cancel()
+        else:
+            _wake(self._bytes_arrived)
 
     def abort(self) -> None:
         """Abort the connection and cancel its request."""
@@ -191,7 +189,7 @@
             while await self._serve_next():
                 self._release_body()
         except asyncio.CancelledError:
-            if self._idle or self._http.our_state in _WHOLE_ANSWER_STATES:
+            if self._idle or self._http.our_state in WHOLE_ANSWER_STATES:
                 self._close(ConnectionEnd.CALLER_CLOSED)
             else:
                 self._abort_transport(ConnectionEnd.CALLER_CLOSED)
@@ -334,8 +332,11 @@
     async def _wait_for_bytes(self) -> None:
         """Wait for more bytes after all received bytes have been parsed.
 
-        Raises TimeoutError after the idle timeout, or the one of a request.
+        Raises TimeoutError after the idle timeout, or the one of a request, and
+        ShuttingDownError if the server has ended.
         """
+        if self._state.ended and not self._idle:
+            raise build_end_error()
         self._open_intake.settle(0)
         self._bytes_arrived = self._loop.create_future()
         self._set_timer()
--- a/carobladder/gateway/endings.py
+++ b/carobladder/gateway/endings.py
@@ -13,6 +13,7 @@
 from carobladder.telemetry import ConnectionCut, ConnectionMetrics, emit
 
 __all__ = [
+    "WHOLE_ANSWER_STATES",
     "ConnectionEnd",
     "EndRecorder",
     "RequestProgress",
@@ -20,7 +21,7 @@
     "find_progress",
 ]
 
-_WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
+WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 
 
 class ConnectionEnd(StrEnum):
@@ -113,7 +114,7 @@
 
     ``has_bytes`` tells whether bytes arrived that are not parsed yet.
     """
-    if parser.our_state in _WHOLE_ANSWER_STATES:
+    if parser.our_state in WHOLE_ANSWER_STATES:
         return RequestProgress.PIPELINED if has_bytes else RequestProgress.NONE
     if parser.our_state is h11.IDLE:
         return RequestProgress.HEAD if has_bytes else RequestProgress.NONE
--- a/carobladder/gateway/requests.py
+++ b/carobladder/gateway/requests.py
@@ -13,6 +13,7 @@
     HeaderTooLargeError,
     MalformedRequestError,
     NotReadyError,
+    ShuttingDownError,
 )
 from carobladder.gateway.ports import Directory, Request, Team
 from carobladder.targets import RequestClass
@@ -21,6 +22,7 @@
     "RequestLimits",
     "authenticate",
     "build_body_too_large_error",
+    "build_end_error",
     "build_request",
     "convert_protocol_error",
     "create_parser",
@@ -33,6 +35,8 @@
 
 _HEADER_OVERHEAD_BYTES = 4
 _HEADER_TOO_LARGE_STATUS = 431
+# Other instances take a caller at once.
+_END_RETRY_SECONDS = 0.05
 _MAX_REASON_CHARACTERS = 120
 _BEARER_SCHEME = "bearer"
 # Distinguishes request ids of the fleet from ids that a target creates.
@@ -92,6 +96,13 @@
             raise build_body_too_large_error(limits)
 
 
+def build_end_error() -> ShuttingDownError:
+    """Return the error for a request that is not read whole as the server ends."""
+    return ShuttingDownError(
+        "the instance ended before the request was complete", _END_RETRY_SECONDS
+    )
+
+
 def build_header_too_large_error(limits: RequestLimits) -> HeaderTooLargeError:
     """Return the error for headers that exceed the limit."""
     return HeaderTooLargeError(f"headers exceed {limits.max_header_bytes} bytes")
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -23,7 +23,10 @@
         """Close the connection if it is waiting for its next request."""
 
     def end_request(self) -> None:
-        """Cancel the request that is being handled; its handler may send an error."""
+        """Refuse the request that is being read, or cancel the one that is handled.
+
+        The handler of a cancelled request may send an error.
+        """
 
     def abort(self) -> None:
         """Abort the connection and cancel its request."""
--- a/tests/gateway/test_drain_races.py
+++ b/tests/gateway/test_drain_races.py
@@ -13,6 +13,7 @@
 # Event loop iterations in which the loop accepts a connection and adds it.
 ITERATIONS = 6
 CALLERS = 5
+LIMIT_SECONDS = 0.2
 
 
 class AcceptRaceTest(test_connections.ConnectionTest):
@@ -51,6 +52,34 @@
         await self.drain_with_callers(0, 0.0)
 
 
+class UnreadRequestTest(test_connections.ConnectionTest):
+    """Guard against requests that end with the instance while they are read."""
+
+    # Guards against a cut instead of a refusal that tells that nothing ran.
+    async def test_request_whose_body_is_not_complete_at_the_end_is_refused(self):
+        await self.start()
+        self.writer.write(HEAD + b"Content-Length: 2\r\n\r\na")
+        await asyncio.sleep(0.02)
+        await self.gateway.server.finish_drain(LIMIT_SECONDS)
+        self.assertIn(b" 503 ", (await self.read_answer())[:20])
+
+    # Guards against a cut of a whole request that waits in the parser.
+    async def test_request_that_arrives_as_the_drain_ends_is_answered(self):
+        await self.start()
+        connection = self.connection
+        receive = connection.data_received
+
+        def receive_and_end(data: bytes) -> None:
+            """Act like a drain whose time is over in the same iteration."""
+            receive(data)
+            self.state.ended = True
+            connection.end_request()
+
+        connection._transport.get_protocol().data_received = receive_and_end
+        answer = await self.exchange(REQUEST)
+        self.assertIn(answer[9:12], (b"200", b"503"))
+
+
 async def _read_start(caller: socket.socket) -> bytes:
     """Return the first bytes of an answer, nothing if the connection has none."""
     loop = asyncio.get_running_loop()
