--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -5,15 +5,10 @@
 
 import h11
 
-from carobladder.exceptions import (
-    CallerError,
-    CallerGoneError,
-    RequestTimeoutError,
-    ShuttingDownError,
-)
+from carobladder.exceptions import CallerError, CallerGoneError, RequestTimeoutError
 from carobladder.gateway.bodies import RequestBody
 from carobladder.gateway.bodymemory import BodyReservation
-from carobladder.gateway.endings import ConnectionEnd, EndRecorder
+from carobladder.gateway.endings import WHOLE_ANSWER_STATES, ConnectionEnd, EndRecorder
 from carobladder.gateway.exchanges import Exchange
 from carobladder.gateway.headchecks import (
     HeadCheck,
@@ -24,6 +19,7 @@
 from carobladder.gateway.ports import Request
 from carobladder.gateway.requests import (
     RequestLimits,
+    build_end_error,
     build_request,
     convert_protocol_error,
     create_parser,
@@ -40,7 +36,6 @@
 _LINGER_SECONDS = 1.0
 # Time for the next request on a connection whose idle time was not announced.
 _UNANNOUNCED_IDLE_SECONDS = 0.5
-_WHOLE_ANSWER_STATES = frozenset({h11.DONE, h11.MUST_CLOSE, h11.CLOSED})
 
 
 class CallerConnection(asyncio.Protocol):
@@ -163,20 +158,14 @@
             self._loop.call_at(self._usable_until, self.close_if_idle)
 
     def end_request(self) -> None:
-        """Cancel the request that is being handled; its handler may send an error."""
+        """Refuse the request that is being read, or cancel the one that is handled."""
         if self._handling:
             self._recorder.note(ConnectionEnd.INSTANCE_ENDED)
             self._cancel()
         elif self._idle:
             self.close_if_idle()
-        elif self._bytes_arrived is not None:
-            self._end_reading(self._bytes_arrived)
-
-    def _end_reading(self, waiter: asyncio.Future[None]) -> None:
-        """Refuse the request that is being read unless bytes have just arrived."""
-        if not waiter.done():
-            reason = "the instance ended before the request was read"
-            waiter.set_exception(ShuttingDownError(reason))
+        else:
+            _wake(self._bytes_arrived)
 
     def abort(self) -> None:
         """Abort the connection and cancel its request."""
@@ -208,7 +197,7 @@
             while await self._serve_next():
                 self._release_body()
         except asyncio.CancelledError:
-            if self._idle or self._http.our_state in _WHOLE_ANSWER_STATES:
+            if self._idle or self._http.our_state in WHOLE_ANSWER_STATES:
                 self._close(ConnectionEnd.CALLER_CLOSED)
             else:
                 self._abort_transport(ConnectionEnd.CALLER_CLOSED)
@@ -297,7 +286,7 @@
         except h11.RemoteProtocolError as error:
             raise convert_protocol_error(error, self._limits) from None
         if self._state.ended:
-            raise ShuttingDownError("the instance ended before the request was read")
+            raise build_end_error()
         return request
 
     def _renew_limits(self) -> None:
@@ -358,8 +347,11 @@
     async def _wait_for_bytes(self) -> None:
         """Wait for more bytes after all received bytes have been parsed.
 
-        Raises TimeoutError after the idle timeout, or the one of a request.
+        Raises TimeoutError after the idle timeout, or the one of a request, and
+        ShuttingDownError if the server has ended.
         """
+        if self._state.ended and not self._idle:
+            raise build_end_error()
         self._open_intake.settle(0)
         self._bytes_arrived = self._loop.create_future()
         self._set_timer()
