Judge refused connections in the soak

An instance accepts connections until it ends, so a refusal by a process that is ready, or drains, is a finding of the soak.

--- a/tests/soak/bed.py
+++ b/tests/soak/bed.py
@@ -221,6 +221,7 @@
         self, instance: _Instance, process: asyncio.subprocess.Process
     ) -> None:
         status = await process.wait()
+        self.record.exits.append((instance.name, self._now()))
         if not instance.stopping:
             text = f"{instance.name} ended alone at {self._now():.3f}, {status}"
             self.record.faults.append(text)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -87,10 +87,11 @@
         patience = self._generator.uniform(0.02, 0.8)
         pieces = self._build_pieces(sent)
         self._record.sent.append(sent)
+        began = self._now()
         try:
             reader, writer = await self._connect(sent)
         except (OSError, TimeoutError):
-            sent.end, sent.ended = End.UNCONNECTED, self._now()
+            sent.end, sent.began, sent.ended = End.UNCONNECTED, began, self._now()
             await asyncio.sleep(_RETRY_SECONDS)
             return
         if not leaves:
--- a/tests/soak/judges.py
+++ b/tests/soak/judges.py
@@ -8,6 +8,8 @@
 
 _REFUSALS = frozenset({408, 421, 429, 503})
 _OWN_FAILURES = frozenset({500, 502, 504})
+# A process closes its listener this long before it ends, at most.
+_CLOSING_SECONDS = 0.3
 # Share of the time limit after which an answer that ends is late, not lost.
 _USED_SHARE = 0.95
 # Requests sent this long after SIGTERM may still end with the grace time.
@@ -93,6 +95,8 @@
     is_timed = not _is_stalled(record, sent)
     if sent.end is End.GIVEN_UP and is_timed and not _began_in_start(record, sent):
         yield "LOST", "no answer after the time limit"
+    if sent.end is End.UNCONNECTED and is_timed and _is_listening(record, sent):
+        yield "LOST", "connection refused by an instance that runs"
     if sent.sent is None or _is_excused(record, sent, runs):
         return
     if sent.end is End.CUT and runs:
@@ -118,6 +122,19 @@
     )
 
 
+def _is_listening(record: Record, sent: Sent) -> bool:
+    """Return whether the process was ready before a refusal and ran on after it."""
+    ready = [
+        start.ready
+        for start in record.starts
+        if start.instance == sent.instance and start.ready < sent.ended
+    ]
+    return bool(ready) and not any(
+        name == sent.instance and max(ready) < at < sent.ended + _CLOSING_SECONDS
+        for name, at in record.exits
+    )
+
+
 def _began_in_start(record: Record, sent: Sent) -> bool:
     """Return whether the request waited for a process that was starting."""
     return any(
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -173,6 +173,7 @@
     runs: list[Run] = field(default_factory=list)
     starts: list[Start] = field(default_factory=list)
     terminations: list[Termination] = field(default_factory=list)
+    exits: list[tuple[str, float]] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
     stalls: list[tuple[float, float]] = field(default_factory=list)
 
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -179,6 +179,19 @@
             sent = build_sent("order", status=status, headers={}, answer=b"")
             self.assertEqual(list_rules([sent], [build_run("order")]), ["LOST"])
 
+    # A process that refuses connections while it runs, or while it drains.
+    def test_finds_refused_connections(self):
+        sent = build_sent("look", end=End.UNCONNECTED, status=0, sent=None)
+        starts = [Start("front-0", 1.0, 2.0)]
+        for exits, rules in (
+            ([], ["LOST"]),
+            ([("front-0", 11.0)], ["LOST"]),
+            ([("front-0", 9.0)], []),
+            ([("front-0", 10.3)], []),
+        ):
+            found = list_rules([sent], [], starts=starts, exits=exits)
+            self.assertEqual(found, rules, exits)
+
     # A request that hangs beyond its time limit.
     def test_finds_requests_without_an_end(self):
         sent = build_sent("order", end=End.GIVEN_UP, status=0, ended=16.0)
