--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -11,6 +11,7 @@
     Record,
     Run,
     Sent,
+    Stall,
     Start,
     Termination,
 )
@@ -94,11 +95,16 @@
         starts = [Start("front-0", 9.5, 11.0)]
         self.assertEqual(list_rules([sent], [], starts=starts), [])
 
-    # A caller that got no turn on a busy machine, taken for one that waits too long.
-    def test_allows_stalls_of_the_soak_itself(self):
+    # A process that got no turn on a busy machine, taken for one that waits too long.
+    def test_allows_stalls_of_a_busy_machine(self):
         sent = build_sent("order", end=End.GIVEN_UP, status=0, ended=16.0)
-        self.assertEqual(list_rules([sent], [], stalls=[(12.0, 15.0)]), [])
-        self.assertEqual(list_rules([sent], [], stalls=[(2.0, 5.0)]), ["LOST"])
+        for stall, rules in (
+            (Stall("", 12.0, 15.0), []),
+            (Stall("front-0", 12.0, 15.0), []),
+            (Stall("front-1", 12.0, 15.0), ["LOST"]),
+            (Stall("", 2.0, 5.0), ["LOST"]),
+        ):
+            self.assertEqual(list_rules([sent], [], stalls=[stall]), rules, stall)
 
     # A failure of the instance's own after one of its target, taken for a lost answer.
     def test_allows_a_failure_after_a_failed_run(self):
@@ -179,6 +185,19 @@
             sent = build_sent("order", status=status, headers={}, answer=b"")
             self.assertEqual(list_rules([sent], [build_run("order")]), ["LOST"])
 
+    # A process that refuses connections while it runs, or while it drains.
+    def test_finds_refused_connections(self):
+        sent = build_sent("look", end=End.UNCONNECTED, status=0, sent=None)
+        starts = [Start("front-0", 1.0, 2.0)]
+        for exits, rules in (
+            ([], ["LOST"]),
+            ([("front-0", 11.0)], ["LOST"]),
+            ([("front-0", 9.0)], []),
+            ([("front-0", 10.3)], []),
+        ):
+            found = list_rules([sent], [], starts=starts, exits=exits)
+            self.assertEqual(found, rules, exits)
+
     # A request that hangs beyond its time limit.
     def test_finds_requests_without_an_end(self):
         sent = build_sent("order", end=End.GIVEN_UP, status=0, ended=16.0)
