Send small parts of answers to callers at once

What callers saw: on a kept connection events came up to 47 ms late. Found while the wait for the end of a stream was measured. Cause: TCP_NODELAY was not set on callers' connections. The event loop sets it for sockets that name TCP as their protocol; a listener of socket.create_server names none, nor do the connections that it accepts. A part then waits until the caller has acknowledged the one before, which callers delay by 40 ms. Ruled out: connections to targets, for which the protocol is named.

Change: the option is set on the listener, and connections inherit it.

--- a/carobladder/gateway/listeners.py
+++ b/carobladder/gateway/listeners.py
@@ -17,4 +17,8 @@
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, int(port)), family=family, backlog=BACKLOG)
+    listener = socket.create_server((host, int(port)), family=family, backlog=BACKLOG)
+    # Accepted connections inherit this. The event loop sets it for sockets that name
+    # their protocol only, and these do not.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
