--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -13,6 +13,7 @@
 from carobladder.entry.lags import PeerLag
 from carobladder.entry.outages import OutageMonitor
 from carobladder.entry.paces import ReadPolicy
+from carobladder.entry.proofs import TopicProofs
 from carobladder.entry.runs import RunHistory
 from carobladder.entry.settling import KeySettler
 from carobladder.entry.wakeups import WakeUp
@@ -83,7 +84,6 @@
         eras: EraMonitor | None = None,
         on_moved: Callable[[KeyedRecord], None] | None = None,
     ) -> None:
-        self.freshness = Freshness()
         self._name = name
         self._reader = reader
         self._clock = clock
@@ -91,13 +91,15 @@
         self._applier = RecordApplier(
             name, on_record, on_moved, keeps_lost_keys=policy.keeps_lost_keys
         )
-        # Up to which time the records of the store were read, whether this proves that
-        # all are known or not.
-        self._progress = Freshness()
+        self._eras = eras or EraMonitor()
+        self._proofs = TopicProofs(self._eras, policy.needs_settled_era)
         self._settler = KeySettler(
-            name, self._applier, self._progress, clock, self._handle_settled_keys
+            name,
+            self._applier,
+            self._proofs.progress,
+            clock,
+            lambda: self._proofs.settle(self._era),
         )
-        self._eras = eras or EraMonitor()
         self._eras.add_listener(self._handle_restored_store)
         self._eras.add_settled_listener(lambda: self._wake_up.set())
         self._is_restored = False
@@ -116,22 +118,25 @@
         self._waiting_read: asyncio.Task[bool] | None = None
         self._first_read_done = asyncio.Event()
         self._first_attempt_done = asyncio.Event()
-        self._first_proof = asyncio.Event()
 
     @property
     def next_offset(self) -> int | None:
         """Offset after the last known record, or None before the first read."""
         return self._next_offset
 
+    @property
+    def freshness(self) -> Freshness:
+        """Time up to which all records of the topic are known."""
+        return self._proofs.freshness
+
     @property
     def is_proof_due(self) -> bool:
         """Whether earlier reads were no proof, and one from now on is."""
-        unproved = self.freshness.synced_at < self._progress.synced_at
-        return unproved and self._is_era_settled()
+        return self._proofs.is_due(self._era)
 
     async def wait_until_proved(self) -> None:
         """Wait until all records up to some time were known for the first time."""
-        await self._first_proof.wait()
+        await self._proofs.wait_for_first()
 
     async def wait_until_read(self) -> None:
         """Wait until the topic has been read for the first time."""
@@ -215,7 +220,7 @@
             self.handle_peer_end(state.next_offset)
             return
         if is_proof:
-            self._note_read(proved_at, is_proof=True)
+            self._proofs.note_proof(proved_at)
         if self._backoff.is_failing and proved_at > self._failed_at:
             self._wake_up.set()
 
@@ -238,7 +243,7 @@
         ):
             return
         if run.first <= self._next_offset < run.next_offset:
-            self._apply_run(run, _PEER_SOURCE, self._progress.synced_at)
+            self._apply_run(run, _PEER_SOURCE, self._proofs.progress.synced_at)
 
     async def _read(self) -> bool:
         """Read according to the role of this instance; return whether records came."""
@@ -268,7 +273,7 @@
         self._first_read_done.set()
         self._first_attempt_done.set()
         self._record_success(timed.sent_at, 0.0, settled_era)
-        if not (self._is_era_settled() or self._settler.is_running):
+        if not (self._proofs.is_settled(self._era) or self._settler.is_running):
             self._settler.start()
 
     async def _read_again_after_start(self) -> None:
@@ -327,7 +332,7 @@
         era, fetcher = self._eras.era, self._fetcher
         settled_era = self._eras.settled_era
         reported_end = self._lag.end
-        synced_at = self._progress.synced_at
+        synced_at = self._proofs.progress.synced_at
         fetch = fetcher.fetch if wait_seconds else fetcher.fetch_in_time
         timed = await fetch(lambda: self._reader.read_records(first, wait_seconds))
         page = timed.page
@@ -393,7 +398,7 @@
         limit_seconds = age_seconds * self._generator.uniform(*_AGE_JITTER)
         while self._next_offset is not None:
             now = self._clock.boottime()
-            due_at = self._progress.synced_at + limit_seconds
+            due_at = self._proofs.progress.synced_at + limit_seconds
             due_at = min(due_at, self._settler.due_at)
             catch_up_at = self._lag.find_due_time(self._policy.catch_up_delay_seconds)
             due_at = min(due_at, catch_up_at)
@@ -452,27 +457,7 @@
         self._backoff.note_success()
         self._note_served(sent_at, _STORE_SOURCE)
         proved_seconds = max(0.0, waited_seconds - _MISSED_RECORD_SECONDS)
-        is_proof = not self._policy.needs_settled_era or (
-            self._era is None or (settled_era is not None and settled_era >= self._era)
-        )
-        self._note_read(sent_at + proved_seconds, is_proof=is_proof)
-
-    def _note_read(self, at: float, *, is_proof: bool) -> None:
-        self._progress.note_read(at)
-        if is_proof:
-            self.freshness.note_read(at)
-            self._first_proof.set()
-
-    def _is_era_settled(self) -> bool:
-        return not self._policy.needs_settled_era or self._eras.is_settled(self._era)
-
-    def _handle_settled_keys(self) -> None:
-        """Count the reads as proofs, as all that was lost is written again."""
-        if not self._policy.needs_settled_era:
-            return
-        self.freshness.note_read(self._progress.synced_at)
-        if self._era is not None:
-            self._eras.note_settled(self._era)
+        self._proofs.note_read(sent_at + proved_seconds, self._era, settled_era)
 
     def _note_served(self, at: float, source: str) -> None:
         """Record that the store has answered this or another instance."""
