--- a/tests/forwarding/test_late_ends.py
+++ b/tests/forwarding/test_late_ends.py
@@ -73,6 +73,18 @@
                 self.assertFalse(answer.endswith(STREAM_END))
                 self.assertEqual(self.count_events(), {"RequestRefused": 1})
 
+    # Guards against a stream that a drain cuts since only its end is missing.
+    async def test_stream_without_an_end_outlasts_the_begin_of_a_drain(self):
+        for path in PATHS:
+            with self.subTest(path=path):
+                instance = await self.start(keep_end_back(1.0))
+                reader, writer = await self.connect(instance)
+                writer.write(self.build_request(path))
+                await asyncio.sleep(0.2)
+                self.assertTrue(await instance.server.finish_drain(4.0))
+                self.assertTrue(is_whole(await reader.read()))
+                self.assertEqual(self.count_events(), {"RequestAnswered": 1})
+
     # Guards against a connection to a target that goes on with another stream's end.
     async def test_connection_of_a_stream_without_an_end_is_not_reused(self):
         instance = await self.start(keep_end_back(1.9))
