Run the tests of memory, signals and the soak one at a time

They measure real time and memory, so they belong to the second phase; the two longest modules start first.

--- a/tests/dealing.py
+++ b/tests/dealing.py
@@ -23,14 +23,22 @@
     "tests.benchmarks",
     "tests.clients",
     "tests.demo",
+    "tests.entry.test_answer_memory",
     "tests.entry.test_early_signals",
+    "tests.entry.test_endless_bytes",
     "tests.entry.test_hedging",
     "tests.entry.test_listening",
+    "tests.entry.test_request_memory",
     "tests.entry.test_runtime",
+    "tests.entry.test_signals",
+    "tests.entry.test_unread_streams",
     "tests.forwarding",
     "tests.gateway",
     "tests.instance",
+    "tests.soak",
 )
+# The modules that take longest start first, so that no process waits for one of them.
+LONGEST = ("tests.peers.test_coordination", "tests.limits.test_admission")
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +95,7 @@
         ran: set[str] = set()
         failed: set[str] = set()
         beside = [unit for unit in units if not is_serial(unit)]
+        beside.sort(key=lambda unit: unit not in LONGEST)
         alone = [unit for unit in units if is_serial(unit)]
         with self._ending_processes():
             for batch, processes in ((beside, self._processes), (alone, 1)):
