--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -153,14 +153,17 @@
     def _accept_waiting(self) -> list[socket.socket]:
         assert self._listener is not None
         accepted = []
-        # BlockingIOError marks the end of the queue; after another error, such as a
-        # lack of descriptors, none can be accepted either.
-        with suppress(OSError):
-            while True:
+        while True:
+            try:
                 sock, _ = self._listener.accept()
-                sock.setblocking(False)
-                accepted.append(sock)
-        return accepted
+            except ConnectionAbortedError:
+                # The first connection of the queue was reset by its caller.
+                continue
+            except OSError:
+                # The queue is empty, or no descriptor is left for the others.
+                return accepted
+            sock.setblocking(False)
+            accepted.append(sock)
 
     async def _end_requests(self) -> None:
         """Cancel the requests and leave their handlers a moment for an error."""
