--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -152,7 +152,7 @@
 
     def _accept_waiting(self) -> list[socket.socket]:
         assert self._listener is not None
-        accepted = []
+        accepted: list[socket.socket] = []
         while True:
             try:
                 sock, _ = self._listener.accept()
