Let one class write the records that two instances own

The mark of settled eras and the handed-on configuration each looked for the owners of their record and repeated failed writes. OwnedRecord does both now.

--- a/carobladder/entry/configurationbackup.py
+++ b/carobladder/entry/configurationbackup.py
@@ -4,11 +4,12 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from carobladder.clock import Clock
 from carobladder.entry.eras import EraMonitor
+from carobladder.entry.ownedrecords import OwnedRecord
 from carobladder.entry.peers import PeerDirectory
-from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import KeyedRecord, TopicWriter
 
 __all__ = ["ConfigurationBackup"]
@@ -16,8 +17,6 @@
 _KEY = "configuration-backup"
 # Point on the ring of instances whose owners write the copy.
 _RING_KEY = 1 << 62
-# Instances that write it; a second one, in case that the first has just ended.
-_WRITERS = 2
 _RETRY_DELAY_SECONDS = 0.3
 _COMPRESSION_LEVEL = 1
 # Limit on the decompressed size, so that a few bytes cannot exhaust the memory.
@@ -50,9 +49,9 @@
         apply_value: Callable[[bytes], None],
     ) -> None:
         self._eras = eras
-        self._topic = topic
-        self._peers = peers
-        self._clock = clock
+        self._record = OwnedRecord(
+            _KEY, _RING_KEY, topic, peers, clock, _RETRY_DELAY_SECONDS
+        )
         self._find_version = find_version
         self._apply_value = apply_value
         self._value: bytes | None = None
@@ -79,9 +78,10 @@
         while True:
             await self._wake_up.wait()
             self._wake_up.clear()
-            owners = self._peers.find_owners(_RING_KEY, _WRITERS)
-            if self._value is not None and self._peers.instance in owners:
-                await self._write(self._value)
+            era = self._eras.era
+            if era is not None and self._value is not None and self._record.is_own:
+                backup = _encode(era, self._find_version(), self._value)
+                await self._record.write(backup, partial(self._is_needed, era))
 
     def _apply_pending(self) -> None:
         """Apply the copy if it is newer than the configuration of this era."""
@@ -98,16 +98,12 @@
             self._value = backup.value
             self._apply_value(backup.value)
 
-    async def _write(self, value: bytes) -> None:
-        era = self._eras.era
-        record = f"{era} {self._find_version()} ".encode()
-        record += zlib.compress(value, _COMPRESSION_LEVEL)
-        while era == self._eras.era and not self._eras.is_settled(era):
-            try:
-                await self._topic.write(_KEY, record)
-                return
-            except LogUnavailableError:
-                await self._clock.sleep(_RETRY_DELAY_SECONDS)
+    def _is_needed(self, era: int) -> bool:
+        return era == self._eras.era and not self._eras.is_settled(era)
+
+
+def _encode(era: int, version: int, value: bytes) -> bytes:
+    return f"{era} {version} ".encode() + zlib.compress(value, _COMPRESSION_LEVEL)
 
 
 def _decode(value: bytes) -> _Backup | None:
--- a/carobladder/entry/eramarks.py
+++ b/carobladder/entry/eramarks.py
@@ -2,20 +2,19 @@
 
 import asyncio
 import random
+from functools import partial
 
 from carobladder.clock import Clock
 from carobladder.entry.eras import EraMonitor
+from carobladder.entry.ownedrecords import OwnedRecord
 from carobladder.entry.peers import PeerDirectory
-from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import KeyedRecord, TopicWriter
 
 __all__ = ["EraMarkKeeper"]
 
 _KEY = "settled-era"
-# Point on the ring of instances whose owners write the mark.
+# Point on the ring of instances whose owners write the mark at once.
 _RING_KEY = 0
-# Instances that write it at once; a second one, in case that the first has just ended.
-_WRITERS = 2
 # The others write it after this time in seconds unless they have read it before.
 _OTHERS_DELAY_SECONDS = (15.0, 25.0)
 _RETRY_DELAY_SECONDS = 1.0
@@ -37,8 +36,9 @@
         generator: random.Random,
     ) -> None:
         self._eras = eras
-        self._topic = topic
-        self._peers = peers
+        self._record = OwnedRecord(
+            _KEY, _RING_KEY, topic, peers, clock, _RETRY_DELAY_SECONDS
+        )
         self._clock = clock
         self._generator = generator
         self._stored_era: int | None = None
@@ -60,24 +60,14 @@
         while True:
             await self._wake_up.wait()
             self._wake_up.clear()
-            owners = self._peers.find_owners(_RING_KEY, _WRITERS)
-            if self._peers.instance not in owners:
+            if not self._record.is_own:
                 delay_seconds = self._generator.uniform(*_OTHERS_DELAY_SECONDS)
                 await self._clock.sleep(delay_seconds)
-            while not self._is_stored():
-                await self._write()
+            era = self._eras.settled_era
+            if era is not None:
+                await self._record.write(str(era).encode(), partial(self._lacks, era))
 
-    def _is_stored(self) -> bool:
-        era = self._eras.settled_era
-        if era is None or era != self._eras.era:
-            return True
-        return self._stored_era is not None and self._stored_era >= era
-
-    async def _write(self) -> None:
-        era = self._eras.settled_era
-        try:
-            await self._topic.write(_KEY, str(era).encode())
-            self._stored_era = era
-        except LogUnavailableError:
-            # The store reports the outage itself when it is read.
-            await self._clock.sleep(_RETRY_DELAY_SECONDS)
+    def _lacks(self, era: int) -> bool:
+        """Return whether the store is in this era and has no mark of it."""
+        is_stored = self._stored_era is not None and self._stored_era >= era
+        return era == self._eras.era and not is_stored
