--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -1,7 +1,6 @@
 """Construction of the components of a platform instance from its settings."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from carobladder.clients.http import HttpClient
@@ -15,9 +14,6 @@
 from carobladder.entry.fence import FenceMonitor, build_fence_times
 from carobladder.entry.followers import TopicFollower
 from carobladder.entry.paces import (
-    build_instances_policy,
-    build_operator_policy,
-    build_targets_policy,
     compute_expiry_seconds,
 )
 from carobladder.entry.peers import PeerDirectory
@@ -25,16 +21,15 @@
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
 from carobladder.entry.shares import ShareMembership, count_share_partitions
+from carobladder.entry.topics import FollowerBuilder, apply_configuration_value
 from carobladder.entry.versions import VersionMoveController
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
-    ConfigurationRecord,
     ExposureLimit,
     FailureGossip,
     Freshness,
     InFlightGossip,
-    KeyedRecord,
     LoadBounds,
     LoadGossip,
     RateGossip,
@@ -58,18 +53,13 @@
 from carobladder.gateway.server import GatewayServer
 from carobladder.memory import MemoryBudget
 from carobladder.platform.documents import (
-    decode_operator_record,
-    decode_target_entry,
     encode_move_status,
 )
 from carobladder.platform.exchanges import PlatformCodec
 from carobladder.platform.names import (
-    CONFIGURATION_KEY,
     INSTANCES_TOPIC,
     MOVE_EVIDENCE_TOPIC,
-    OPERATOR_TOPIC,
     STATUS_TOPIC,
-    TARGETS_TOPIC,
 )
 from carobladder.platform.store import KeyedTopic, PlatformStore
 from carobladder.quarantine import PartQuarantine
@@ -222,11 +212,35 @@
             move_controller.handle_order,
             move_controller.handle_moved_order,
         )
-        self._configuration_backup = self._build_configuration_backup(control_state)
-        instances_follower = self._build_instances_follower()
-        targets_follower = self._build_targets_follower(control_state)
-        operator_follower = self._build_operator_follower(
-            control_state, targets_follower
+        backup = ConfigurationBackup(
+            self._eras,
+            KeyedTopic(self._store, INSTANCES_TOPIC),
+            self._peers,
+            clock,
+            lambda: control_state.version,
+            lambda value: apply_configuration_value(control_state, value),
+        )
+        followers = FollowerBuilder(
+            settings,
+            self._store,
+            clock,
+            self._generator,
+            self._reader_role.is_held,
+            self._eras,
+        )
+        instances_follower = followers.build_instances(
+            (
+                self._era_marks.apply_record,
+                backup.apply_record,
+                self._quarantine_keeper.apply_record,
+            ),
+            self._peers.apply_record,
+        )
+        targets_follower = followers.build_targets(control_state)
+        operator_follower = followers.build_operator(
+            control_state,
+            backup,
+            lambda outage_seconds: targets_follower.abort_waiting_read(),
         )
         exchange = self._build_exchange()
         exchange.find_version = lambda: control_state.version
@@ -260,7 +274,7 @@
             quarantine=self._quarantine,
             quarantine_keeper=self._quarantine_keeper,
             era_marks=self._era_marks,
-            configuration_backup=self._configuration_backup,
+            configuration_backup=backup,
             move_controller=move_controller,
             fence=FenceMonitor(
                 operator_follower.freshness, self._revocation_seconds, clock
@@ -320,97 +334,6 @@
             self._eras,
         )
 
-    def _build_operator_follower(
-        self, control_state: ControlState, targets_follower: TopicFollower
-    ) -> TopicFollower:
-        return TopicFollower(
-            "operator",
-            KeyedTopic(self._store, OPERATOR_TOPIC),
-            self._clock,
-            build_operator_policy(
-                self._revocation_seconds,
-                self._settings.configuration_ms / _MS_PER_SECOND,
-            ),
-            self._build_operator_applier(control_state),
-            lambda outage_seconds: targets_follower.abort_waiting_read(),
-            self._generator,
-            self._reader_role.is_held,
-            self._eras,
-            lambda record: control_state.apply_moved(decode_operator_record(record)),
-        )
-
-    def _build_operator_applier(
-        self, control_state: ControlState
-    ) -> Callable[[KeyedRecord], None]:
-        def apply_record(record: KeyedRecord) -> None:
-            decoded = decode_operator_record(record)
-            control_state.apply(decoded)
-            if record.value is None or not isinstance(decoded, ConfigurationRecord):
-                return
-            if decoded.configuration.version == control_state.version:
-                self._configuration_backup.note_applied(record.value)
-
-        return apply_record
-
-    def _build_configuration_backup(
-        self, control_state: ControlState
-    ) -> ConfigurationBackup:
-        def apply_value(value: bytes) -> None:
-            record = KeyedRecord(0, CONFIGURATION_KEY, value)
-            control_state.apply(decode_operator_record(record))
-
-        return ConfigurationBackup(
-            self._eras,
-            KeyedTopic(self._store, INSTANCES_TOPIC),
-            self._peers,
-            self._clock,
-            lambda: control_state.version,
-            apply_value,
-        )
-
-    def _build_targets_follower(self, control_state: ControlState) -> TopicFollower:
-        def apply_target_record(record: KeyedRecord) -> None:
-            if record.value is None:
-                control_state.remove_target(record.key)
-            else:
-                control_state.apply_entry(decode_target_entry(record.key, record.value))
-
-        drain_seconds = self._settings.drain_notice_ms / _MS_PER_SECOND
-        return TopicFollower(
-            "targets",
-            KeyedTopic(self._store, TARGETS_TOPIC),
-            self._clock,
-            build_targets_policy(
-                drain_seconds, self._settings.entry_renewal_ms / _MS_PER_SECOND
-            ),
-            apply_target_record,
-            control_state.handle_store_recovery,
-            self._generator,
-            self._reader_role.is_held,
-            self._eras,
-        )
-
-    def _build_instances_follower(self) -> TopicFollower:
-        def apply_record(record: KeyedRecord) -> None:
-            if self._era_marks.apply_record(record):
-                return
-            if self._configuration_backup.apply_record(record):
-                return
-            if not self._quarantine_keeper.apply_record(record):
-                self._peers.apply_record(record)
-
-        return TopicFollower(
-            "instances",
-            KeyedTopic(self._store, INSTANCES_TOPIC),
-            self._clock,
-            build_instances_policy(),
-            apply_record,
-            lambda outage_seconds: None,
-            self._generator,
-            self._reader_role.is_held,
-            self._eras,
-        )
-
     def _build_server(
         self,
         control_state: ControlState,
