--- a/tests/entry/restored_checks.py
+++ b/tests/entry/restored_checks.py
@@ -108,6 +108,11 @@
         self._new_records = {OPERATOR_TOPIC: [], SERVERS_TOPIC: []}
         self._fleet.store.calls.clear()
 
+    def note_restart(self) -> None:
+        """Expect nothing of what the instances knew before, as all started anew."""
+        self._lasting.clear()
+        self._highest.clear()
+
     def note_record(self, topic: str, key: str, value: bytes | None) -> None:
         """Note a record that is written now."""
         if self._returned_at is not None:
--- a/tests/entry/restored_drill.py
+++ b/tests/entry/restored_drill.py
@@ -58,6 +58,8 @@
     - ``cut_off``: instance without store and peers from before the drill until
       ``reconnect_after`` the return.
     - ``starts_late``: whether one instance starts halfway to the second writing.
+    - ``restarts_all``: whether all instances end and start anew halfway to the second
+      writing.
     - ``late_seconds``: delay after the return of answers that were under way before.
     - ``second``: whether another drill begins soon after the return, and whether the
       lost writes are written again before it ("after rewriting") or only after it
@@ -76,6 +78,7 @@
     cut_off: str | None = None
     reconnect_after: float = 0.5
     starts_late: bool = False
+    restarts_all: bool = False
     late_seconds: float | None = None
     second: str | None = None
     takes_any_version: bool = False
@@ -212,6 +215,8 @@
                 self._at(again_at, self._put, OPERATOR_TOPIC, CONFIGURATION_KEY, older)
         if drill.starts_late:
             self._at(back_at + drill.rewrite_after / 2, self._start_late)
+        if drill.restarts_all:
+            self._at(back_at + drill.rewrite_after / 2, self._restart_all)
         self._plan_changes(back_at + 0.3, "i-2", "dc-3", "i-13")
         self._at(back_at + 0.4, self._put, SERVERS_TOPIC, "i-3", None)
         self._at(again_at, self._write_again)
@@ -250,6 +255,10 @@
         self._fleet.start(self._fleet.instances[-1])
         self._monitor.late_start_at = self._fleet.clock.monotonic()
 
+    def _restart_all(self) -> None:
+        self._fleet.restart_all()
+        self._monitor.note_restart()
+
     def _take_copy(self, name: str) -> None:
         self._copies[name] = self._store.state.take_copy()
 
--- a/tests/entry/restored_simulation.py
+++ b/tests/entry/restored_simulation.py
@@ -343,6 +343,17 @@
         self.running.append(instance)
         self._tasks += instance.start()
 
+    def restart_all(self) -> None:
+        """End all instances, which lose what they know, and start them anew."""
+        for task in self._tasks:
+            task.cancel()
+        names = [instance.name for instance in self.running]
+        self.running.clear()
+        self.instances = [RestoredInstance(self, name) for name in names]
+        self._announce()
+        for instance in self.instances:
+            self.start(instance)
+
     def cut_off(self, instance: RestoredInstance) -> None:
         """Separate an instance from the store and from the others."""
         self.store.cut_off.add(instance.name)
--- a/tests/entry/test_restored_store.py
+++ b/tests/entry/test_restored_store.py
@@ -77,6 +77,13 @@
     Drill(None, 4.0, 1.0, seed=65, starts_late=True, gap_writes=12),
     Drill(None, 2.0, 1.0, seed=66, late_seconds=0.6, is_silent=False),
 )
+# All instances start anew in the drill, so that none knows what the copy lacks.
+ALL_ANEW = (
+    Drill(9.0, 0.5, 1.0, seed=81, restarts_all=True),
+    Drill(9.0, 2.0, 2.0, seed=82, restarts_all=True, more_lost=3),
+    Drill(3.0, 4.0, 2.0, seed=83, restarts_all=True, is_silent=False),
+    Drill(5.0, 1.0, 0.1, seed=84, restarts_all=True, gap_writes=8),
+)
 # Violations that a failure shows.
 SHOWN = 4
 DRAWN_SEED = 48
@@ -105,6 +112,7 @@
         cut_off=cut_off,
         reconnect_after=round(generator.uniform(0.1, 3.0), 2),
         starts_late=starts_late,
+        restarts_all=not starts_late and generator.random() < 0.3,
         late_seconds=generator.choice((None, None, 0.3, 0.6)),
         second=generator.choice((None, None, "before rewriting", "after rewriting")),
     )
@@ -157,6 +165,11 @@
     def test_revoked_key_is_refused_by_all_in_time(self):
         self.check("revoked_keys")
 
+    # Guards against a fleet that takes a copy for the newest state as it starts anew.
+    def test_instances_that_all_start_anew_refuse_a_revoked_key(self):
+        self.check("revoked_keys", ALL_ANEW)
+        self.check("disagreements", ALL_ANEW)
+
     # Guards against a moment at which an instance that starts, or comes back, lets a
     # revoked key in or goes to a target that has left.
     def test_no_drawn_drill_lets_a_revoked_key_in_or_reuses_a_target(self):
