Listen for callers once the instance serves them

What callers saw: in a start that takes seconds they were connected and had neither an answer nor a refusal until the program was loaded. With a load of 3 s more, tests.entry.test_slow_starts had callers that waited 4.7 to 6.6 s on; a caller that is refused the connection can go elsewhere at once.

Cause: the listener was opened before the program was loaded, and the kernel accepts connections for an open listener whether or not anybody reads them. Nothing bounded the time until somebody did.

Change: the listener is opened after the first reads of the store, and the instance is ready from then on only; before, it said so while it did not accept. instance_started states the seconds since the start of the process.

--- a/carobladder/entry/earlysignals.py
+++ b/carobladder/entry/processstart.py
@@ -1,4 +1,4 @@
-"""Signals that arrive before the program is loaded and its event loop handles them.
+"""Start of the process, and signals that arrive before the program is loaded.
 
 Only the standard library is imported here, as the handlers are set first of all.
 """
@@ -7,18 +7,20 @@
 import time
 from types import FrameType
 
-__all__ = ["EarlySignals"]
+__all__ = ["ProcessStart"]
 
 _NUMBERS = (signal.SIGTERM, signal.SIGHUP)
 
 
-class EarlySignals:
-    """Record of the first SIGTERM and SIGHUP; by default either ends the process.
+class ProcessStart:
+    """Record of the start of the process and of the first SIGTERM and SIGHUP since.
 
-    It receives them until an event loop sets its own handlers.
+    By default either signal ends the process. They are recorded until an event loop
+    sets its own handlers. ``began`` is in monotonic seconds.
     """
 
     def __init__(self) -> None:
+        self.began = time.monotonic()
         self._times: dict[int, float] = {}
         for number in _NUMBERS:
             signal.signal(number, self._note)
--- a/carobladder/entry/program.py
+++ b/carobladder/entry/program.py
@@ -1,11 +1,10 @@
 """Main function of a platform instance."""
 
 import asyncio
-import socket
 import sys
 
 from carobladder.clock import SystemClock
-from carobladder.entry.earlysignals import EarlySignals
+from carobladder.entry.processstart import ProcessStart
 from carobladder.entry.runtime import run_platform_instance
 from carobladder.exceptions import SettingsError
 from carobladder.settings.entry import find_entry_settings, load_entry_settings
@@ -17,14 +16,8 @@
 _MS_PER_SECOND = 1000
 
 
-def main(
-    listener: socket.socket | None = None, signals: EarlySignals | None = None
-) -> int:
-    """Run until SIGTERM or SIGINT and return the exit status.
-
-    ``listener`` is the callers' socket if it is open already, ``signals`` the record
-    of the signals that have arrived already.
-    """
+def main(start: ProcessStart) -> int:
+    """Run until SIGTERM or SIGINT and return the exit status."""
     try:
         path = find_entry_settings()
         settings = load_entry_settings(path)
@@ -34,5 +27,5 @@
     clock = SystemClock()
     incarnation = round(clock.now().timestamp() * _MS_PER_SECOND)
     with configure_json_logging(settings.log_level, settings.instance, incarnation):
-        asyncio.run(run_platform_instance(path, clock, incarnation, listener, signals))
+        asyncio.run(run_platform_instance(path, clock, incarnation, start))
     return 0
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import socket
 from collections.abc import Coroutine, Sequence
 from contextlib import suppress
 from pathlib import Path
@@ -11,10 +10,9 @@
 from carobladder.clock import Clock
 from carobladder.entry.assembly import build_parts
 from carobladder.entry.draining import DRAIN_NOTICE_SECONDS, SHUTDOWN_MARGIN_SECONDS
-from carobladder.entry.earlysignals import EarlySignals
+from carobladder.entry.processstart import ProcessStart
 from carobladder.entry.status import StatusHandler, add_gauges
 from carobladder.exceptions import SettingsError
-from carobladder.gateway.listeners import open_listener
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.settings.entry import (
@@ -38,8 +36,8 @@
 __all__ = ["PlatformInstance", "run_platform_instance"]
 
 _HOUSEKEEPING_INTERVAL_SECONDS = 0.25
-# Callers that connect at the start wait at most this long for the first reads of the
-# store; without a configuration and targets, all of them would be refused.
+# The instance listens after the first reads of the store, or after this time; without a
+# configuration and targets, it would refuse all callers.
 _FIRST_READS_TIMEOUT_SECONDS = 0.4
 
 
@@ -47,6 +45,7 @@
     """An instance on an operator's platform.
 
     ``defaulted`` names the settings that were left at their defaults, for the log.
+    ``process_began`` is the start of the process in monotonic seconds, if it is known.
     ``stop_requested_at`` is the time of an end signal that came before ``serve``, in
     monotonic seconds.
     """
@@ -57,11 +56,14 @@
         clock: Clock,
         incarnation: int,
         defaulted: Sequence[str] = (),
+        process_began: float | None = None,
     ) -> None:
         self._defaulted = defaulted
+        self._began = clock.monotonic() if process_began is None else process_began
         self.parts = build_parts(settings, clock, incarnation)
         self._settings = settings
         self._clock = clock
+        self._listening = False
         self._draining = False
         self.stop_requested_at: float | None = None
         self._status_servers = self._build_status_servers()
@@ -72,34 +74,25 @@
         """Whether callers may be sent to this instance."""
         parts = self.parts
         if (
-            self._draining
+            not self._listening
+            or self._draining
             or parts.control_state.table is None
             or not len(parts.targets)
         ):
             return False
         return parts.fence.allows_callers
 
-    async def serve(
-        self, stop: asyncio.Event, listener: socket.socket | None = None
-    ) -> None:
-        """Serve until ``stop`` is set, then drain.
-
-        ``listener`` is the callers' socket if it is open already.
-        """
-        settings = self._settings
-        defaulted = ", ".join(self._defaulted)
-        if listener is None:
-            listener = open_listener(settings.listen)
+    async def serve(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set, then drain."""
         for server, address in self._status_servers:
             await server.start(address)
-        emit(InstanceStarted(settings.listen, settings.data_centre, defaulted))
         async with asyncio.TaskGroup() as group:
             tasks = [
                 group.create_task(coroutine)
                 for coroutine in self._build_task_coroutines()
             ]
             await self._wait_for_first_reads()
-            await self.parts.server.start_on_socket(listener)
+            await self._listen()
             await stop.wait()
             finished = await self._drain()
             for task in tasks:
@@ -107,6 +100,24 @@
         await self.parts.share_membership.leave()
         emit(InstanceStopped(finished))
 
+    async def _listen(self) -> None:
+        """Accept callers.
+
+        The kernel accepts connections for a listener whether or not anybody reads them,
+        so it is opened by an instance that reads them at once.
+        """
+        settings = self._settings
+        await self.parts.server.start(settings.listen)
+        self._listening = True
+        emit(
+            InstanceStarted(
+                settings.listen,
+                settings.data_centre,
+                ", ".join(self._defaulted),
+                start_seconds=round(self._clock.monotonic() - self._began, 3),
+            )
+        )
+
     def reload(self, settings: EntrySettings) -> None:
         """Apply the settings that can change while the instance runs."""
         changes = compare_entry_settings(self._settings, settings)
@@ -208,29 +219,24 @@
     path: Path,
     clock: Clock,
     incarnation: int,
-    listener: socket.socket | None = None,
-    signals: EarlySignals | None = None,
+    start: ProcessStart,
 ) -> None:
-    """Run an instance with its settings file until SIGTERM or SIGINT.
-
-    ``signals`` is the record of the signals that have arrived already.
-    """
+    """Run an instance with its settings file until SIGTERM or SIGINT."""
     settings = load_entry_settings(path)
     defaulted = list_defaulted_settings(path)
-    instance = PlatformInstance(settings, clock, incarnation, defaulted)
+    instance = PlatformInstance(settings, clock, incarnation, defaulted, start.began)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
-    if signals is not None:
-        # Looked at after the handlers are set, so that no signal is missed.
-        instance.stop_requested_at = signals.find_time(signal.SIGTERM)
-        if instance.stop_requested_at is not None:
-            stop.set()
-        if signals.find_time(signal.SIGHUP) is not None:
-            _reload(instance, path)
-    await instance.serve(stop, listener)
+    # Looked at after the handlers are set, so that no signal is missed.
+    instance.stop_requested_at = start.find_time(signal.SIGTERM)
+    if instance.stop_requested_at is not None:
+        stop.set()
+    if start.find_time(signal.SIGHUP) is not None:
+        _reload(instance, path)
+    await instance.serve(stop)
 
 
 def _reload(instance: PlatformInstance, path: Path) -> None:
--- a/carobladder/gateway/listeners.py
+++ b/carobladder/gateway/listeners.py
@@ -1,8 +1,4 @@
-"""Listening sockets for callers.
-
-Only the standard library is imported here, as a program opens its socket before it
-loads the rest.
-"""
+"""Listening sockets for callers."""
 
 import socket
 
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -70,15 +70,11 @@
         self._state.limits = limits
 
     async def start(self, address: str) -> None:
-        """Listen at IP:PORT; port 0 selects a free port."""
-        await self.start_on_socket(open_listener(address))
-
-    async def start_on_socket(self, listener: socket.socket) -> None:
-        """Accept connections on a socket that is already listening."""
+        """Listen at IP:PORT and accept connections; port 0 selects a free port."""
         loop = asyncio.get_running_loop()
-        self._listener = listener
+        self._listener = open_listener(address)
         self._server = await loop.create_server(
-            self._create_connection, sock=listener, backlog=BACKLOG
+            self._create_connection, sock=self._listener, backlog=BACKLOG
         )
 
     def _create_connection(self) -> CallerConnection:
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -31,11 +31,15 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceStarted(Event):
-    """The instance listens; it is not ready before it has read the store."""
+    """The instance listens; it is not ready before it has read the store.
+
+    ``start_seconds`` is the time since the start of the process.
+    """
 
     listen: str
     data_centre: str
     defaulted_settings: str
+    start_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/dealing.py
+++ b/tests/dealing.py
@@ -31,6 +31,7 @@
     "tests.entry.test_request_memory",
     "tests.entry.test_runtime",
     "tests.entry.test_signals",
+    "tests.entry.test_slow_starts",
     "tests.entry.test_unread_streams",
     "tests.forwarding",
     "tests.gateway",
--- a/tests/entry/test_early_signals.py
+++ b/tests/entry/test_early_signals.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from carobladder.entry.earlysignals import EarlySignals
+from carobladder.entry.processstart import ProcessStart
 from tests.entry.fixtures import PlatformInstanceCase
 from tests.forwarding.fixtures import build_request
 
@@ -250,7 +250,7 @@
             self.addCleanup(signal.signal, number, before)
 
     def test_first_time_of_each_signal_is_kept(self):
-        signals = EarlySignals()
+        signals = ProcessStart()
         self.assertIsNone(signals.find_time(signal.SIGHUP))
         os.kill(os.getpid(), signal.SIGHUP)
         found = signals.find_time(signal.SIGHUP)
--- a/tests/entry/test_signals.py
+++ b/tests/entry/test_signals.py
@@ -1,4 +1,4 @@
-"""Tests of signals that arrive while the program of an instance loads."""
+"""Tests of signals that arrive as the program begins to listen."""
 
 import os
 import signal
@@ -26,7 +26,7 @@
     return addresses
 
 
-class EarlySignalTest(unittest.TestCase):
+class FirstSignalTest(unittest.TestCase):
     """Guard against instances that a signal ends before they handle it."""
 
     def setUp(self):
@@ -63,7 +63,7 @@
         self.process.wait()
 
     def wait_until_listening(self) -> None:
-        """Wait for the listener, which opens before the program is loaded."""
+        """Wait for the listener."""
         host, _, port = self.address.rpartition(":")
         end = time.monotonic() + LISTEN_SECONDS
         while True:
@@ -86,7 +86,7 @@
         self.fail(f"no {event}: {self.log.read_text()}")
 
     # An instance that a reload ends, and that misses the changed settings.
-    def test_reload_while_the_program_loads_applies_the_settings(self):
+    def test_reload_as_the_program_listens_applies_the_settings(self):
         self.wait_until_listening()
         text = self.settings.read_text()
         self.settings.write_text(text.replace("= 58", "= 59"))
@@ -95,7 +95,7 @@
         self.assertIsNone(self.process.poll())
 
     # Callers in the accept queue whose connections are reset by a stop.
-    def test_stop_while_the_program_loads_drains(self):
+    def test_stop_as_the_program_listens_drains(self):
         self.wait_until_listening()
         self.process.send_signal(signal.SIGTERM)
         self.wait_for_log("draining")
