End at SIGTERM while the program loads, and count the grace time from it

What callers saw: a process that had a SIGTERM while it loaded drained after its start, with a notice of 2.4 s for callers that it did not have.

Cause: SIGTERM was recorded until the event loop ran and led to a whole drain. Until an instance listens nobody has connected to it.

Change: SIGTERM keeps its default action until the event loop handles it, and an instance that is to stop before it listens does not listen. From then on the arrival of the signal is noted by a handler of the interpreter, since a handler of the event loop runs, and takes the time, once the loop is idle.

Ruled out: a handler that ends the process, which runs only between two instructions of the interpreter and not while a library is loaded.

--- a/carobladder/entry/__main__.py
+++ b/carobladder/entry/__main__.py
@@ -5,7 +5,7 @@
 from carobladder.entry.processstart import ProcessStart
 
 if __name__ == "__main__":
-    # Created first, as signals would end the process while it loads the program.
+    # Created first, as SIGHUP would end the process while it loads the program.
     start = ProcessStart()
     from carobladder.entry.program import main
 
--- a/carobladder/entry/processstart.py
+++ b/carobladder/entry/processstart.py
@@ -1,6 +1,6 @@
-"""Start of the process, and signals that arrive before the program is loaded.
+"""Start of the process, and what arrives before the program is loaded.
 
-Only the standard library is imported here, as the handlers are set first of all.
+Only the standard library is imported here, as the handler is set first of all.
 """
 
 import signal
@@ -9,25 +9,19 @@
 
 __all__ = ["ProcessStart"]
 
-_NUMBERS = (signal.SIGTERM, signal.SIGHUP)
-
 
 class ProcessStart:
-    """Record of the start of the process and of the first SIGTERM and SIGHUP since.
+    """Record of the start of the process, and of a SIGHUP that arrives since.
 
-    By default either signal ends the process. They are recorded until an event loop
-    sets its own handlers. ``began`` is in monotonic seconds.
+    SIGHUP would end the process by default; it is recorded until an event loop handles
+    it. SIGTERM keeps its default action as long: a process that has not listened yet
+    owes no response. ``began`` is in monotonic seconds.
     """
 
     def __init__(self) -> None:
         self.began = time.monotonic()
-        self._times: dict[int, float] = {}
-        for number in _NUMBERS:
-            signal.signal(number, self._note)
-
-    def find_time(self, number: int) -> float | None:
-        """Return when the signal arrived, in monotonic seconds, or None."""
-        return self._times.get(number)
+        self.reload_requested = False
+        signal.signal(signal.SIGHUP, self._note_reload)
 
-    def _note(self, number: int, frame: FrameType | None) -> None:
-        self._times.setdefault(number, time.monotonic())
+    def _note_reload(self, number: int, frame: FrameType | None) -> None:
+        self.reload_requested = True
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Coroutine, Sequence
 from contextlib import suppress
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 from carobladder.clock import Clock
@@ -33,7 +35,7 @@
     set_log_level,
 )
 
-__all__ = ["PlatformInstance", "run_platform_instance"]
+__all__ = ["PlatformInstance", "handle_end_signals", "run_platform_instance"]
 
 _HOUSEKEEPING_INTERVAL_SECONDS = 0.25
 # The instance listens after the first reads of the store, or after this time; without a
@@ -46,8 +48,8 @@
 
     ``defaulted`` names the settings that were left at their defaults, for the log.
     ``process_began`` is the start of the process in monotonic seconds, if it is known.
-    ``stop_requested_at`` is the time of an end signal that came before ``serve``, in
-    monotonic seconds.
+    ``stop_requested_at`` is the arrival of an end signal in monotonic seconds, if it is
+    known. The event loop may handle the signal later.
     """
 
     def __init__(
@@ -92,9 +94,12 @@
                 for coroutine in self._build_task_coroutines()
             ]
             await self._wait_for_first_reads()
-            await self._listen()
-            await stop.wait()
-            finished = await self._drain()
+            finished = True
+            # A stopping instance that nobody has connected to needs no drain.
+            if not stop.is_set():
+                await self._listen()
+                await stop.wait()
+                finished = await self._drain()
             for task in tasks:
                 task.cancel()
         await self.parts.share_membership.leave()
@@ -227,18 +232,33 @@
     instance = PlatformInstance(settings, clock, incarnation, defaulted, start.began)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    handle_end_signals(instance, stop)
     loop.add_signal_handler(signal.SIGHUP, _reload, instance, path)
-    # Looked at after the handlers are set, so that no signal is missed.
-    instance.stop_requested_at = start.find_time(signal.SIGTERM)
-    if instance.stop_requested_at is not None:
-        stop.set()
-    if start.find_time(signal.SIGHUP) is not None:
+    # Looked at after the handler is set, so that no signal is missed.
+    if start.reload_requested:
         _reload(instance, path)
     await instance.serve(stop)
 
 
+def handle_end_signals(instance: PlatformInstance, stop: asyncio.Event) -> None:
+    """Set ``stop`` at an end signal, and record when it arrived.
+
+    A handler of the event loop would run, and learn the time, only once the loop is
+    idle.
+    """
+    loop = asyncio.get_running_loop()
+
+    def request_stop(number: int, frame: FrameType | None) -> None:
+        if instance.stop_requested_at is None:
+            instance.stop_requested_at = time.monotonic()
+        # A closed loop means that the process is ending.
+        with suppress(RuntimeError):
+            loop.call_soon_threadsafe(stop.set)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, request_stop)
+
+
 def _reload(instance: PlatformInstance, path: Path) -> None:
     try:
         instance.reload(load_entry_settings(path))
--- a/tests/entry/test_slow_starts.py
+++ b/tests/entry/test_slow_starts.py
@@ -30,6 +30,7 @@
 # A caller that is connected has an answer, a refusal or a close within this time: 0.4 s
 # for the first reads of the store and the timeout of its route.
 ANSWER_SECONDS = 2.0
+END_SECONDS = 1.0
 PROCESS_SECONDS = 30.0
 MAX_VERSIONS = 20
 VERSION_SECONDS = 0.2
@@ -196,6 +197,21 @@
         refused = [each for each in outcomes if each.connected is None]
         self.assertGreater(len(refused), LOAD_SECONDS / CALL_INTERVAL_SECONDS / 2)
 
+    # Guards against a process that drains, up to its kill, before it has served anyone.
+    async def test_end_signal_while_the_program_loads_ends_the_process(self):
+        for moment in self.draw_moments():
+            with self.subTest(moment=moment):
+                callers = asyncio.create_task(self.slow.call_until_served())
+                await self.slow.wait_until_loading()
+                await asyncio.sleep(moment)
+                sent = self.slow.elapsed()
+                self.slow.process.send_signal(signal.SIGTERM)
+                await self.slow.wait()
+                self.assertLess(self.slow.elapsed() - sent, END_SECONDS)
+                self.check_outcomes(await callers)
+                self.assertEqual(self.slow.read_errors(), "")
+            await self.restart()
+
     # Guards against a process that a reload ends, or that keeps its old settings.
     async def test_reload_signal_while_the_program_loads_is_acted_on(self):
         for moment in self.draw_moments():
