Judge requests by the end of a drain from its signal on

What callers saw: streams were passed on and cut a second later by an instance that knew its end. In the usual drain a request of the first 2.9 s with a limit beyond the grace time was taken whatever its route usually takes.

Cause: the notice was counted from the handling of the signal and not from its arrival, and the end was told to requests only 0.5 s after it. So the older the signal, the more of what was left was the notice.

Change: the end is known to the server from the signal on. A request whose own limit ends later is refused at once with 503, unless it comes in the notice and the longest request of its route in the last 30 to 60 s would fit. The notice ends with the grace time at the latest. draining states both times.

Ruled out: judging by the request's own limit alone from the signal on. All streams of 10 and 12 s would be refused for the whole notice, while their answers take 2 s and the load balancer still sends their callers.

--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -11,10 +11,15 @@
 
 from carobladder.clock import Clock
 from carobladder.entry.assembly import build_parts
-from carobladder.entry.draining import DRAIN_NOTICE_SECONDS, SHUTDOWN_MARGIN_SECONDS
+from carobladder.entry.draining import (
+    DRAIN_NOTICE_SECONDS,
+    NOTICE_MARGIN_SECONDS,
+    SHUTDOWN_MARGIN_SECONDS,
+)
 from carobladder.entry.processstart import ProcessStart
 from carobladder.entry.status import StatusHandler, add_gauges
 from carobladder.exceptions import SettingsError
+from carobladder.gateway.ports import ServerEnd
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.settings.entry import (
@@ -205,17 +210,21 @@
     async def _drain(self) -> bool:
         """Finish the accepted requests; return whether all of them were finished.
 
-        New requests are accepted until the load balancer has noticed.
+        Both the notice and the grace time begin with the end signal, and the notice
+        never lasts beyond the grace time.
         """
-        began = self.stop_requested_at
-        if began is None:
-            began = self._clock.monotonic()
-        self._draining = True
-        self.parts.server.begin_drain()
-        emit(Draining(DRAIN_NOTICE_SECONDS))
-        await self._clock.sleep(DRAIN_NOTICE_SECONDS)
+        now = self._clock.monotonic()
+        began = now if self.stop_requested_at is None else self.stop_requested_at
         grace_seconds = self._settings.shutdown_grace_seconds
         ends_at = began + grace_seconds - SHUTDOWN_MARGIN_SECONDS
+        notice_ends_at = began + DRAIN_NOTICE_SECONDS
+        notice_seconds = max(0.0, min(notice_ends_at, ends_at) - now)
+        self._draining = True
+        self.parts.server.begin_drain(
+            ServerEnd(ends_at, notice_ends_at + NOTICE_MARGIN_SECONDS)
+        )
+        emit(Draining(round(notice_seconds, 3), round(max(0.0, ends_at - now), 3)))
+        await self._clock.sleep(notice_seconds)
         limit_seconds = max(0.0, ends_at - self._clock.monotonic())
         return await self.parts.server.finish_drain(limit_seconds)
 
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -4,6 +4,7 @@
     attempts,
     calls,
     crashwatch,
+    durations,
     handler,
     heads,
     loadmonitor,
@@ -15,6 +16,7 @@
 from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.crashwatch import *  # noqa: F403
+from carobladder.forwarding.durations import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.heads import *  # noqa: F403
 from carobladder.forwarding.loadmonitor import *  # noqa: F403
@@ -27,6 +29,7 @@
     *attempts.__all__,
     *calls.__all__,
     *crashwatch.__all__,
+    *durations.__all__,
     *handler.__all__,
     *heads.__all__,
     *loadmonitor.__all__,
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -23,6 +23,7 @@
     ForwardedCall,
     Forwarder,
 )
+from carobladder.forwarding.durations import RouteDurations
 from carobladder.forwarding.heads import (
     SHUTDOWN_RETRY_SECONDS,
     ConfigurationAgeLimits,
@@ -103,7 +104,10 @@
         self._freshness = freshness
         self._generator = generator
         self._refusals = RefusalWriter(generator)
-        self._heads = HeadValidator(clock, find_table, freshness, age_limits)
+        self._durations = RouteDurations(clock)
+        self._heads = HeadValidator(
+            clock, find_table, freshness, age_limits, self._durations
+        )
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Send the response of a target, or a refusal, to the caller."""
@@ -123,6 +127,7 @@
         if call is not None:
             seconds = self._clock.monotonic() - request.received
             self._metrics.observe_request(call.route.name, call.team, seconds)
+            self._durations.note(call.route.name, seconds)
         if answer is not None:
             # The request is answered, however long its caller takes to read.
             await responder.send_answer(answer)
--- a/carobladder/forwarding/heads.py
+++ b/carobladder/forwarding/heads.py
@@ -13,7 +13,8 @@
     UnknownPathError,
 )
 from carobladder.fleet import CallMetadata, Freshness
-from carobladder.gateway.ports import Request
+from carobladder.forwarding.durations import RouteDurations
+from carobladder.gateway.ports import Request, ServerEnd
 from carobladder.routing import Route, RouteTable
 
 __all__ = [
@@ -62,11 +63,13 @@
         find_table: Callable[[], RouteTable | None],
         freshness: Freshness,
         age_limits: ConfigurationAgeLimits,
+        durations: RouteDurations,
     ) -> None:
         self._clock = clock
         self._find_table = find_table
         self._freshness = freshness
         self._age_limits = age_limits
+        self._durations = durations
 
     def validate(self, request: Request, facts: CallMetadata) -> ValidHead:
         """Return what the head selects, or raise CallerError if it is not allowed."""
@@ -85,10 +88,23 @@
         if time_left is not None:
             seconds = min(seconds, time_left)
         deadline = request.received + seconds
-        if request.server_ends_at is not None and deadline > request.server_ends_at:
+        end = request.server_end
+        if end is not None and deadline > end.at and not self._fits(route, end):
             raise ShuttingDownError("the instance shuts down", SHUTDOWN_RETRY_SECONDS)
         return ValidHead(table, route, team, priority, deadline)
 
+    def _fits(self, route: Route, end: ServerEnd) -> bool:
+        """Return whether a request probably ends before the server does.
+
+        After the notice only the request's own limit counts: callers that come then
+        may be sent elsewhere at no risk.
+        """
+        now = self._clock.monotonic()
+        if now >= end.notice_ends_at:
+            return False
+        longest = self._durations.find_longest(route.name)
+        return longest is not None and now + longest <= end.at
+
     def _authenticate(
         self, table: RouteTable, route: Route, facts: CallMetadata
     ) -> tuple[str, int]:
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -334,7 +334,7 @@
             body.join(),
             request_id,
             received,
-            server_ends_at=self._state.ends_at,
+            server_end=self._state.end,
         )
 
     async def _next_event(self) -> object:
--- a/carobladder/gateway/headchecks.py
+++ b/carobladder/gateway/headchecks.py
@@ -61,7 +61,7 @@
             b"",
             self._request_id,
             self._received,
-            server_ends_at=self._state.ends_at,
+            server_end=self._state.end,
         )
 
 
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -22,6 +22,7 @@
     "Ranking",
     "Request",
     "Responder",
+    "ServerEnd",
     "ServiceAnswer",
     "ServiceRoute",
     "SlotRequest",
@@ -242,14 +243,26 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """Known end of a server that drains, in monotonic seconds.
+
+    From ``at`` on it sends no response. Until ``notice_ends_at`` callers are sent to it
+    that have not been told.
+    """
+
+    at: float
+    notice_ends_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """Parsed request.
 
     The names in ``headers`` are lower case, and the values of a repeated header are
     joined by commas. ``fields`` contains the headers and ``target`` the path and query
-    as they were received. ``received`` is in monotonic seconds. ``server_ends_at`` is
-    set while the server shuts down: from that monotonic time on it sends no response.
+    as they were received. ``received`` is in monotonic seconds. ``server_end`` is
+    set while the server shuts down.
     """
 
     method: str
@@ -261,7 +274,7 @@
     received: float
     fields: Headers = ()
     target: str = ""
-    server_ends_at: float | None = None
+    server_end: ServerEnd | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/gateway/requests.py
+++ b/carobladder/gateway/requests.py
@@ -15,7 +15,7 @@
     NotReadyError,
     ShuttingDownError,
 )
-from carobladder.gateway.ports import Directory, Request, Team
+from carobladder.gateway.ports import Directory, Request, ServerEnd, Team
 from carobladder.targets import RequestClass
 
 __all__ = [
@@ -132,7 +132,7 @@
     request_id: str,
     received: float,
     *,
-    server_ends_at: float | None = None,
+    server_end: ServerEnd | None = None,
 ) -> Request:
     """Build the request; raise MalformedRequestError if its path is invalid."""
     headers: dict[str, str] = {}
@@ -154,7 +154,7 @@
         received=received,
         fields=fields,
         target=target,
-        server_ends_at=server_ends_at,
+        server_end=server_end,
     )
 
 
--- a/carobladder/gateway/router.py
+++ b/carobladder/gateway/router.py
@@ -39,7 +39,7 @@
     async def handle(self, request: Request, responder: Responder) -> None:
         """Respond to the request through the handler of its path."""
         path = request.path
-        if request.server_ends_at is not None:
+        if request.server_end is not None:
             raise ShuttingDownError("the instance shuts down")
         if path == CHAT_PATH:
             _require_method(request, frozenset({"POST"}))
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -8,7 +8,7 @@
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection
 from carobladder.gateway.listeners import BACKLOG, open_listener
-from carobladder.gateway.ports import Handler, HeadHandler
+from carobladder.gateway.ports import Handler, HeadHandler, ServerEnd
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.serverstate import OpenConnection, ServerState
 from carobladder.memory import MemoryBudget
@@ -87,9 +87,13 @@
         loop = asyncio.get_running_loop()
         loop.call_later(_IDLE_GRACE_SECONDS, connection.close_if_idle)
 
-    def begin_drain(self) -> None:
-        """Close connections after their current response, but keep listening."""
+    def begin_drain(self, end: ServerEnd | None = None) -> None:
+        """Close connections after their current response, but keep listening.
+
+        ``end`` is what is known of the end already, which later requests are told.
+        """
         self._state.draining = True
+        self._state.end = end
 
     async def finish_drain(self, limit_seconds: float) -> bool:
         """Wait until all connections are closed, then stop listening.
@@ -104,8 +108,9 @@
         for connection in list(self._state.connections):
             self._schedule_idle_close(connection)
         loop = asyncio.get_running_loop()
-        ends_at = self._state.clock.monotonic() + limit_seconds
-        loop.call_later(_IDLE_GRACE_SECONDS, self._set_end, ends_at)
+        if self._state.end is None:
+            ends_at = self._state.clock.monotonic() + limit_seconds
+            loop.call_later(_IDLE_GRACE_SECONDS, self._set_end, ends_at)
         loop_ends_at = loop.time() + limit_seconds
         # Connections that are taken over after the limit are refused.
         self._state.ended = not await self._wait_without_connections(loop_ends_at)
@@ -124,7 +129,7 @@
         return False
 
     def _set_end(self, ends_at: float) -> None:
-        self._state.ends_at = ends_at
+        self._state.end = ServerEnd(ends_at, self._state.clock.monotonic())
 
     async def _stop_listening(self) -> None:
         """Close the listener and take over the connections in its accept queue.
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -7,7 +7,7 @@
 
 from carobladder.clock import Clock
 from carobladder.gateway.bodymemory import BodyMemory
-from carobladder.gateway.ports import Handler, HeadHandler
+from carobladder.gateway.ports import Handler, HeadHandler, ServerEnd
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.sendmemory import SendMemory
 from carobladder.memory import MemoryBudget
@@ -39,8 +39,8 @@
     If ``adds_request_id`` is true, the request id that the gateway created is added to
     each response. ``keep_alive_seconds`` is the longest idle time that is announced to
     callers, 0 for none. ``limits`` may be replaced while connections are open.
-    ``ends_at`` is the monotonic time from which on no response can be sent, set once
-    idle connections have been closed; once ``ended`` is set, that time is over.
+    ``end`` is set once the end of a drain is known; once ``ended`` is set, the time for
+    responses is over.
     ``head_handler`` refuses requests before their bodies are read, if there is one.
     ``body_budget`` bounds the long bodies of all requests, if there is one.
     ``max_unsent_bytes`` bounds the answers that callers have not taken yet.
@@ -55,7 +55,7 @@
     adds_request_id: bool = True
     keep_alive_seconds: int = 0
     draining: bool = False
-    ends_at: float | None = None
+    end: ServerEnd | None = None
     ended: bool = False
     head_handler: HeadHandler | None = None
     body_budget: MemoryBudget | None = None
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -44,9 +44,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Draining(Event):
-    """An end signal arrived; callers are sent elsewhere."""
+    """An end signal arrived; callers are sent elsewhere.
+
+    ``limit_seconds`` is the time until the last response is sent.
+    """
 
     notice_seconds: float
+    limit_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/forwarding/test_early_refusals.py
+++ b/tests/forwarding/test_early_refusals.py
@@ -4,6 +4,7 @@
 import re
 import unittest
 
+from carobladder.gateway.ports import ServerEnd
 from carobladder.gateway.requests import RequestLimits
 from tests.forwarding.fixtures import Instance, build_request, encode_chunk
 from tests.forwarding.test_handler import ForwardingTest, echo
@@ -56,7 +57,8 @@
 
     async def test_late_request_is_refused_before_its_body(self):
         instance = await self.start_wide()
-        instance.server._state.ends_at = instance.clock.monotonic() + 0.1
+        now = instance.clock.monotonic()
+        instance.server._state.end = ServerEnd(now + 0.1, now)
         answer = await self.exchange_part(instance, build_head("/safe/x"))
         self.assertIn(b" 503 ", answer[:20])
         self.assertIn(b"shutting_down", answer)
