Close the listener after the last requests of a drain

What callers saw: connections refused by an instance that still ran.

Cause: at the end of the grace time the listener was closed first, and the requests without an answer were ended then, for up to 0.3 s.

Change: they are ended first, while callers that come are still refused with 503; then the listener is closed and its queue taken over, with 0.1 s for the refusals of that queue. Both fit into the 0.6 s that the shutdown reserves.

--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -23,6 +23,8 @@
 _ACCEPT_ITERATIONS = 3
 # Time for the error responses to requests that are cancelled at the end of a drain.
 _END_SECONDS = 0.3
+# Time for the refusals to callers that connected just before the listener was closed.
+_LAST_SECONDS = 0.1
 
 
 class GatewayServer:
@@ -100,8 +102,8 @@
 
         Returns whether this happened within ``limit_seconds``. Connections without a
         request are closed. A load balancer without a better instance still sends
-        callers, so connections are accepted to the end; requests whose own time ends
-        later are refused. Requests without a response at the end are cancelled.
+        callers, so connections are accepted to the end. Requests without a response at
+        the end are cancelled, and those that come meanwhile are refused.
         """
         self._state.draining = True
         self._closes_idle = True
@@ -112,9 +114,13 @@
             ends_at = self._state.clock.monotonic() + limit_seconds
             loop.call_later(_IDLE_GRACE_SECONDS, self._set_end, ends_at)
         loop_ends_at = loop.time() + limit_seconds
-        # Connections that are taken over after the limit are refused.
-        self._state.ended = not await self._wait_without_connections(loop_ends_at)
+        if not await self._wait_without_connections(loop_ends_at):
+            await self._end_requests()
         await self._stop_listening()
+        if self._state.ended:
+            await self._wait_without_connections(loop.time() + _LAST_SECONDS)
+            return False
+        # A connection that was taken over may still have a request.
         if await self._wait_without_connections(loop_ends_at):
             return True
         await self._end_requests()
--- a/tests/gateway/test_drain_end.py
+++ b/tests/gateway/test_drain_end.py
@@ -9,6 +9,7 @@
 from tests.gateway.test_connections import HEAD, ConnectionTest
 
 LIMIT_SECONDS = 0.6
+REFUSAL_SECONDS = 0.2
 TIMEOUT_SECONDS = 5.0
 BODY = b"x" * 10
 REQUEST = HEAD + b"Content-Length: 0\r\n\r\n"
@@ -73,6 +74,24 @@
         for caller in callers:
             self.assertIn(b"HTTP/1.1 ", await self.read_from(caller))
 
+    # Guards against a listener that is closed while the last requests are refused.
+    async def test_callers_are_answered_until_the_last_request_has_ended(self):
+        async def refuse_slowly(request, responder) -> None:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                await asyncio.sleep(REFUSAL_SECONDS)
+                raise
+
+        await self.start(refuse_slowly)
+        self.writer.write(REQUEST)
+        await asyncio.sleep(0.02)
+        drain = asyncio.create_task(self.gateway.server.finish_drain(LIMIT_SECONDS))
+        await asyncio.sleep(LIMIT_SECONDS + REFUSAL_SECONDS / 2)
+        caller = self.connect_without_loop()
+        self.assertIn(b" 503 ", await self.read_from(caller))
+        self.assertFalse(await drain)
+
     # Guards against a close right after an answer whose headers announced none.
     async def test_next_request_after_an_answer_without_notice_is_answered(self):
         release = asyncio.Event()
