Remember removals that are read while a restored store settles

What operators saw: a version move whose order was withdrawn began anew in a second drill, for 1 to 2 s, until the withdrawal was written again.

Cause: in the time in which lost records may be written again, a removal was taken for the expiry of an entry that its writer could not renew, so its value was not remembered as outdated, and in a second copy it counted as news. Only the targets' entries expire.

Change: whether keys of a topic expire follows from its policy. For the operators' records a removal is remembered at any time.

--- a/carobladder/entry/appliers.py
+++ b/carobladder/entry/appliers.py
@@ -23,6 +23,8 @@
     After the store was restored from a copy, a key that the copy lacks, or has an
     outdated value of, keeps its known value until it is written again or ``settle`` is
     called. With ``keeps_lost_keys`` it keeps it until it is written again.
+    With ``keys_expire`` a removal in that time may be the expiry of an entry that its
+    writer could not renew, and that may come back as it was.
     ``on_moved`` is called with a record whose value is known already but whose offset
     is that of a new era.
     """
@@ -34,11 +36,13 @@
         on_moved: Callable[[KeyedRecord], None] | None = None,
         *,
         keeps_lost_keys: bool = False,
+        keys_expire: bool = False,
     ) -> None:
         self._topic = topic
         self._on_record = on_record
         self._on_moved = on_moved
         self._keeps_lost_keys = keeps_lost_keys
+        self._keys_expire = keys_expire
         self._key_offsets: dict[str, int] = {}
         self._digests: dict[str, int] = {}
         self._removed: OrderedDict[str, None] = OrderedDict()
@@ -126,9 +130,9 @@
         """Remember a record as the newest of its key and pass it on."""
         key = record.key
         before = self._digests.pop(key, None)
-        # An entry that has expired with the store away may come back as it was.
-        is_expiry = self._is_restoring and record.value is None
-        if before is not None and not is_expiry:
+        is_removal = record.value is None
+        may_be_expiry = self._keys_expire and self._is_restoring and is_removal
+        if before is not None and not may_be_expiry:
             _remember(self._outdated, before, _MAX_OUTDATED)
         if record.value is None:
             _remember(self._removed, key, _MAX_REMOVED)
--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -89,7 +89,11 @@
         self._clock = clock
         self._policy = policy
         self._applier = RecordApplier(
-            name, on_record, on_moved, keeps_lost_keys=policy.keeps_lost_keys
+            name,
+            on_record,
+            on_moved,
+            keeps_lost_keys=policy.keeps_lost_keys,
+            keys_expire=policy.keys_expire,
         )
         self._eras = eras or EraMonitor()
         self._proofs = TopicProofs(self._eras, policy.needs_settled_era)
--- a/carobladder/entry/paces.py
+++ b/carobladder/entry/paces.py
@@ -85,6 +85,11 @@
     needs_settled_era: bool = False
     keeps_lost_keys: bool = False
 
+    @property
+    def keys_expire(self) -> bool:
+        """Whether keys that their writers do not renew are removed."""
+        return math.isfinite(self.expiry_seconds)
+
 
 def build_operator_policy(
     revocation_seconds: float, configuration_seconds: float
--- a/tests/entry/restored_move_simulation.py
+++ b/tests/entry/restored_move_simulation.py
@@ -16,9 +16,15 @@
 from standins.store import StoreCopy
 from tests.entry.test_versions import Instance, VersionMoveFleet
 
-__all__ = ["DURATION_SECONDS", "FollowingInstance", "RestoredMoveFleet"]
+__all__ = [
+    "DURATION_SECONDS",
+    "ENDED_STATES",
+    "FollowingInstance",
+    "RestoredMoveFleet",
+]
 
 DURATION_SECONDS = 30.0
+ENDED_STATES = frozenset({"completed", "rolled_back"})
 _ORDER_KEY = "rollout/engine"
 _REVOCATION_SECONDS = 5.0
 _CONFIGURATION_SECONDS = 2.0
@@ -64,7 +70,9 @@
     """Fleet that gets its orders from the store.
 
     ``shares`` are the shares of the new version that each instance has had, by name;
-    ``status_of_copy`` is the state for operators in the copy restored last.
+    ``status_of_copy`` is the state for operators in the copy restored last;
+    ``ends`` are the states of an ended move that operators have read, with their times;
+    ``senders`` names the instance of each request.
     """
 
     instance_class = FollowingInstance
@@ -76,6 +84,8 @@
         super().__init__(count, seed)
         self.shares: dict[str, list[float]] = {}
         self.status_of_copy: str | None = None
+        self.ends: dict[str, float] = {}
+        self.senders: list[str] = []
 
     def write_order(self, version: str = "v2") -> None:
         """Write an order as the operator does."""
@@ -102,17 +112,23 @@
         await self.run(seconds - 2.0)
 
     async def restore(
-        self, copy: StoreCopy, start_late: str | None = None, *, leads: bool = False
+        self,
+        copy: StoreCopy,
+        start_late: str | None = None,
+        *,
+        leads: bool = False,
+        away_seconds: float = 1.5,
+        rewrite_seconds: float = 0.6,
     ) -> None:
         """Let the store go away for a while and come back from a copy.
 
-        Operators write again what was lost 0.6 s later, but for what they replaced.
-        An instance with the name ``start_late`` starts as the store comes back, and
-        is the leader if it ``leads``.
+        Operators write again what was lost ``rewrite_seconds`` later, but for what they
+        replaced. An instance with the name ``start_late`` starts as the store comes
+        back, and is the leader if it ``leads``.
         """
         for instance in self.instances:
             instance.store.silent = True
-        await self.run(1.5)
+        await self.run(away_seconds)
         self.state.restore(copy)
         self.status_of_copy = self.read_status()
         for instance in self.instances:
@@ -120,7 +136,7 @@
         if start_late is not None:
             late = self.start_late(start_late)
             late.ledger.assign(frozenset({0} if leads else ()), self.clock.boottime())
-        await self.run(0.6)
+        await self.run(rewrite_seconds)
         self.state.write_lost_again(only_newest=True)
 
     def deal_other_partitions(self) -> None:
@@ -146,12 +162,27 @@
         end = self.clock.monotonic() + seconds
         while self.clock.monotonic() < end - 1e-6:
             await super().run(min(0.25, end - self.clock.monotonic()))
+            status = self.read_status()
+            if status in ENDED_STATES:
+                self.ends.setdefault(status, self.clock.monotonic())
             for instance in self.instances:
                 move = instance.moves.services.get("engine")
                 if move is not None:
                     name = instance.move_controller._instance
                     self.shares.setdefault(name, []).append(move.share)
 
+    def _send(self, instance: FollowingInstance) -> None:
+        """Send a request, unless the instance has not looked at the store yet.
+
+        The program listens after its first reads.
+        """
+        if not instance.operator_follower._first_attempt_done.is_set():
+            return
+        count = len(self.sent)
+        super()._send(instance)
+        if len(self.sent) > count:
+            self.senders.append(instance.move_controller._instance)
+
     def list_fallen_shares(self) -> dict[str, list[float]]:
         """Return the shares of the instances on which one was below an earlier one."""
         return {n: s for n, s in self.shares.items() if s != sorted(s)}
--- a/tests/entry/test_appliers.py
+++ b/tests/entry/test_appliers.py
@@ -15,14 +15,14 @@
     another offset.
     """
 
-    def start(self, *, keeps_lost_keys: bool = False) -> RecordApplier:
+    def start(self, **options: bool) -> RecordApplier:
         self.passed: list[tuple[str, bytes | None]] = []
         self.moved: list[KeyedRecord] = []
         applier = RecordApplier(
             TOPIC,
             lambda record: self.passed.append((record.key, record.value)),
             self.moved.append,
-            keeps_lost_keys=keeps_lost_keys,
+            **options,
         )
         for offset, value in enumerate((b"1", b"2", b"3")):
             applier.apply(KeyedRecord(offset, "a", value))
@@ -127,6 +127,31 @@
         self.assertEqual(applier.settle(), 0)
         self.assertEqual(self.passed, [])
 
+    # Guards against a withdrawn order that takes effect again in a second drill, as its
+    # withdrawal came soon after the first.
+    def test_key_removed_while_restoring_stays_removed_in_a_second_copy(self):
+        applier = self.start()
+        copy = [KeyedRecord(2, "a", b"3"), KeyedRecord(3, "b", b"x")]
+        applier.restore(copy)
+        self.assertTrue(applier.apply(KeyedRecord(4, "b", None)))
+        applier.settle()
+        self.passed.clear()
+        applier.restore(copy)
+        self.assertEqual(self.passed, [])
+        self.assertFalse(applier.apply(KeyedRecord(4, "b", None)))
+        self.assertEqual(applier.settle(), 0)
+
+    # Guards against an entry that expired with the store away, and that counts as
+    # outdated when its server writes it again.
+    def test_expired_key_may_come_back_in_a_second_era(self):
+        applier = self.start(keys_expire=True)
+        applier.restore([KeyedRecord(2, "a", b"3"), KeyedRecord(3, "b", b"x")])
+        self.assertTrue(applier.apply(KeyedRecord(4, "b", None)))
+        applier.settle()
+        self.passed.clear()
+        applier.restore([KeyedRecord(2, "a", b"3"), KeyedRecord(3, "b", b"x")])
+        self.assertEqual(self.passed, [("b", b"x")])
+
     # Guards against what was unconfirmed in one era being taken in the next one.
     def test_second_restore_before_the_first_is_settled(self):
         applier = self.start()
--- /dev/null
+++ b/tests/entry/test_restored_move_drills.py
@@ -0,0 +1,28 @@
+"""Tests of version moves beside drills of the store with drawn moments."""
+
+import unittest
+
+from tests.entry.restored_move_drill import draw_move_drill, play_move_drill
+
+# Each of these broke once.
+WITHDRAWN_BEFORE_A_SECOND_DRILL = (6, 493, 533)
+
+
+class RestoredMoveDrillTest(unittest.TestCase):
+    """Guard against moves that a drill begins anew, stops or leaves undecided."""
+
+    def check(self, seeds: tuple[int, ...]) -> None:
+        """Check that the drills of these seeds have no faults."""
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                drill = draw_move_drill(seed)
+                self.assertEqual(play_move_drill(drill), [], drill)
+
+    # Guards against an order whose withdrawal was read soon after a first drill, and
+    # that the copy of a second one puts into effect again.
+    def test_withdrawn_order_stays_withdrawn_in_a_second_drill(self):
+        self.check(WITHDRAWN_BEFORE_A_SECOND_DRILL)
+
+
+if __name__ == "__main__":
+    unittest.main()
