Let a new leader wait for the steps of an order that it has just read

Cause: a leader that has started in the drill may write the first step once no earlier leader believes to lead, 3.5 s after it began to lead. The order, which the copy lacked, was written again 2 s before that, and under its new offset the others had not yet written the step that they know.

Change: a leader that was not settled when it read the order also waits 3.0 s from then on, in which two of the others are expected to try in each round of 0.8 s. A leader that has led before the order came does not wait.

--- a/carobladder/entry/versions.py
+++ b/carobladder/entry/versions.py
@@ -51,6 +51,9 @@
 # Instances that try to write it in each round, for a leader that has just started and
 # does not know it.
 _REWRITERS = 2.0
+# Time in which they do so after the order was read, too, for a leader that has started
+# since.
+_FOREIGN_STEP_SECONDS = 3.0
 # Interval in which evidence is published and evaluated and steps are decided.
 _ROUND_INTERVAL_SECONDS = 0.8
 _READ_WAIT_SECONDS = 2.0
@@ -287,11 +290,14 @@
         """Return whether the first step of a move may be written.
 
         A new leader may not know the steps that a restored store has lost, which others
-        write again meanwhile.
+        write again meanwhile. They can do so once the order has been written again.
         """
-        return move.step is not None or self._ledger.is_leader_settled(
-            self._clock.boottime()
-        )
+        if move.step is not None:
+            return True
+        now = self._clock.boottime()
+        led_before = self._ledger.is_leader_settled(move.seen_at)
+        is_known = led_before or now - move.seen_at >= _FOREIGN_STEP_SECONDS
+        return is_known and self._ledger.is_leader_settled(now)
 
     def _decide_next_step(self, move: VersionMove) -> MoveStep | None:
         situation = MoveObservation(
--- a/tests/entry/test_restored_move_drills.py
+++ b/tests/entry/test_restored_move_drills.py
@@ -6,6 +6,7 @@
 
 # Each of these broke once.
 WITHDRAWN_BEFORE_A_SECOND_DRILL = (6, 493, 533)
+LATE_LEADER = (142,)
 
 
 class RestoredMoveDrillTest(unittest.TestCase):
@@ -23,6 +24,11 @@
     def test_withdrawn_order_stays_withdrawn_in_a_second_drill(self):
         self.check(WITHDRAWN_BEFORE_A_SECOND_DRILL)
 
+    # Guards against a leader that has started in the drill, and writes the first step
+    # of a move before the others can write again what the copy lacks.
+    def test_leader_that_starts_in_the_drill_does_not_begin_a_move_anew(self):
+        self.check(LATE_LEADER)
+
 
 if __name__ == "__main__":
     unittest.main()
