End a move that its leader leaves undecided

The leader had started in the drill, after the order and its withdrawal were gone from the store, and so knew of no move; the others knew, and may not write next steps.

Cause: only the leader decides on the steps of a move, and its knowledge is taken to be complete.

Change: 4 s after a move is due, by its withdrawal or its duration, other instances may write its end, two of them in a round on average. The store takes one of them, as each writes on the condition that it has read all steps.

--- a/carobladder/entry/versions.py
+++ b/carobladder/entry/versions.py
@@ -1,6 +1,7 @@
 """Execution of version moves that operators order through the store."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import replace
@@ -54,6 +55,9 @@
 # Time in which they do so after the order was read, too, for a leader that has started
 # since.
 _FOREIGN_STEP_SECONDS = 3.0
+# Time after which others write the end of a move that its leader leaves undecided, as
+# one that knows of no order does.
+_OVERDUE_SECONDS = 4.0
 # Interval in which evidence is published and evaluated and steps are decided.
 _ROUND_INTERVAL_SECONDS = 0.8
 _READ_WAIT_SECONDS = 2.0
@@ -109,6 +113,8 @@
         # Services whose newest step a restored store may have lost, and until when to
         # write it.
         self._unwritten: dict[str, float] = {}
+        # When the active move of a service had to end by.
+        self._due_at: dict[str, float] = {}
         # Newest step read of each service, and when it was read.
         self._read_steps: dict[str, tuple[MoveStep, float]] = {}
         self._steps_follower = self._build_follower(
@@ -121,7 +127,10 @@
 
     def handle_order(self, order: RolloutOrder) -> None:
         """Handle an order of the operators or its withdrawal."""
-        self._moves.take_order(order, self._clock.boottime())
+        now = self._clock.boottime()
+        self._moves.take_order(order, now)
+        seconds_left = 0.0 if order.withdrawn else order.duration_seconds
+        self._due_at[order.service] = now + seconds_left
         emit(
             VersionMoveOrdered(
                 order.service, order.version, order.duration_seconds, order.withdrawn
@@ -206,11 +215,15 @@
         self._unwritten = {n: u for n, u in self._unwritten.items() if now < u}
         if self._ledger.is_leader:
             await self._write_next_steps()
-        elif self._unwritten and self._generator.random() < (
-            _REWRITERS * self._ledger.share
-        ):
+        elif self._chooses_to_help():
             await self._write_next_steps(only_lost=True)
 
+    def _chooses_to_help(self) -> bool:
+        """Return whether to write now what the leader may not know."""
+        if not self._unwritten and not any(map(self._is_overdue, self._moves.active)):
+            return False
+        return self._generator.random() < _REWRITERS * self._ledger.share
+
     async def _publish_evidence(self) -> None:
         """Publish the evidence of this instance if it has changed."""
         evidence = self._tallies.collect()
@@ -254,7 +267,8 @@
     async def _write_next_steps(self, *, only_lost: bool = False) -> None:
         """Write the next steps of all moves unless another instance has written.
 
-        With ``only_lost``, write only those that a restored store may have lost.
+        With ``only_lost``, write only those that a restored store may have lost, and
+        the ends of moves that the leader leaves undecided.
         """
         end = self._steps_follower.next_offset
         if end is None or not self._steps_follower.freshness.synced:
@@ -279,13 +293,19 @@
     def _choose_step(self, move: VersionMove, *, only_lost: bool) -> MoveStep | None:
         """Return the next step of a move, or its newest one if it may be lost."""
         step = None
-        if move.active and not only_lost and self._may_begin(move):
+        may_decide = not only_lost or self._is_overdue(move)
+        if move.active and may_decide and self._may_begin(move):
             step = self._decide_next_step(move)
         if step is None and move.step and move.order.service in self._unwritten:
             elapsed_seconds = move.elapsed_seconds(self._clock.boottime())
             return replace(move.step, elapsed_seconds=elapsed_seconds)
         return step
 
+    def _is_overdue(self, move: VersionMove) -> bool:
+        """Return whether a move should have ended some time ago."""
+        due_at = self._due_at.get(move.order.service, math.inf)
+        return self._clock.boottime() - due_at >= _OVERDUE_SECONDS
+
     def _may_begin(self, move: VersionMove) -> bool:
         """Return whether the first step of a move may be written.
 
