--- a/tests/entry/program.py
+++ b/tests/entry/program.py
@@ -15,12 +15,20 @@
 from carobladder.telemetry import GatewayMetrics
 from standins.store import StoreState
 from tests.entry.fixtures import OPERATOR_TOPIC, SERVERS_TOPIC, StoreHandler
-from tests.forwarding.fixtures import HOST, KEY, build_request
+from tests.forwarding.fixtures import (
+    HOST,
+    KEY,
+    ScriptedTarget,
+    build_request,
+    build_response,
+)
 from tests.platform.test_documents import CONFIGURATION, ROUTE, SERVER
 
 _ROOT = Path(__file__).resolve().parents[2]
 _START_SECONDS = 10.0
 _POLL_SECONDS = 0.05
+_NEIGHBOUR_SECONDS = 0.05
+_RECEIVE_BYTES = 4096
 _SETTINGS = """
 instance = "front-1"
 data_centre = "dc-1"
@@ -48,8 +56,13 @@
     }
 
 
+async def answer(request: bytes, writer: asyncio.StreamWriter) -> None:
+    """Answer every request."""
+    writer.write(build_response(request, b"ok"))
+
+
 class EntryProgramCase(unittest.IsolatedAsyncioTestCase):
-    """Test case that runs the entry program; subclasses start and register targets."""
+    """Test case that runs the entry program; subclasses configure and start it."""
 
     MEMORY_MB = 160
 
@@ -88,6 +101,12 @@
         entry["coldRemainingMs"] = 0
         self.state.put_document(SERVERS_TOPIC, key, entry)
 
+    async def start_target(self, key: str, service: str, script) -> str:
+        """Start and register a target that runs a script; return its address."""
+        server = await self.enterAsyncContext(ScriptedTarget(script).server)
+        self.register(key, service, server.address)
+        return server.address
+
     async def start_program(self) -> None:
         """Start the program and wait until it is ready."""
         ports = _find_free_ports(4)
@@ -157,6 +176,30 @@
         finally:
             writer.transport.abort()
 
+    async def call_neighbour(self, seconds: float, statuses: list[bytes]) -> None:
+        """Call a sound target again and again, and add the status of each answer."""
+        while True:
+            answered = await self.call("/sound/x", seconds)
+            statuses.append(answered[9:12])
+            await asyncio.sleep(_NEIGHBOUR_SECONDS)
+
+    async def stall(self, path: str, seconds: float, **request) -> socket.socket:
+        """Return a connection with an answer of which only one byte is read.
+
+        ``seconds`` is the deadline of the call, and the longest wait for that byte.
+        """
+        loop = asyncio.get_running_loop()
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
+        sock.setblocking(False)
+        await loop.sock_connect(sock, ("127.0.0.1", self.port))
+        fields = {"Carobladder-Deadline": f"{seconds * 1000:.0f}"}
+        await loop.sock_sendall(sock, build_request(path, **request, **fields))
+        async with asyncio.timeout(seconds):
+            self.assertEqual(await loop.sock_recv(sock, 1), b"H")
+        return sock
+
     async def read_metric(self, name: str) -> float:
         """Return the sum of the samples of a metric."""
         text = (await self._fetch(self.metrics_port, "/metrics")).decode()
--- a/tests/entry/test_request_memory.py
+++ b/tests/entry/test_request_memory.py
@@ -4,8 +4,8 @@
 import contextlib
 import unittest
 
-from tests.entry.program import EntryProgramCase, build_program_route
-from tests.forwarding.fixtures import ScriptedTarget, build_request, build_response
+from tests.entry.program import EntryProgramCase, answer, build_program_route
+from tests.forwarding.fixtures import build_request
 
 _CALLERS = 60
 _BODY_BYTES = 4_194_304
@@ -14,12 +14,6 @@
 _HOLD_SECONDS = 2.0
 _SEND_SECONDS = 5.0
 _ANSWER_SECONDS = 8.0
-_NEIGHBOUR_SECONDS = 0.05
-
-
-async def answer(request: bytes, writer) -> None:
-    """Answer every request."""
-    writer.write(build_response(request, b"ok"))
 
 
 class RequestMemoryCase(EntryProgramCase):
@@ -27,9 +21,7 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.target = ScriptedTarget(answer)
-        server = await self.enterAsyncContext(self.target.server)
-        self.register("i-0", "sound", server.address)
+        await self.start_target("i-0", "sound", answer)
         self.configure([build_program_route("sound", "sound", kind="safe")], ["sound"])
         await self.start_program()
 
@@ -78,15 +70,9 @@
 class HeldBodiesTest(RequestMemoryCase):
     """Guard against bodies that are sent slowly and outgrow the memory together."""
 
-    async def call_neighbour(self, statuses: list[bytes]) -> None:
-        while True:
-            answered = await self.call("/sound/x", _ANSWER_SECONDS)
-            statuses.append(answered[9:12])
-            await asyncio.sleep(_NEIGHBOUR_SECONDS)
-
     async def test_bodies_that_are_sent_slowly_stay_within_the_memory(self):
         statuses: list[bytes] = []
-        neighbour = asyncio.create_task(self.call_neighbour(statuses))
+        neighbour = asyncio.create_task(self.call_neighbour(_ANSWER_SECONDS, statuses))
         answers = await self.send_bodies()
         neighbour.cancel()
         self.assertLess(self.read_peak_mb(), self.MEMORY_MB)
--- a/tests/entry/test_unread_streams.py
+++ b/tests/entry/test_unread_streams.py
@@ -1,20 +1,13 @@
 """Tests of the program's memory while callers leave endless streams unread."""
 
 import asyncio
-import socket
 import unittest
 from pathlib import Path
 
 from tests.entry.program import EntryProgramCase, build_program_route
-from tests.forwarding.fixtures import (
-    ScriptedTarget,
-    build_request,
-    build_stream_head,
-    encode_chunk,
-)
+from tests.forwarding.fixtures import build_stream_head, encode_chunk
 
 _CALLERS = 150
-_RECEIVE_BYTES = 4096
 _CALL_SECONDS = 30.0
 _HOLD_SECONDS = 3.0
 _EVENT_TEXT = b"x" * 4000
@@ -36,30 +29,14 @@
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
-        self.target = ScriptedTarget(send_events_without_end)
-        server = await self.enterAsyncContext(self.target.server)
-        self.target_port = int(server.address.rpartition(":")[2])
-        self.register("i-0", "endless", server.address)
+        address = await self.start_target("i-0", "endless", send_events_without_end)
+        self.target_port = int(address.rpartition(":")[2])
         routes = [
             build_program_route("endless", "endless", resumable=False, timeoutMs=30000)
         ]
         self.configure(routes, ["endless"])
         await self.start_program()
 
-    async def stall(self) -> None:
-        """Open a stream of which only the first byte is read."""
-        loop = asyncio.get_running_loop()
-        sock = socket.socket()
-        self.addCleanup(sock.close)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
-        sock.setblocking(False)
-        await loop.sock_connect(sock, ("127.0.0.1", self.port))
-        fields = {"Carobladder-Deadline": f"{_CALL_SECONDS * 1000:.0f}"}
-        request = build_request("/endless/x", method="GET", **fields)
-        await loop.sock_sendall(sock, request)
-        async with asyncio.timeout(_CALL_SECONDS):
-            self.assertEqual(await loop.sock_recv(sock, 1), b"H")
-
     def read_unread_mb(self) -> float:
         """Return the bytes of the target that the program has not read."""
         ending = f":{self.target_port:04X}"
@@ -72,7 +49,11 @@
 
     # Guards against bytes of targets that wait in the process and in its sockets.
     async def test_streams_that_are_not_read_stay_within_the_memory(self):
-        await asyncio.gather(*(self.stall() for _ in range(_CALLERS)))
+        stalls = [
+            self.stall("/endless/x", _CALL_SECONDS, method="GET")
+            for _ in range(_CALLERS)
+        ]
+        await asyncio.gather(*stalls)
         await asyncio.sleep(_HOLD_SECONDS)
         self.assertIsNone(self.process.returncode)
         kept_mb = self.read_peak_mb() + self.read_unread_mb()
