--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -5,14 +5,18 @@
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
-from carobladder.entry.configurationbackup import ConfigurationBackup
+from carobladder.entry.configurationbackup import (
+    CONFIGURATION_BACKUP,
+    ConfigurationBackup,
+)
 from carobladder.entry.control_state import ControlState
 from carobladder.entry.draining import KEEP_ALIVE_SECONDS
-from carobladder.entry.eramarks import EraMarkKeeper
+from carobladder.entry.eramarks import ERA_MARK, EraMarkKeeper
 from carobladder.entry.eras import EraMonitor
 from carobladder.entry.exchange import PeerExchange, SharedState
 from carobladder.entry.fence import FenceMonitor, build_fence_times
 from carobladder.entry.followers import TopicFollower
+from carobladder.entry.ownedrecords import OwnedRecord, RecordSpec
 from carobladder.entry.paces import (
     compute_expiry_seconds,
 )
@@ -172,11 +176,7 @@
             self._eras,
         )
         self._era_marks = EraMarkKeeper(
-            self._eras,
-            KeyedTopic(self._store, INSTANCES_TOPIC),
-            self._peers,
-            clock,
-            self._generator,
+            self._eras, self._build_record(ERA_MARK), clock, self._generator
         )
         self._reader_role = ReaderRole(self._ledger, self._peers.count_peers)
         self._metrics = ForwardMetrics()
@@ -214,9 +214,7 @@
         )
         backup = ConfigurationBackup(
             self._eras,
-            KeyedTopic(self._store, INSTANCES_TOPIC),
-            self._peers,
-            clock,
+            self._build_record(CONFIGURATION_BACKUP),
             lambda: control_state.version,
             lambda value: apply_configuration_value(control_state, value),
         )
@@ -289,6 +287,10 @@
         self._pacer.forget(target_id)
         self._rates.forget(target_id)
 
+    def _build_record(self, spec: RecordSpec) -> OwnedRecord:
+        topic = KeyedTopic(self._store, INSTANCES_TOPIC)
+        return OwnedRecord(spec, topic, self._peers, self._clock)
+
     def _build_move_controller(self) -> VersionMoveController:
         return VersionMoveController(
             self._settings.instance,
--- a/carobladder/entry/configurationbackup.py
+++ b/carobladder/entry/configurationbackup.py
@@ -6,18 +6,15 @@
 from dataclasses import dataclass
 from functools import partial
 
-from carobladder.clock import Clock
 from carobladder.entry.eras import EraMonitor
-from carobladder.entry.ownedrecords import OwnedRecord
-from carobladder.entry.peers import PeerDirectory
-from carobladder.fleet import KeyedRecord, TopicWriter
+from carobladder.entry.ownedrecords import OwnedRecord, RecordSpec
+from carobladder.fleet import KeyedRecord
 
-__all__ = ["ConfigurationBackup"]
+__all__ = ["CONFIGURATION_BACKUP", "ConfigurationBackup"]
 
-_KEY = "configuration-backup"
-# Point on the ring of instances whose owners write the copy.
-_RING_KEY = 1 << 62
-_RETRY_DELAY_SECONDS = 0.3
+CONFIGURATION_BACKUP = RecordSpec(
+    "configuration-backup", ring_key=1 << 62, retry_seconds=0.3
+)
 _COMPRESSION_LEVEL = 1
 # Limit on the decompressed size, so that a few bytes cannot exhaust the memory.
 _MAX_CONFIGURATION_BYTES = 16_777_216
@@ -42,16 +39,12 @@
     def __init__(
         self,
         eras: EraMonitor,
-        topic: TopicWriter,
-        peers: PeerDirectory,
-        clock: Clock,
+        record: OwnedRecord,
         find_version: Callable[[], int],
         apply_value: Callable[[bytes], None],
     ) -> None:
         self._eras = eras
-        self._record = OwnedRecord(
-            _KEY, _RING_KEY, topic, peers, clock, _RETRY_DELAY_SECONDS
-        )
+        self._record = record
         self._find_version = find_version
         self._apply_value = apply_value
         self._value: bytes | None = None
@@ -67,7 +60,7 @@
 
     def apply_record(self, record: KeyedRecord) -> bool:
         """Apply a record of the store; return whether it is such a copy."""
-        if record.key != _KEY:
+        if record.key != self._record.key:
             return False
         self._pending = _decode(record.value or b"")
         self._apply_pending()
--- a/carobladder/entry/eramarks.py
+++ b/carobladder/entry/eramarks.py
@@ -6,18 +6,15 @@
 
 from carobladder.clock import Clock
 from carobladder.entry.eras import EraMonitor
-from carobladder.entry.ownedrecords import OwnedRecord
-from carobladder.entry.peers import PeerDirectory
-from carobladder.fleet import KeyedRecord, TopicWriter
+from carobladder.entry.ownedrecords import OwnedRecord, RecordSpec
+from carobladder.fleet import KeyedRecord
 
-__all__ = ["EraMarkKeeper"]
+__all__ = ["ERA_MARK", "EraMarkKeeper"]
 
-_KEY = "settled-era"
-# Point on the ring of instances whose owners write the mark at once.
-_RING_KEY = 0
+# Its owners write it at once.
+ERA_MARK = RecordSpec("settled-era", ring_key=0, retry_seconds=1.0)
 # The others write it after this time in seconds unless they have read it before.
 _OTHERS_DELAY_SECONDS = (15.0, 25.0)
-_RETRY_DELAY_SECONDS = 1.0
 
 
 class EraMarkKeeper:
@@ -30,15 +27,12 @@
     def __init__(
         self,
         eras: EraMonitor,
-        topic: TopicWriter,
-        peers: PeerDirectory,
+        record: OwnedRecord,
         clock: Clock,
         generator: random.Random,
     ) -> None:
         self._eras = eras
-        self._record = OwnedRecord(
-            _KEY, _RING_KEY, topic, peers, clock, _RETRY_DELAY_SECONDS
-        )
+        self._record = record
         self._clock = clock
         self._generator = generator
         self._stored_era: int | None = None
@@ -47,7 +41,7 @@
 
     def apply_record(self, record: KeyedRecord) -> bool:
         """Apply a record of the store; return whether it is the mark."""
-        if record.key != _KEY:
+        if record.key != self._record.key:
             return False
         text = (record.value or b"").decode("ascii", "replace")
         if text.isdecimal():
--- a/carobladder/entry/ownedrecords.py
+++ b/carobladder/entry/ownedrecords.py
@@ -1,44 +1,52 @@
 """Records of the fleet's own topic that only a few instances write."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from carobladder.clock import Clock
 from carobladder.entry.peers import PeerDirectory
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import TopicWriter
 
-__all__ = ["OwnedRecord"]
+__all__ = ["OwnedRecord", "RecordSpec"]
 
 # Instances that own a record; a second one, in case that the first has just ended.
 _OWNERS = 2
 
 
-class OwnedRecord:
-    """Record whose owners are found on the ring of instances by ``ring_key``.
+@dataclass(frozen=True, slots=True)
+class RecordSpec:
+    """Key of a record, and who writes it.
 
-    A write that fails is repeated after ``retry_seconds``.
+    Its owners are found on the ring of instances by ``ring_key``. A write that fails is
+    repeated after ``retry_seconds``.
     """
 
+    key: str
+    ring_key: int
+    retry_seconds: float
+
+
+class OwnedRecord:
+    """Record of a topic that its owners write."""
+
     def __init__(
-        self,
-        key: str,
-        ring_key: int,
-        topic: TopicWriter,
-        peers: PeerDirectory,
-        clock: Clock,
-        retry_seconds: float,
+        self, spec: RecordSpec, topic: TopicWriter, peers: PeerDirectory, clock: Clock
     ) -> None:
-        self.key = key
-        self._ring_key = ring_key
+        self._spec = spec
         self._topic = topic
         self._peers = peers
         self._clock = clock
-        self._retry_seconds = retry_seconds
+
+    @property
+    def key(self) -> str:
+        """Key of the record in its topic."""
+        return self._spec.key
 
     @property
     def is_own(self) -> bool:
         """Whether this instance is one of the owners."""
-        owners = self._peers.find_owners(self._ring_key, _OWNERS)
+        owners = self._peers.find_owners(self._spec.ring_key, _OWNERS)
         return self._peers.instance in owners
 
     async def write(self, value: bytes, is_needed: Callable[[], bool]) -> None:
@@ -49,4 +57,4 @@
                 return
             except LogUnavailableError:
                 # The outage is logged by those that read the store.
-                await self._clock.sleep(self._retry_seconds)
+                await self._clock.sleep(self._spec.retry_seconds)
--- a/tests/entry/test_configurationbackup.py
+++ b/tests/entry/test_configurationbackup.py
@@ -4,8 +4,12 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.configurationbackup import ConfigurationBackup
+from carobladder.entry.configurationbackup import (
+    CONFIGURATION_BACKUP,
+    ConfigurationBackup,
+)
 from carobladder.entry.eras import EraMonitor
+from carobladder.entry.ownedrecords import OwnedRecord
 from carobladder.entry.peers import PeerDirectory
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import KeyedRecord
@@ -36,11 +40,10 @@
         self.version = version
         self.eras = EraMonitor()
         self.eras.note(era)
+        peers = PeerDirectory("n1", "127.0.0.1:1", self.clock)
         self.backup = ConfigurationBackup(
             self.eras,
-            topic,
-            PeerDirectory("n1", "127.0.0.1:1", self.clock),
-            self.clock,
+            OwnedRecord(CONFIGURATION_BACKUP, topic, peers, self.clock),
             lambda: self.version,
             self._apply,
         )
--- a/tests/entry/test_eramarks.py
+++ b/tests/entry/test_eramarks.py
@@ -5,8 +5,9 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.eramarks import EraMarkKeeper
+from carobladder.entry.eramarks import ERA_MARK, EraMarkKeeper
 from carobladder.entry.eras import EraMonitor
+from carobladder.entry.ownedrecords import OwnedRecord
 from carobladder.entry.peers import PeerDirectory
 from carobladder.fleet import KeyedRecord
 from tests.entry.test_configurationbackup import ROUNDS, FakeTopic
@@ -31,9 +32,8 @@
             value = ANNOUNCEMENT % (10 + number)
             directory.apply_record(KeyedRecord(number, f"p{number}", value))
         self.directory = directory
-        return EraMarkKeeper(
-            self.eras, self.topic, directory, self.clock, random.Random(1)
-        )
+        record = OwnedRecord(ERA_MARK, self.topic, directory, self.clock)
+        return EraMarkKeeper(self.eras, record, self.clock, random.Random(1))
 
     async def run_for(self, keeper: EraMarkKeeper, seconds: float) -> None:
         """Let the keeper run after its era was settled."""
