--- a/carobladder/clients/bodies.py
+++ b/carobladder/clients/bodies.py
@@ -1,12 +1,11 @@
 """Bodies of requests that servers have answered before they took the whole body."""
 
-import array
 import asyncio
-import fcntl
 import termios
 
 from carobladder.clients.connection import ClientConnection
 from carobladder.clients.tasks import ConnectionTasks
+from carobladder.sockets import read_queue_size
 
 __all__ = ["UnsentBodies", "count_unsent_bytes"]
 
@@ -55,10 +54,7 @@
     transport = connection.transport
     if transport is None or not connection.usable:
         return 0
-    in_socket = array.array("i", [0])
-    handle = transport.get_extra_info("socket")
-    try:
-        fcntl.ioctl(handle.fileno(), termios.TIOCOUTQ, in_socket)
-    except OSError:
+    in_socket = read_queue_size(transport.get_extra_info("socket"), termios.TIOCOUTQ)
+    if in_socket is None:
         return 0
-    return transport.get_write_buffer_size() + in_socket[0]
+    return transport.get_write_buffer_size() + in_socket
--- a/carobladder/gateway/endings.py
+++ b/carobladder/gateway/endings.py
@@ -1,8 +1,6 @@
 """Ends of callers' connections, and what they leave unanswered."""
 
-import array
 import asyncio
-import fcntl
 import socket
 import termios
 from enum import StrEnum
@@ -10,6 +8,7 @@
 import h11
 
 from carobladder.clock import Clock
+from carobladder.sockets import read_queue_size
 from carobladder.telemetry import ConnectionCut, ConnectionMetrics, emit
 
 __all__ = [
@@ -130,12 +129,7 @@
 
 def count_unread_bytes(sock: socket.socket) -> int:
     """Return the number of bytes that wait in a socket, 0 if it is closed."""
-    size = array.array("i", [0])
-    try:
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
-    except (OSError, ValueError):
-        return 0
-    return size[0]
+    return read_queue_size(sock, termios.FIONREAD) or 0
 
 
 def _format_address(peer_name: tuple[str, int] | None) -> str:
