--- a/carobladder/entry/ownedrecords.py
+++ b/carobladder/entry/ownedrecords.py
@@ -8,7 +8,7 @@
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import TopicWriter
 
-__all__ = ["OwnedRecord", "RecordSpec"]
+__all__ = ["OwnedRecord", "RecordSpec", "is_owner"]
 
 # Instances that own a record; a second one, in case that the first has just ended.
 _OWNERS = 2
@@ -46,8 +46,7 @@
     @property
     def is_own(self) -> bool:
         """Whether this instance is one of the owners."""
-        owners = self._peers.find_owners(self._spec.ring_key, _OWNERS)
-        return self._peers.instance in owners
+        return is_owner(self._peers, self._spec.ring_key)
 
     async def write(self, value: bytes, is_needed: Callable[[], bool]) -> None:
         """Write a value until it is stored or no longer needed."""
@@ -58,3 +57,8 @@
             except LogUnavailableError:
                 # The outage is logged by those that read the store.
                 await self._clock.sleep(self._spec.retry_seconds)
+
+
+def is_owner(peers: PeerDirectory, ring_key: int) -> bool:
+    """Return whether this instance is one of the owners of a record."""
+    return peers.instance in peers.find_owners(ring_key, _OWNERS)
--- a/carobladder/entry/quarantine.py
+++ b/carobladder/entry/quarantine.py
@@ -6,6 +6,7 @@
 
 from carobladder.clock import Clock
 from carobladder.entry.eras import EraMonitor
+from carobladder.entry.ownedrecords import is_owner
 from carobladder.entry.peers import PeerDirectory
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import KeyedRecord, TopicWriter
@@ -17,8 +18,6 @@
 # Answers that break off together are reported together.
 _REPORT_DELAY_SECONDS = 0.01
 _KEY_PREFIX = "quarantine/"
-# Instances that write a record; a second one, in case that the first has just ended.
-_WRITERS = 2
 _RETRY_DELAY_SECONDS = 1.0
 # Ended quarantines whose records a copy of the store may still have.
 _MAX_ENDED = 64
@@ -147,11 +146,8 @@
 
     async def _write(self, part: int) -> None:
         level = self._quarantine.find_level(part)
-        is_writer = self._peers.instance in self._peers.find_owners(
-            part << 32, _WRITERS
-        )
         is_known = part not in self._doubted and level == self._stored.get(part)
-        if is_known or not is_writer:
+        if is_known or not is_owner(self._peers, part << 32):
             return
         value = b"" if level is None else str(level).encode()
         try:
