--- a/carobladder/entry/followers.py
+++ b/carobladder/entry/followers.py
@@ -204,7 +204,7 @@
             self._wake_up.set()
 
     def handle_peer_state(
-        self, state: TopicState, asked_at: float, *, is_proof: bool = True
+        self, state: TopicState, asked_at: float, *, is_proof: bool
     ) -> None:
         """Handle the answer to a query that was sent at ``asked_at``.
 
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -302,30 +302,36 @@
         await self.start()
         asked_at = self.clock.boottime()
         self.clock.advance(0.9)
-        self.follower.handle_peer_state(TopicState(0, 300), asked_at)
+        self.follower.handle_peer_state(TopicState(0, 300), asked_at, is_proof=True)
         self.assertAlmostEqual(self.follower.freshness.synced_at, asked_at)
-        self.follower.handle_peer_state(TopicState(0, 300), asked_at + 0.5)
+        self.follower.handle_peer_state(
+            TopicState(0, 300), asked_at + 0.5, is_proof=True
+        )
         self.assertAlmostEqual(self.follower.freshness.synced_at, asked_at + 0.2)
 
     async def test_suspension_between_query_and_answer_ages_the_proof(self):
         await self.start()
         asked_at = self.clock.boottime()
         self.clock.suspend(6.0)
-        self.follower.handle_peer_state(TopicState(0, 10), asked_at)
+        self.follower.handle_peer_state(TopicState(0, 10), asked_at, is_proof=True)
         age = self.follower.freshness.age(self.clock.boottime())
         self.assertGreaterEqual(age, 6.0)
 
     async def test_negative_age_is_rejected(self):
         await self.start()
         before = self.follower.freshness.synced_at
-        self.follower.handle_peer_state(TopicState(0, -5000), self.clock.boottime() + 1)
+        self.follower.handle_peer_state(
+            TopicState(0, -5000), self.clock.boottime() + 1, is_proof=True
+        )
         self.assertEqual(self.follower.freshness.synced_at, before)
 
     async def test_instance_that_is_behind_rejects_proof_and_reads(self):
         await self.start()
         self.store.state.put(TOPIC, "i-1", b"draining")
         before = self.follower.freshness.synced_at
-        self.follower.handle_peer_state(TopicState(1, 0), self.clock.boottime())
+        self.follower.handle_peer_state(
+            TopicState(1, 0), self.clock.boottime(), is_proof=True
+        )
         self.assertEqual(self.follower.freshness.synced_at, before)
         await self.advance_in_steps(0.4)
         self.assertEqual(self.seen, [("i-1", b"draining")])
@@ -385,7 +391,9 @@
         await self.start()
         self.store.status = 503
         await self.advance_in_steps(4.05)
-        self.follower.handle_peer_state(TopicState(0, 0), self.clock.boottime())
+        self.follower.handle_peer_state(
+            TopicState(0, 0), self.clock.boottime(), is_proof=True
+        )
         self.store.status = None
         await self.advance_in_steps(4.0)
         self.assertGreater(self.outages[0], 4.0)
@@ -396,7 +404,9 @@
         self.store.status = 503
         await self.advance_in_steps(6.0)
         self.store.status = None
-        self.follower.handle_peer_state(TopicState(0, 0), self.clock.boottime())
+        self.follower.handle_peer_state(
+            TopicState(0, 0), self.clock.boottime(), is_proof=True
+        )
         await self.advance_in_steps(1.1)
         self.assertEqual(len(self.outages), 1)
 
--- a/tests/entry/test_leaving_targets.py
+++ b/tests/entry/test_leaving_targets.py
@@ -119,7 +119,9 @@
     def hear_peer(self) -> None:
         """Handle what a peer knows that has just read the store."""
         end = self.store.state.find_end(TOPIC, 0)
-        self.follower.handle_peer_state(TopicState(end, 50), self.clock.boottime())
+        self.follower.handle_peer_state(
+            TopicState(end, 50), self.clock.boottime(), is_proof=True
+        )
 
     def accepts_requests(self) -> bool:
         """Return whether the instance would still send to the first target."""
