--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -87,7 +87,7 @@
         self.store.state.put(TOPIC, "a", b"1")
         self.store.state.put(TOPIC, "a", b"2")
         await self.step(1)
-        self.follower._next_offset = 0
+        self.follower._records.next_offset = 0
         await self.step(1)
         self.assertEqual(self.seen, [("a", b"2")])
 
@@ -109,7 +109,7 @@
                 raise RecursionError("too deep")
             self.seen.append((record.key, record.value))
 
-        self.follower._applier = RecordApplier("operator", apply)
+        self.follower._records.applier = RecordApplier("operator", apply)
         self.store.state.put(TOPIC, "odd", b"1")
         self.store.state.put(TOPIC, "a", b"1")
         await self.step(1)
