--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -5,28 +5,23 @@
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
-from carobladder.entry.configurationbackup import (
-    CONFIGURATION_BACKUP,
-    ConfigurationBackup,
-)
-from carobladder.entry.control_state import ControlState
 from carobladder.entry.draining import KEEP_ALIVE_SECONDS
-from carobladder.entry.eramarks import ERA_MARK, EraMarkKeeper
-from carobladder.entry.eras import EraMonitor
 from carobladder.entry.exchange import PeerExchange, SharedState
 from carobladder.entry.fence import FenceMonitor, build_fence_times
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.ownedrecords import OwnedRecord, RecordSpec
-from carobladder.entry.paces import (
-    compute_expiry_seconds,
-)
-from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prober import TargetProber
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
 from carobladder.entry.shares import ShareMembership, count_share_partitions
-from carobladder.entry.topics import FollowerBuilder, apply_configuration_value
 from carobladder.entry.versions import VersionMoveController
+from carobladder.eras import (
+    CONFIGURATION_BACKUP,
+    ERA_MARK,
+    ConfigurationBackup,
+    EraMarkKeeper,
+    EraMonitor,
+    OwnedRecord,
+    RecordSpec,
+)
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
@@ -36,6 +31,7 @@
     InFlightGossip,
     LoadBounds,
     LoadGossip,
+    PeerDirectory,
     RateGossip,
     RatePacer,
     ReaderRole,
@@ -70,6 +66,13 @@
 from carobladder.routing import CallerLimits
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import ForwardMetrics, GatewayMetrics
+from carobladder.topics import (
+    ControlState,
+    FollowerBuilder,
+    TopicFollower,
+    apply_configuration_value,
+    compute_expiry_seconds,
+)
 
 __all__ = ["InstanceParts", "build_parts"]
 
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -10,11 +10,9 @@
 import msgspec
 
 from carobladder.clock import Clock
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.peers import Peer, PeerDirectory
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineSharing
+from carobladder.eras import EraMonitor
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
     FailureGossip,
@@ -25,6 +23,8 @@
     InFlightReport,
     LoadGossip,
     LoadReport,
+    Peer,
+    PeerDirectory,
     PeerMessage,
     PeerReply,
     PeerStatus,
@@ -38,6 +38,7 @@
 from carobladder.quarantine import QuarantineNews
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import InstanceNotAnnounced, emit
+from carobladder.topics import TopicFollower
 
 __all__ = ["PeerExchange", "SharedState"]
 
--- a/carobladder/entry/prompts.py
+++ b/carobladder/entry/prompts.py
@@ -7,11 +7,11 @@
 from functools import singledispatchmethod
 
 from carobladder.clock import Clock
-from carobladder.entry.peers import PeerDirectory
 from carobladder.fleet import (
     FleetTarget,
     HolderQuery,
     HolderReply,
+    PeerDirectory,
     PromptLocations,
     PromptRegister,
     TargetTable,
--- a/carobladder/entry/quarantine.py
+++ b/carobladder/entry/quarantine.py
@@ -5,11 +5,9 @@
 from collections.abc import Callable, Iterable
 
 from carobladder.clock import Clock
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.ownedrecords import is_owner
-from carobladder.entry.peers import PeerDirectory
+from carobladder.eras import EraMonitor, is_owner
 from carobladder.exceptions import LogUnavailableError
-from carobladder.fleet import KeyedRecord, TopicWriter
+from carobladder.fleet import KeyedRecord, PeerDirectory, TopicWriter
 from carobladder.quarantine import HoldReport, PartQuarantine, QuarantineNews
 from carobladder.telemetry import QuarantineNotStored, emit
 
--- a/carobladder/entry/shares.py
+++ b/carobladder/entry/shares.py
@@ -3,7 +3,7 @@
 import math
 
 from carobladder.clock import Clock
-from carobladder.entry.eras import EraMonitor
+from carobladder.eras import EraMonitor
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import GroupStore, ShareLedger
 from carobladder.telemetry import ShareChanged, ShareNotRenewed, emit
--- a/carobladder/entry/versions.py
+++ b/carobladder/entry/versions.py
@@ -7,8 +7,7 @@
 from typing import Protocol
 
 from carobladder.clock import Clock
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.followers import ReadPolicy, TopicFollower
+from carobladder.eras import EraMonitor
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
     NEW_ARM,
@@ -43,6 +42,7 @@
     VersionStepNotWritten,
     emit,
 )
+from carobladder.topics import ReadPolicy, TopicFollower
 
 __all__ = ["ReadWriteTopic", "VersionMoveController"]
 
--- a/carobladder/entry/configurationbackup.py
+++ b/carobladder/eras/configurationbackup.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from functools import partial
 
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.ownedrecords import OwnedRecord, RecordSpec
+from carobladder.eras.monitor import EraMonitor
+from carobladder.eras.ownedrecords import OwnedRecord, RecordSpec
 from carobladder.fleet import KeyedRecord
 
 __all__ = ["CONFIGURATION_BACKUP", "ConfigurationBackup"]
--- a/carobladder/entry/eramarks.py
+++ b/carobladder/eras/eramarks.py
@@ -5,8 +5,8 @@
 from functools import partial
 
 from carobladder.clock import Clock
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.ownedrecords import OwnedRecord, RecordSpec
+from carobladder.eras.monitor import EraMonitor
+from carobladder.eras.ownedrecords import OwnedRecord, RecordSpec
 from carobladder.fleet import KeyedRecord
 
 __all__ = ["ERA_MARK", "EraMarkKeeper"]
--- a/carobladder/entry/ownedrecords.py
+++ b/carobladder/eras/ownedrecords.py
@@ -4,9 +4,8 @@
 from dataclasses import dataclass
 
 from carobladder.clock import Clock
-from carobladder.entry.peers import PeerDirectory
 from carobladder.exceptions import LogUnavailableError
-from carobladder.fleet import TopicWriter
+from carobladder.fleet import PeerDirectory, TopicWriter
 
 __all__ = ["OwnedRecord", "RecordSpec", "is_owner"]
 
--- a/carobladder/entry/proofs.py
+++ b/carobladder/eras/proofs.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from carobladder.entry.eras import EraMonitor
+from carobladder.eras.monitor import EraMonitor
 from carobladder.fleet import Freshness
 
 __all__ = ["TopicProofs"]
--- a/carobladder/entry/settling.py
+++ b/carobladder/eras/settling.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from carobladder.clock import Clock
-from carobladder.entry.appliers import RecordApplier
+from carobladder.eras.appliers import RecordApplier
 from carobladder.fleet import Freshness
 from carobladder.telemetry import StoreKeysSettled, emit
 
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -14,6 +14,7 @@
     locations,
     messages,
     pacing,
+    peers,
     prompts,
     ratereports,
     records,
@@ -37,6 +38,7 @@
 from carobladder.fleet.locations import *  # noqa: F403
 from carobladder.fleet.messages import *  # noqa: F403
 from carobladder.fleet.pacing import *  # noqa: F403
+from carobladder.fleet.peers import *  # noqa: F403
 from carobladder.fleet.prompts import *  # noqa: F403
 from carobladder.fleet.ratereports import *  # noqa: F403
 from carobladder.fleet.records import *  # noqa: F403
@@ -60,6 +62,7 @@
     *loads.__all__,
     *messages.__all__,
     *pacing.__all__,
+    *peers.__all__,
     *timeouts.__all__,
     *prompts.__all__,
     *ratereports.__all__,
--- a/carobladder/entry/peers.py
+++ b/carobladder/fleet/peers.py
@@ -8,7 +8,7 @@
 
 from carobladder.clock import Clock
 from carobladder.decoding import parse_port
-from carobladder.fleet import KeyedRecord
+from carobladder.fleet.records import KeyedRecord
 
 __all__ = ["Peer", "PeerDirectory"]
 
--- a/carobladder/entry/topics.py
+++ b/carobladder/topics/builders.py
@@ -4,16 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from carobladder.clock import Clock
-from carobladder.entry.configurationbackup import ConfigurationBackup
-from carobladder.entry.control_state import ControlState
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import (
-    ReadPolicy,
-    build_instances_policy,
-    build_operator_policy,
-    build_targets_policy,
-)
+from carobladder.eras import ConfigurationBackup, EraMonitor
 from carobladder.fleet import ConfigurationRecord, KeyedRecord
 from carobladder.platform.documents import decode_operator_record, decode_target_entry
 from carobladder.platform.names import (
@@ -24,6 +15,14 @@
 )
 from carobladder.platform.store import KeyedTopic, PlatformStore
 from carobladder.settings.entry import EntrySettings
+from carobladder.topics.control_state import ControlState
+from carobladder.topics.followers import TopicFollower
+from carobladder.topics.paces import (
+    ReadPolicy,
+    build_instances_policy,
+    build_operator_policy,
+    build_targets_policy,
+)
 
 __all__ = ["FollowerBuilder", "apply_configuration_value"]
 
--- a/carobladder/entry/failures.py
+++ b/carobladder/topics/failures.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from carobladder.clock import Clock
-from carobladder.entry.backoff import BackoffBounds, Pause, ReadBackoff
-from carobladder.entry.outages import OutageMonitor
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import Freshness
 from carobladder.telemetry import StoreLost, StoreRegained, emit
+from carobladder.topics.backoff import BackoffBounds, Pause, ReadBackoff
+from carobladder.topics.outages import OutageMonitor
 
 __all__ = ["ReadFailures"]
 
--- a/carobladder/entry/fetching.py
+++ b/carobladder/topics/fetching.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 
 from carobladder.clock import Clock
-from carobladder.entry.backoff import ReadBackoff
-from carobladder.entry.hedging import run_hedged
 from carobladder.fleet import KeyedPage
 from carobladder.telemetry import StoreReadRepeated, emit
+from carobladder.topics.backoff import ReadBackoff
+from carobladder.topics.hedging import run_hedged
 
 __all__ = ["TimedPage", "TopicFetcher"]
 
--- a/carobladder/entry/followers.py
+++ b/carobladder/topics/followers.py
@@ -5,18 +5,7 @@
 from collections.abc import Callable
 
 from carobladder.clock import Clock
-from carobladder.entry.appliers import RecordApplier
-from carobladder.entry.backoff import ReadBackoff
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.failures import ReadFailures
-from carobladder.entry.fetching import TimedPage, TopicFetcher
-from carobladder.entry.histories import read_history
-from carobladder.entry.knownrecords import KnownRecords
-from carobladder.entry.paces import ReadPolicy
-from carobladder.entry.proofs import TopicProofs
-from carobladder.entry.roles import ReadRole
-from carobladder.entry.settling import KeySettler
-from carobladder.entry.wakeups import WakeUp
+from carobladder.eras import EraMonitor, KeySettler, RecordApplier, TopicProofs
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import (
     Freshness,
@@ -27,6 +16,14 @@
     TopicState,
 )
 from carobladder.telemetry import StoreEraChanged, StoreHistoryDropped, emit
+from carobladder.topics.backoff import ReadBackoff
+from carobladder.topics.failures import ReadFailures
+from carobladder.topics.fetching import TimedPage, TopicFetcher
+from carobladder.topics.histories import read_history
+from carobladder.topics.knownrecords import KnownRecords
+from carobladder.topics.paces import ReadPolicy
+from carobladder.topics.roles import ReadRole
+from carobladder.topics.wakeups import WakeUp
 
 __all__ = ["TopicFollower"]
 
--- a/carobladder/entry/knownrecords.py
+++ b/carobladder/topics/knownrecords.py
@@ -1,11 +1,11 @@
 """Records of a topic that an instance knows."""
 
 from carobladder.clock import Clock
-from carobladder.entry.appliers import RecordApplier
-from carobladder.entry.lags import PeerLag
-from carobladder.entry.runs import RunHistory
+from carobladder.eras import RecordApplier
 from carobladder.fleet import Freshness, RecordRun, TopicState
 from carobladder.telemetry import TopicAdvanced, emit
+from carobladder.topics.lags import PeerLag
+from carobladder.topics.runs import RunHistory
 
 __all__ = ["KnownRecords"]
 
--- a/carobladder/entry/roles.py
+++ b/carobladder/topics/roles.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 
 from carobladder.clock import Clock
-from carobladder.entry.backoff import BackoffBounds
-from carobladder.entry.paces import ReadPolicy
 from carobladder.fleet import Freshness
+from carobladder.topics.backoff import BackoffBounds
+from carobladder.topics.paces import ReadPolicy
 
 __all__ = ["ReadRole"]
 
--- a/tests/dealing.py
+++ b/tests/dealing.py
@@ -26,7 +26,6 @@
     "tests.entry.test_answer_memory",
     "tests.entry.test_early_signals",
     "tests.entry.test_endless_bytes",
-    "tests.entry.test_hedging",
     "tests.entry.test_listening",
     "tests.entry.test_request_memory",
     "tests.entry.test_runtime",
@@ -37,6 +36,7 @@
     "tests.gateway",
     "tests.instance",
     "tests.soak",
+    "tests.topics.test_hedging",
 )
 # The modules that take longest start first, so that no process waits for one of them.
 LONGEST = ("tests.peers.test_coordination", "tests.limits.test_admission")
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -8,21 +8,21 @@
 
 from carobladder.clock import VirtualClock
 from carobladder.entry.exchange import PeerExchange
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import (
-    ReadPolicy,
-    build_operator_policy,
-    build_targets_policy,
-)
-from carobladder.entry.peers import PeerDirectory
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
     KeyedPage,
     KeyedRecord,
+    PeerDirectory,
     ReaderRole,
     ShareLedger,
     TargetTable,
 )
+from carobladder.topics import (
+    ReadPolicy,
+    TopicFollower,
+    build_operator_policy,
+    build_targets_policy,
+)
 from tests.fleet.builders import build_shared_knowledge
 
 TOPICS = ("operator", "targets")
--- a/tests/entry/prompt_simulation.py
+++ b/tests/entry/prompt_simulation.py
@@ -4,9 +4,8 @@
 import random
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prompts import PromptDirectory
-from carobladder.fleet import KeyedRecord, TargetTable, encode_datagram
+from carobladder.fleet import KeyedRecord, PeerDirectory, TargetTable, encode_datagram
 from carobladder.placement.rendezvous import score_member
 from tests.fleet.builders import build_entry
 
--- a/tests/entry/restored_move_simulation.py
+++ b/tests/entry/restored_move_simulation.py
@@ -6,13 +6,11 @@
 import random
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.control_state import ControlState
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import build_operator_policy
 from carobladder.fleet import TargetTable
 from carobladder.platform.documents import decode_operator_record
 from carobladder.platform.names import OPERATOR_TOPIC, STATUS_TOPIC
 from carobladder.platform.store import KeyedTopic
+from carobladder.topics import ControlState, TopicFollower, build_operator_policy
 from standins.store import StoreCopy
 from tests.entry.test_versions import Instance, VersionMoveFleet
 
--- a/tests/entry/restored_simulation.py
+++ b/tests/entry/restored_simulation.py
@@ -13,21 +13,20 @@
 
 from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import VirtualClock
-from carobladder.entry.control_state import ControlState
-from carobladder.entry.eras import EraMonitor
 from carobladder.entry.fence import build_fence_times
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import (
-    build_operator_policy,
-    build_targets_policy,
-    compute_expiry_seconds,
-)
-from carobladder.entry.peers import PeerDirectory
+from carobladder.eras import EraMonitor
 from carobladder.exceptions import ConnectionBrokenError
-from carobladder.fleet import KeyedRecord, TargetTable
+from carobladder.fleet import KeyedRecord, PeerDirectory, TargetTable
 from carobladder.platform.documents import decode_operator_record, decode_target_entry
 from carobladder.platform.names import CONFIGURATION_KEY
 from carobladder.platform.store import KeyedTopic, PlatformStore
+from carobladder.topics import (
+    ControlState,
+    TopicFollower,
+    build_operator_policy,
+    build_targets_policy,
+    compute_expiry_seconds,
+)
 from standins.store import LostWrite, StoreCopy, StoreState
 from tests.entry.fleet_simulation import Network, SimulatedExchange
 from tests.fleet.builders import build_shared_knowledge
--- a/tests/entry/test_exchange.py
+++ b/tests/entry/test_exchange.py
@@ -6,12 +6,10 @@
 from collections.abc import Callable
 
 from carobladder.clock import SystemClock, VirtualClock
-from carobladder.entry.eras import EraMonitor
 from carobladder.entry.exchange import PeerExchange
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import ReadPolicy, build_instances_policy
-from carobladder.entry.peers import PeerDirectory
+from carobladder.eras import EraMonitor
 from carobladder.fleet import (
+    PeerDirectory,
     PeerReply,
     TargetLoad,
     TopicState,
@@ -19,6 +17,7 @@
     encode_datagram,
 )
 from carobladder.platform.store import KeyedTopic
+from carobladder.topics import ReadPolicy, TopicFollower, build_instances_policy
 from standins.store import StoreState
 from tests.entry.fleet_simulation import Network, SimulatedExchange
 from tests.entry.test_versions import LongPollStore
--- a/tests/entry/test_leaving_targets.py
+++ b/tests/entry/test_leaving_targets.py
@@ -10,9 +10,6 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.control_state import ControlState
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import build_targets_policy, compute_expiry_seconds
 from carobladder.exceptions import ConnectionBrokenError
 from carobladder.fleet import (
     KeyedRecord,
@@ -22,6 +19,12 @@
 )
 from carobladder.platform.documents import decode_target_entry
 from carobladder.platform.store import KeyedTopic
+from carobladder.topics import (
+    ControlState,
+    TopicFollower,
+    build_targets_policy,
+    compute_expiry_seconds,
+)
 from tests.platform.fake_store import FakeStore
 
 TOPIC = "keyed.servers"
--- a/tests/entry/test_message_eras.py
+++ b/tests/entry/test_message_eras.py
@@ -4,11 +4,11 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.eras import EraMonitor
 from carobladder.entry.exchange import PeerExchange
-from carobladder.entry.peers import PeerDirectory
+from carobladder.eras import EraMonitor
 from carobladder.fleet import (
     KeyedRecord,
+    PeerDirectory,
     PeerReply,
     PeerStatus,
     RecordRun,
--- a/tests/entry/test_prompts.py
+++ b/tests/entry/test_prompts.py
@@ -10,8 +10,7 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.peers import PeerDirectory
-from carobladder.fleet import HolderQuery, HolderReply, KeyedRecord
+from carobladder.fleet import HolderQuery, HolderReply, KeyedRecord, PeerDirectory
 from carobladder.placement.keys import hash_parts
 from tests.entry.prompt_simulation import PROMPT_TOKENS, PromptFleet
 
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -5,15 +5,13 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import ReadPolicy
-from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
+from carobladder.eras import EraMonitor
 from carobladder.exceptions import LogUnavailableError
-from carobladder.fleet import KeyedRecord
+from carobladder.fleet import KeyedRecord, PeerDirectory
 from carobladder.platform.store import KeyedTopic
 from carobladder.quarantine import PartQuarantine, QuarantineNews
+from carobladder.topics import ReadPolicy, TopicFollower
 from standins.store import StoreState
 from tests.platform.fake_store import FakeStore
 from tests.support.virtual import settle
--- a/tests/entry/test_shares.py
+++ b/tests/entry/test_shares.py
@@ -6,13 +6,13 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.eras import EraMonitor
 from carobladder.entry.shares import (
     SHARE_PARTITIONS,
     ShareMembership,
     count_share_partitions,
     list_share_topics,
 )
+from carobladder.eras import EraMonitor
 from carobladder.fleet import RatePacer, ShareLedger, TargetTable
 from standins.store import StoreState
 from tests.fleet.builders import build_entry
--- a/tests/entry/test_versions.py
+++ b/tests/entry/test_versions.py
@@ -8,8 +8,8 @@
 from urllib.parse import parse_qs, urlsplit
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.eras import EraMonitor
 from carobladder.entry.versions import VersionMoveController
+from carobladder.eras import EraMonitor
 from carobladder.fleet import (
     AnswerTallies,
     ExposureLimit,
--- a/tests/entry/test_appliers.py
+++ b/tests/eras/test_appliers.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from carobladder.entry.appliers import RecordApplier
+from carobladder.eras import RecordApplier
 from carobladder.fleet import KeyedRecord
 
 TOPIC = "keyed.op"
--- a/tests/entry/test_configurationbackup.py
+++ b/tests/eras/test_configurationbackup.py
@@ -4,15 +4,14 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.configurationbackup import (
+from carobladder.eras import (
     CONFIGURATION_BACKUP,
     ConfigurationBackup,
+    EraMonitor,
+    OwnedRecord,
 )
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.ownedrecords import OwnedRecord
-from carobladder.entry.peers import PeerDirectory
 from carobladder.exceptions import LogUnavailableError
-from carobladder.fleet import KeyedRecord
+from carobladder.fleet import KeyedRecord, PeerDirectory
 
 ROUNDS = 5
 
--- a/tests/entry/test_eramarks.py
+++ b/tests/eras/test_eramarks.py
@@ -5,12 +5,9 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.eramarks import ERA_MARK, EraMarkKeeper
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.ownedrecords import OwnedRecord
-from carobladder.entry.peers import PeerDirectory
-from carobladder.fleet import KeyedRecord
-from tests.entry.test_configurationbackup import ROUNDS, FakeTopic
+from carobladder.eras import ERA_MARK, EraMarkKeeper, EraMonitor, OwnedRecord
+from carobladder.fleet import KeyedRecord, PeerDirectory
+from tests.eras.test_configurationbackup import ROUNDS, FakeTopic
 
 ANNOUNCEMENT = b"127.0.0.1:%d " + b"ab" * 32
 LATEST_SECONDS = 25.0
--- a/tests/entry/test_proofs.py
+++ b/tests/eras/test_proofs.py
@@ -2,8 +2,7 @@
 
 import unittest
 
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.proofs import TopicProofs
+from carobladder.eras import EraMonitor, TopicProofs
 
 
 class TopicProofsTest(unittest.TestCase):
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -4,7 +4,6 @@
 
 from carobladder.clock import SystemClock
 from carobladder.entry.exchange import SharedState
-from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineSharing
 from carobladder.fleet import (
@@ -12,6 +11,7 @@
     FleetTarget,
     InFlightGossip,
     LoadGossip,
+    PeerDirectory,
     RateGossip,
     TargetEntry,
     TargetTable,
--- a/tests/entry/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -3,8 +3,7 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.peers import PeerDirectory
-from carobladder.fleet import KeyedRecord
+from carobladder.fleet import KeyedRecord, PeerDirectory
 
 KEY = "ab" * 32
 
--- /dev/null
+++ b/tests/topics/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of carobladder.topics."""
--- a/tests/entry/test_backoff.py
+++ b/tests/topics/test_backoff.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from carobladder.entry.backoff import BackoffBounds, ReadBackoff
+from carobladder.topics import BackoffBounds, ReadBackoff
 
 BOUNDS = BackoffBounds(1.0, 3.0)
 
--- a/tests/entry/test_followers.py
+++ b/tests/topics/test_followers.py
@@ -6,12 +6,11 @@
 
 from carobladder.clients.ports import HttpAnswer
 from carobladder.clock import VirtualClock
-from carobladder.entry.appliers import RecordApplier
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import ReadPolicy, build_instances_policy
+from carobladder.eras import RecordApplier
 from carobladder.fleet import KeyedRecord, RecordRun, TopicState
 from carobladder.platform.frames import decode_page
 from carobladder.platform.store import KeyedTopic
+from carobladder.topics import ReadPolicy, TopicFollower, build_instances_policy
 from standins.store import join_page
 from tests.platform.fake_store import FakeStore
 
--- a/tests/entry/test_hedging.py
+++ b/tests/topics/test_hedging.py
@@ -4,8 +4,8 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.hedging import run_hedged
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
+from carobladder.topics import run_hedged
 
 DELAY_SECONDS = 0.4
 
