--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -5,24 +5,23 @@
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
-from carobladder.entry.configurationbackup import ConfigurationBackup
-from carobladder.entry.control_state import ControlState
 from carobladder.entry.draining import KEEP_ALIVE_SECONDS
-from carobladder.entry.eramarks import EraMarkKeeper
-from carobladder.entry.eras import EraMonitor
 from carobladder.entry.exchange import PeerExchange, SharedState
 from carobladder.entry.fence import FenceMonitor, build_fence_times
-from carobladder.entry.followers import TopicFollower
-from carobladder.entry.paces import (
-    compute_expiry_seconds,
-)
-from carobladder.entry.peers import PeerDirectory
 from carobladder.entry.prober import TargetProber
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
 from carobladder.entry.shares import ShareMembership, count_share_partitions
-from carobladder.entry.topics import FollowerBuilder, apply_configuration_value
 from carobladder.entry.versions import VersionMoveController
+from carobladder.eras import (
+    CONFIGURATION_BACKUP,
+    ERA_MARK,
+    ConfigurationBackup,
+    EraMarkKeeper,
+    EraMonitor,
+    OwnedRecord,
+    RecordSpec,
+)
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
@@ -32,6 +31,7 @@
     InFlightGossip,
     LoadBounds,
     LoadGossip,
+    PeerDirectory,
     RateGossip,
     RatePacer,
     ReaderRole,
@@ -66,6 +66,13 @@
 from carobladder.routing import CallerLimits
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import ForwardMetrics, GatewayMetrics
+from carobladder.topics import (
+    ControlState,
+    FollowerBuilder,
+    TopicFollower,
+    apply_configuration_value,
+    compute_expiry_seconds,
+)
 
 __all__ = ["InstanceParts", "build_parts"]
 
@@ -172,11 +179,7 @@
             self._eras,
         )
         self._era_marks = EraMarkKeeper(
-            self._eras,
-            KeyedTopic(self._store, INSTANCES_TOPIC),
-            self._peers,
-            clock,
-            self._generator,
+            self._eras, self._build_record(ERA_MARK), clock, self._generator
         )
         self._reader_role = ReaderRole(self._ledger, self._peers.count_peers)
         self._metrics = ForwardMetrics()
@@ -214,9 +217,7 @@
         )
         backup = ConfigurationBackup(
             self._eras,
-            KeyedTopic(self._store, INSTANCES_TOPIC),
-            self._peers,
-            clock,
+            self._build_record(CONFIGURATION_BACKUP),
             lambda: control_state.version,
             lambda value: apply_configuration_value(control_state, value),
         )
@@ -289,6 +290,10 @@
         self._pacer.forget(target_id)
         self._rates.forget(target_id)
 
+    def _build_record(self, spec: RecordSpec) -> OwnedRecord:
+        topic = KeyedTopic(self._store, INSTANCES_TOPIC)
+        return OwnedRecord(spec, topic, self._peers, self._clock)
+
     def _build_move_controller(self) -> VersionMoveController:
         return VersionMoveController(
             self._settings.instance,
--- a/tests/entry/test_eramarks.py
+++ b/tests/eras/test_eramarks.py
@@ -5,11 +5,9 @@
 import unittest
 
 from carobladder.clock import VirtualClock
-from carobladder.entry.eramarks import EraMarkKeeper
-from carobladder.entry.eras import EraMonitor
-from carobladder.entry.peers import PeerDirectory
-from carobladder.fleet import KeyedRecord
-from tests.entry.test_configurationbackup import ROUNDS, FakeTopic
+from carobladder.eras import ERA_MARK, EraMarkKeeper, EraMonitor, OwnedRecord
+from carobladder.fleet import KeyedRecord, PeerDirectory
+from tests.eras.test_configurationbackup import ROUNDS, FakeTopic
 
 ANNOUNCEMENT = b"127.0.0.1:%d " + b"ab" * 32
 LATEST_SECONDS = 25.0
@@ -31,9 +29,8 @@
             value = ANNOUNCEMENT % (10 + number)
             directory.apply_record(KeyedRecord(number, f"p{number}", value))
         self.directory = directory
-        return EraMarkKeeper(
-            self.eras, self.topic, directory, self.clock, random.Random(1)
-        )
+        record = OwnedRecord(ERA_MARK, self.topic, directory, self.clock)
+        return EraMarkKeeper(self.eras, record, self.clock, random.Random(1))
 
     async def run_for(self, keeper: EraMarkKeeper, seconds: float) -> None:
         """Let the keeper run after its era was settled."""
