Judge a drain's requests by all that ran, and not by refusals

Cause: refusals counted as durations of a route, while requests that its callers left, or that still run, did not.

Change: refusals with a status that states that nothing ran are not noted. A request that was left counts with its time, but a route without a request that ended stays unknown.

--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -76,6 +76,8 @@
 _CALLER_PATIENCE_GAPS = 8.0
 # Part of that time in which another target must send the next event.
 _RESUME_SECONDS = 0.4
+# Statuses of errors that state that the request was not run.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Errors that a request gets however long its body takes. Others may be over by then.
 _LASTING_ERRORS = (UnknownPathError, BadCredentialsError, ShuttingDownError)
 
@@ -114,20 +116,27 @@
         facts = self._codec.read_call(request.fields)
         call = None
         answer = None
+        was_refused = False
         try:
             call = self._build_call(request, facts)
-            answer = await self._forward(call, request, responder)
+            with self._durations.track(call.route.name, request.received):
+                answer = await self._forward(call, request, responder)
         except CallerError as error:
+            was_refused = error.status in _NOT_RUN_STATUSES
             await self._refuse(request, facts, error, responder)
         except (asyncio.CancelledError, CallerGoneError):
-            seconds = round(self._clock.monotonic() - request.received, 4)
+            seconds = self._clock.monotonic() - request.received
             route = call.route.name if call else ""
-            emit(CallerLeft(facts.request_id, route, seconds))
+            if call is not None:
+                self._durations.note(route, seconds, has_ended=False)
+            emit(CallerLeft(facts.request_id, route, round(seconds, 4)))
             raise
         if call is not None:
             seconds = self._clock.monotonic() - request.received
             self._metrics.observe_request(call.route.name, call.team, seconds)
-            self._durations.note(call.route.name, seconds)
+            # A refusal says nothing of the time that a request takes.
+            if not was_refused:
+                self._durations.note(call.route.name, seconds)
         if answer is not None:
             # The request is answered, however long its caller takes to read.
             await responder.send_answer(answer)
