Withhold a request whose time has ended when it is about to be written

Cause: the time left was last looked at before the choice of a target, and a request on a kept connection is written without an await in between.

Change: the time is looked at directly before the write, together with the quarantine of its parts and the leave of its target. Such a request is answered 503, which is true, if no earlier send may have run.

Test: tests.forwarding.test_held_loops, 504 and one run before, 503 and none now.

--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -321,8 +321,12 @@
         return opened
 
     def _mark_write_started(self) -> bool:
-        """Record that the request is about to be written, unless it must not be."""
-        self._outcome_pending = self._guard.may_write()
+        """Record that the request is about to be written, unless it must not be.
+
+        Its time may have ended since it was chosen, if the process was paused.
+        """
+        has_time = self.remaining_seconds > 0.0
+        self._outcome_pending = has_time and self._guard.may_write()
         return self._outcome_pending
 
     def _find_denial_reason(
