Failing test: Age of a request that waited in its socket is not known

What callers see: after the event loop was held, or the process paused, targets are handed more time than callers wait, and unsafe requests run for callers that have left meanwhile.

Cause: the time of a request counts from the parse of its first byte (gateway/connections.py, _parse_request). What waited before, in the accept queue or the socket, is not in it. The loop reads the bytes of a caller that has left one iteration before the end of its connection, and on a kept connection to the target the request is written in between.

Evidence: held for 0.6 s, a request with 1,500 ms is passed on with 1,488 ms; a request whose caller closed its connection before the loop ran again was sent.

--- a/tests/forwarding/test_held_loops.py
+++ b/tests/forwarding/test_held_loops.py
@@ -3,14 +3,18 @@
 The loop is held by code of the test, as by a paused process.
 """
 
+import asyncio
+import socket
 import time
 import unittest
 
-from tests.forwarding.fixtures import Instance
+from tests.forwarding.fixtures import Instance, build_request, read_header
 from tests.forwarding.test_handler import ForwardingTest, echo
 
 HELD_SECONDS = 0.6
 BUDGET_MS = 300
+LONG_BUDGET_MS = 1500
+SETTLE_SECONDS = 0.2
 
 
 def hold() -> None:
@@ -27,6 +31,14 @@
         self.assertEqual((await instance.call("/unsafe/x"))[0], 200)
         return instance
 
+    def send_unread(self, instance: Instance, budget_ms: int) -> socket.socket:
+        """Send a request that the loop reads only when it runs again."""
+        caller = socket.create_connection(("127.0.0.1", instance.server.port))
+        self.addCleanup(caller.close)
+        caller.sendall(build_request("/unsafe/x", Carobladder_Deadline=str(budget_ms)))
+        caller.setblocking(False)
+        return caller
+
     # Guards against a request that runs although it was answered that its time is over.
     async def test_time_that_ends_between_choice_and_write_withholds_the_request(self):
         instance = await self.start_connected()
@@ -44,6 +56,27 @@
         )
         self.assertEqual((status, self.count_requests() - before), (503, 0))
 
+    # Guards against targets that are handed more time than their callers wait.
+    async def test_time_in_the_socket_counts(self):
+        instance = await self.start_connected()
+        self.send_unread(instance, LONG_BUDGET_MS)
+        hold()
+        await asyncio.sleep(SETTLE_SECONDS)
+        passed_ms = float(
+            read_header(self.targets[0].requests[-1], "carobladder-deadline")
+        )
+        self.assertLess(passed_ms, LONG_BUDGET_MS - 1000 * HELD_SECONDS / 2)
+
+    # Guards against work for callers that have left while the loop was held.
+    async def test_request_whose_caller_has_left_meanwhile_is_not_sent(self):
+        instance = await self.start_connected()
+        before = self.count_requests()
+        caller = self.send_unread(instance, LONG_BUDGET_MS)
+        caller.close()
+        hold()
+        await asyncio.sleep(SETTLE_SECONDS)
+        self.assertEqual(self.count_requests() - before, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
