Test what mutations of the drain's changes left green

Each test was red for its mutation, and is green without it:

- the notice counted from the handling of the signal (tests.entry.test_drains)
- the notice not bounded by a grace time that is shorter than it (same module)
- requests judged by recent durations after the notice too (tests.forwarding.test_known_ends)
- no time for requests that follow their connection just after the listener was closed, _LAST_SECONDS = 0 (tests.gateway.test_drain_end)

All four mutations passed the tests of the changes before.

--- a/tests/entry/test_drains.py
+++ b/tests/entry/test_drains.py
@@ -3,16 +3,29 @@
 import asyncio
 import unittest
 
+import msgspec
+
+from carobladder.entry.draining import (
+    DRAIN_NOTICE_SECONDS,
+    NOTICE_MARGIN_SECONDS,
+    SHUTDOWN_MARGIN_SECONDS,
+)
 from tests.entry.fixtures import SAFE_ROUTE, PlatformInstanceCase
 from tests.forwarding.fixtures import HOST, KEY, build_response
 
 GRACE_SECONDS = 4.0
+# Shorter than the notice.
+SHORT_GRACE_SECONDS = 2
 # Longer than the grace time, as the timeouts of streams are.
 TIMEOUT_MS = 9000
 SLOW_SECONDS = 1.2
 # Less than what a slow request takes is left of the grace time then.
 LATE_SIGNAL_SECONDS = 2.6
 OLD_SIGNAL_SECONDS = 3.2
+# Less than the notice.
+EARLIER_SECONDS = 1.5
+# The events state times in ms.
+ROUNDING_SECONDS = 0.001
 END_SECONDS = 10.0
 
 
@@ -81,6 +94,38 @@
         self.assertEqual(await self.call_slowly(), 503)
         self.assertEqual(len(self.target.requests), 0)
 
+    # Guards against a notice, and times for requests, that begin once the signal is
+    # handled.
+    async def test_times_of_a_drain_count_from_its_signal(self):
+        self.answer_after(0.0)
+        await self.wait_for(200)
+        with self.assertLogs("carobladder", "INFO") as logs:
+            self.request_stop(EARLIER_SECONDS)
+            await asyncio.sleep(0.1)
+        (event,) = (r for r in logs.records if r.getMessage() == "draining")
+        notice_seconds = DRAIN_NOTICE_SECONDS - EARLIER_SECONDS
+        self.assertLessEqual(event.notice_seconds, notice_seconds + ROUNDING_SECONDS)
+        limit_seconds = GRACE_SECONDS - SHUTDOWN_MARGIN_SECONDS - EARLIER_SECONDS
+        self.assertLessEqual(event.limit_seconds, limit_seconds + ROUNDING_SECONDS)
+        end = self.instance.parts.server._state.end
+        left_seconds = end.notice_ends_at - self.clock.monotonic()
+        self.assertLessEqual(left_seconds, notice_seconds + NOTICE_MARGIN_SECONDS)
+
+    # Guards against a notice that outlasts a grace time that is shorter than it.
+    async def test_notice_fits_into_a_short_grace_time(self):
+        settings = self.instance._settings
+        self.instance._settings = msgspec.structs.replace(
+            settings, shutdown_grace_seconds=SHORT_GRACE_SECONDS
+        )
+        self.answer_after(0.0)
+        await self.wait_for(200)
+        with self.assertLogs("carobladder", "INFO") as logs:
+            self.request_stop()
+            await asyncio.sleep(0.1)
+        (event,) = (r for r in logs.records if r.getMessage() == "draining")
+        seconds = SHORT_GRACE_SECONDS - SHUTDOWN_MARGIN_SECONDS
+        self.assertLessEqual(event.notice_seconds, seconds + ROUNDING_SECONDS)
+
     # Guards against a process that is killed in the middle of its drain.
     async def test_notice_ends_with_the_grace_time(self):
         self.answer_after(0.0)
--- a/tests/forwarding/test_known_ends.py
+++ b/tests/forwarding/test_known_ends.py
@@ -28,10 +28,10 @@
 class JudgedDurationTest(ForwardingTest):
     """Guard against requests that are sent although the known end will cut them."""
 
-    def begin_drain(self, instance: Instance) -> None:
-        """Tell the instance an end, and a notice that lasts as long."""
-        ends_at = instance.clock.monotonic() + LEFT_SECONDS
-        instance.server.begin_drain(ServerEnd(ends_at, ends_at))
+    def begin_drain(self, instance: Instance, notice: float = LEFT_SECONDS) -> None:
+        """Tell the instance an end, and a notice, by default one that lasts as long."""
+        now = instance.clock.monotonic()
+        instance.server.begin_drain(ServerEnd(now + LEFT_SECONDS, now + notice))
 
     async def check_refused(self, instance: Instance) -> None:
         """Check that a request of the drain is refused and not sent."""
@@ -73,6 +73,13 @@
         await self.check_refused(instance)
         await running
 
+    # Guards against requests that are taken at a risk once callers are sent elsewhere.
+    async def test_quick_route_is_refused_after_the_notice(self):
+        instance = await self.start(echo)
+        self.assertEqual((await instance.call("/unsafe/x"))[0], 200)
+        self.begin_drain(instance, notice=0.0)
+        await self.check_refused(instance)
+
     async def test_request_whose_route_answers_in_time_is_sent(self):
         instance = await self.start(echo)
         self.assertEqual((await instance.call("/unsafe/x"))[0], 200)
--- a/tests/gateway/test_drain_end.py
+++ b/tests/gateway/test_drain_end.py
@@ -10,6 +10,8 @@
 
 LIMIT_SECONDS = 0.6
 REFUSAL_SECONDS = 0.2
+# Time from the close of the listener to a request of a connection in its queue.
+FOLLOW_SECONDS = 0.03
 TIMEOUT_SECONDS = 5.0
 BODY = b"x" * 10
 REQUEST = HEAD + b"Content-Length: 0\r\n\r\n"
@@ -92,6 +94,32 @@
         self.assertIn(b" 503 ", await self.read_from(caller))
         self.assertFalse(await drain)
 
+    # Guards against a process that ends before it has read what it took over.
+    async def test_request_that_follows_just_after_the_close_is_refused(self):
+        async def wait(request, responder) -> None:
+            await asyncio.Event().wait()
+
+        await self.start(wait)
+        self.writer.write(REQUEST)
+        await asyncio.sleep(0.02)
+        server = self.gateway.server
+        stop_listening = server._stop_listening
+        caller = socket.socket()
+        self.addCleanup(caller.close)
+
+        async def connect_and_stop() -> None:
+            """Act like a caller that connects as the listener is closed."""
+            caller.connect(("127.0.0.1", server.port))
+            caller.setblocking(False)
+            await stop_listening()
+            loop = asyncio.get_running_loop()
+            loop.call_later(FOLLOW_SECONDS, caller.sendall, REQUEST)
+
+        server._stop_listening = connect_and_stop
+        self.assertFalse(await server.finish_drain(LIMIT_SECONDS))
+        # The process ends here, so the refusal must have been sent.
+        self.assertIn(b" 503 ", caller.recv(4096))
+
     # Guards against a close right after an answer whose headers announced none.
     async def test_next_request_after_an_answer_without_notice_is_answered(self):
         release = asyncio.Event()
