--- a/tests/entry/test_early_signals.py
+++ b/tests/entry/test_early_signals.py
@@ -253,10 +253,13 @@
     async def end(self) -> None:
         """Do nothing, as no instance runs."""
 
-    async def test_arrival_of_the_end_signal_is_recorded(self):
+    def keep_handlers(self) -> None:
+        """Restore the handlers of the end signals after the test."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            before = signal.getsignal(number)
-            self.addCleanup(signal.signal, number, before)
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+
+    async def test_arrival_of_the_end_signal_is_recorded(self):
+        self.keep_handlers()
         handle_end_signals(self.instance, self.stop)
         began = self.clock.monotonic()
         os.kill(os.getpid(), signal.SIGTERM)
@@ -268,6 +271,40 @@
         self.assertIsNotNone(requested_at)
         self.assertLess(requested_at - began, BUSY_SECONDS)
 
+    # Guards against a grace time that a repeated signal extends beyond the kill.
+    async def test_second_end_signal_leaves_the_arrival_of_the_first(self):
+        self.keep_handlers()
+        handle_end_signals(self.instance, self.stop)
+        os.kill(os.getpid(), signal.SIGTERM)
+        first = self.instance.stop_requested_at
+        self.assertIsNotNone(first)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            os.kill(os.getpid(), number)
+        self.assertEqual(self.instance.stop_requested_at, first)
+
+    # Guards against an end signal in the last moments that breaks the end itself.
+    async def test_end_signal_after_the_loop_was_closed_is_ignored(self):
+        self.keep_handlers()
+
+        async def handle() -> None:
+            handle_end_signals(self.instance, self.stop)
+
+        def run_and_close() -> None:
+            loop = asyncio.new_event_loop()
+            loop.run_until_complete(handle())
+            loop.close()
+
+        # A second loop cannot run in the thread of the first, and handlers are set in
+        # the main thread only.
+        running = asyncio.events._get_running_loop()
+        asyncio.events._set_running_loop(None)
+        try:
+            run_and_close()
+        finally:
+            asyncio.events._set_running_loop(running)
+        os.kill(os.getpid(), signal.SIGTERM)
+        self.assertIsNotNone(self.instance.stop_requested_at)
+
 
 class ProcessStartTest(unittest.TestCase):
     """Guard against signals that are lost or held up while the program loads."""
