Failing test: An early SIGTERM is dropped in a container

What callers see: an instance that was told to stop serves on, and is killed with their requests as the grace time ends.

Cause: SIGTERM keeps its default action until the event loop handles it (entry/processstart.py, ProcessStart.__init__). For the first process of a PID namespace, as the entry program of a container usually is, the kernel drops a signal that has no handler.

Not seen outside a namespace.

--- a/tests/entry/test_early_signals.py
+++ b/tests/entry/test_early_signals.py
@@ -325,6 +325,26 @@
         ProcessStart()
         self.assertIs(signal.getsignal(signal.SIGTERM), before)
 
+    # Guards against a signal that the kernel drops: the first process of a container
+    # gets none that it has no handler for, so it would serve until it is killed.
+    def test_end_signal_ends_the_first_process_of_a_container(self):
+        code = (
+            "import os, signal, time\n"
+            "own = os.getpid()\n"
+            "os.getpid = lambda: 1\n"
+            "from carobladder.entry.processstart import ProcessStart\n"
+            "ProcessStart()\n"
+            "if signal.getsignal(signal.SIGTERM) is signal.SIG_DFL:\n"
+            "    raise SystemExit('the kernel would drop the signal')\n"
+            "os.kill(own, signal.SIGTERM)\n"
+            f"time.sleep({PROCESS_SECONDS})\n"
+        )
+        found = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, cwd=ROOT, check=False
+        )
+        self.assertEqual(found.stderr, b"")
+        self.assertEqual(found.returncode, 128 + signal.SIGTERM)
+
 
 if __name__ == "__main__":
     unittest.main()
