Test that a drain keeps connections open for their announced time

The mutation that closes idle connections of a drain 0.5 s after its notice, whatever the last response has announced, turned no test of tests.gateway, tests.forwarding.test_shutdown and tests.entry.test_runtime red. The test is red for the mutation.

--- a/tests/gateway/test_drain_end.py
+++ b/tests/gateway/test_drain_end.py
@@ -13,6 +13,8 @@
 # Time from the close of the listener to a request of a connection in its queue.
 FOLLOW_SECONDS = 0.03
 TIMEOUT_SECONDS = 5.0
+# Longer than a drain leaves connections that nobody has used.
+ANNOUNCED_SECONDS = 1
 BODY = b"x" * 10
 REQUEST = HEAD + b"Content-Length: 0\r\n\r\n"
 CALLERS = 10
@@ -94,6 +96,17 @@
         self.assertIn(b" 503 ", await self.read_from(caller))
         self.assertFalse(await drain)
 
+    # Guards against a close before the idle time is over that the answer before named.
+    async def test_connection_is_open_until_its_announced_time(self):
+        await self.start(idle_seconds=TIMEOUT_SECONDS)
+        self.state.keep_alive_seconds = ANNOUNCED_SECONDS
+        answer = await self.exchange(REQUEST)
+        self.assertIn(b"keep-alive: timeout=%d" % ANNOUNCED_SECONDS, answer.lower())
+        drain = asyncio.create_task(self.gateway.server.finish_drain(TIMEOUT_SECONDS))
+        await asyncio.sleep(ANNOUNCED_SECONDS - 0.2)
+        self.assertIn(b" 200 ", (await self.exchange(REQUEST))[:20])
+        self.assertTrue(await drain)
+
     # Guards against a process that ends before it has read what it took over.
     async def test_request_that_follows_just_after_the_close_is_refused(self):
         async def wait(request, responder) -> None:
