--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -4,7 +4,7 @@
 import random
 
 from carobladder.clients.http import HttpClient
-from carobladder.clock import SystemClock
+from carobladder.clock import Clock, SystemClock
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
@@ -140,8 +140,8 @@
     ``reported_silent`` lists the targets that were reported as silent.
     """
 
-    def __init__(self, *addresses: str) -> None:
-        self.clock = SystemClock()
+    def __init__(self, *addresses: str, clock: Clock | None = None) -> None:
+        self.clock = clock or SystemClock()
         self.table: RouteTable | None = RouteTable(
             Configuration(
                 1,
--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -17,6 +17,7 @@
     encode_event,
     read_header,
 )
+from tests.forwarding.streams import build_script, decode_chunks
 
 
 async def echo(request: bytes, writer: asyncio.StreamWriter) -> None:
@@ -432,59 +433,25 @@
 class StreamTest(ForwardingTest):
     """Guard against streams with missing, repeated or joined events."""
 
-    def build_script(self, events, cut: bool = False, partial: bytes = b""):
-        """Return a script that sends the events after the request's Last-Event-ID."""
-
-        async def run(request: bytes, writer) -> None:
-            last = int(read_header(request, "last-event-id") or 0)
-            writer.write(build_stream_head(request))
-            for number in events:
-                if number > last:
-                    writer.write(encode_chunk(encode_event(number)))
-                    await writer.drain()
-                    await asyncio.sleep(0.002)
-            if partial:
-                writer.write(encode_chunk(partial))
-            if cut:
-                await writer.drain()
-                writer.transport.abort()
-            else:
-                writer.write(b"0\r\n\r\n")
-
-        return run
-
-    def decode_chunks(self, body: bytes) -> tuple[bytes, bool]:
-        """Return the data of a chunked body and whether the body is complete."""
-        data = b""
-        while body:
-            size, _, rest = body.partition(b"\r\n")
-            if int(size, 16) == 0:
-                return data, True
-            data += rest[: int(size, 16)]
-            body = rest[int(size, 16) + 2 :]
-        return data, False
-
     async def test_complete_stream_is_forwarded(self):
-        instance = await self.start(self.build_script(range(1, 6)))
+        instance = await self.start(build_script(range(1, 6)))
         status, headers, body = await instance.call("/stream/x", b"a")
         self.assertEqual(status, 200)
         self.assertEqual(headers["carobladder-response-signature"], "sig")
         expected = b"".join(encode_event(number) for number in range(1, 6))
-        self.assertEqual(self.decode_chunks(body), (expected, True))
+        self.assertEqual(decode_chunks(body), (expected, True))
 
     async def test_broken_stream_is_cut_and_not_retried(self):
-        instance = await self.start(*[self.build_script(range(1, 4), cut=True)] * 2)
+        instance = await self.start(*[build_script(range(1, 4), cut=True)] * 2)
         raw = await instance.exchange(build_request("/stream/x", b"a"))
-        _, complete = self.decode_chunks(raw.partition(b"\r\n\r\n")[2])
+        _, complete = decode_chunks(raw.partition(b"\r\n\r\n")[2])
         self.assertFalse(complete)
         self.assertEqual(self.count_requests(), 1)
 
     async def test_stream_that_ends_inside_an_event_is_cut(self):
-        instance = await self.start(
-            self.build_script(range(1, 4), partial=b"id: 4\nda")
-        )
+        instance = await self.start(build_script(range(1, 4), partial=b"id: 4\nda"))
         raw = await instance.exchange(build_request("/stream/x", b"a"))
-        data, complete = self.decode_chunks(raw.partition(b"\r\n\r\n")[2])
+        data, complete = decode_chunks(raw.partition(b"\r\n\r\n")[2])
         self.assertFalse(complete)
         self.assertNotIn(b"id: 4", data)
 
@@ -501,7 +468,7 @@
                 await asyncio.sleep(0.2)
                 writer.write(encode_chunk(b"t"))
 
-        instance = await self.start(stall, self.build_script(range(1, 4)))
+        instance = await self.start(stall, build_script(range(1, 4)))
         loop = asyncio.get_running_loop()
         for number in range(4):
             began = loop.time()
@@ -511,7 +478,7 @@
                 Carobladder_Deadline="4000",
                 Carobladder_Request_Id=f"id{number}",
             )
-            data, complete = self.decode_chunks(body)
+            data, complete = decode_chunks(body)
             self.assertTrue(complete)
             self.assertEqual(data, b"".join(encode_event(n) for n in range(1, 4)))
             self.assertLess(loop.time() - began, 1.8)
@@ -535,14 +502,14 @@
             _, _, body = await instance.call(
                 f"/{route}/x", b"a", Carobladder_Deadline="4000"
             )
-            data, complete = self.decode_chunks(body)
+            data, complete = decode_chunks(body)
             self.assertTrue(complete)
             self.assertEqual(data, b"".join(encode_event(n) for n in range(1, 4)))
         self.assertEqual(self.count_requests(), 2)
 
     async def test_broken_resumable_stream_continues_at_another_target(self):
-        broken = self.build_script(range(1, 4), cut=True, partial=b"id: 4\nda")
-        instance = await self.start(broken, self.build_script(range(1, 9)))
+        broken = build_script(range(1, 4), cut=True, partial=b"id: 4\nda")
+        instance = await self.start(broken, build_script(range(1, 9)))
         whole = b"".join(encode_event(number) for number in range(1, 9))
         for number in range(4):
             prompt = f"{number}:100,ff{number}:5"
@@ -550,7 +517,7 @@
                 "/resumable/x", b"a", Carobladder_Prompt_Prefix=prompt
             )
             self.assertEqual(status, 200)
-            self.assertEqual(self.decode_chunks(body), (whole, True))
+            self.assertEqual(decode_chunks(body), (whole, True))
         self.assertGreater(len(self.targets[0].requests), 0)
 
     async def test_resumed_stream_that_repeats_events_is_cut(self):
@@ -558,11 +525,11 @@
             writer.write(build_stream_head(request))
             writer.write(encode_chunk(encode_event(2)) + b"0\r\n\r\n")
 
-        broken = self.build_script(range(1, 4), cut=True)
+        broken = build_script(range(1, 4), cut=True)
         instance = await self.start(broken, repeat)
         for _ in range(6):
             raw = await instance.exchange(build_request("/resumable/x", b"a"))
-            data, complete = self.decode_chunks(raw.partition(b"\r\n\r\n")[2])
+            data, complete = decode_chunks(raw.partition(b"\r\n\r\n")[2])
             if data.startswith(encode_event(1)):
                 self.assertFalse(complete)
                 self.assertEqual(data.count(b"id: 2\n"), 1)
--- a/tests/support/looptime.py
+++ b/tests/support/looptime.py
@@ -1,9 +1,12 @@
 """Event loop whose time is virtual, although its sockets are real."""
 
 import asyncio
+import functools
 import selectors
 import time
+from collections.abc import Callable, Coroutine
 from datetime import UTC, datetime, timedelta
+from typing import Any
 
 # Virtual time runs at most this much faster than real time, so that a busy machine
 # still delivers what another socket of the loop has sent before the time moves on.
@@ -50,6 +53,23 @@
         """Return the virtual time in seconds."""
         return self._jumping_selector.now
 
+    def hold(self, seconds: float) -> None:
+        """Let time pass in the running callback, while sockets and timers wait."""
+        self._jumping_selector.now += seconds
+
+
+def in_virtual_time(
+    test: Callable[[Any], Coroutine[Any, Any, None]],
+) -> Callable[[Any], None]:
+    """Run an asynchronous test on a virtual time loop of its own."""
+
+    @functools.wraps(test)
+    def run(case: Any) -> None:
+        with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+            runner.run(test(case))
+
+    return run
+
 
 class LoopClock:
     """Clock that follows the time of a loop."""
