Give a target that resumes a stream its own time for an event

Cause: the wait for a whole event was measured from the last event of the stream, also across attempts. A target that went on after the silence of another one was judged by that silence: its first bytes that were no whole event yet ended its attempt at once, and the stream went to a third target or was cut. A slow but sound stream is cut by this.

Ruled out: a longer pause, as the time of the silent target would still be counted.

Change: the wait begins with each attempt.

Test: three targets, one silent after its first event, two that send each event in two parts 0.05 s apart.

--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -124,6 +124,8 @@
         self._tracker = tracker or StreamTracker()
         self._sends_error_event = sends_error_event
         self._extend_wait = extend_wait
+        # Time since which the target owes the next complete event.
+        self._waits_since = 0.0
         self._last_chunk_at: float | None = None
         self._first_chunk_at = 0.0
         self._chunk_count = 0
@@ -206,6 +208,7 @@
     async def _relay_events(self, opened: StreamAttempt[_Target]) -> TargetError | None:
         """Relay complete events; return the error that broke the stream, or None."""
         self._tracker.start_attempt()
+        self._waits_since = self._observer.monotonic()
         try:
             await self._relay_first_events(opened)
             while not self._tracker.finished:
@@ -280,7 +283,7 @@
         """Return whether no complete event arrived within the stream gap timeout."""
         if self._last_chunk_at is None:
             return False
-        pause = self._observer.monotonic() - self._last_chunk_at
+        pause = self._observer.monotonic() - self._waits_since
         return pause > self._timeouts.stream_gap_seconds and not self._extend_gap()
 
     def _extend_gap(self) -> float:
@@ -320,6 +323,7 @@
         else:
             self._observer.observe_gap(now - self._last_chunk_at)
         self._last_chunk_at = now
+        self._waits_since = now
 
     async def _send_error(self, error: CallerError) -> None:
         """End the stream with an error event instead of the final event."""
