Leave out the time in which a caller reads nothing of a stream

Cause: while a caller's send buffer was full, nothing was read from the target, but the wait for its next event went on. If what was read next ended no event, a target that had sent everything in time counted as stalled, and the stream was resumed elsewhere or cut.

Ruled out: judging only by events that come late. With a full buffer the bytes at hand are often a part of a large event.

Change: the wait begins again once the caller has taken what was sent.

Test: events of 30 kB, a caller that reads nothing for 1.8 s in virtual time, two sound targets.

--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -221,6 +221,8 @@
                     break
                 self._check_fault()
                 await self._responder.drain()
+                # Meanwhile nothing was read, so the target owed no event.
+                self._waits_since = self._observer.monotonic()
         except TargetError as error:
             return error
         if not self._tracker.finished:
--- a/tests/forwarding/test_stream_waits.py
+++ b/tests/forwarding/test_stream_waits.py
@@ -1,12 +1,14 @@
 """Tests of how long an instance waits for events, in virtual time."""
 
 import asyncio
+import socket
 import unittest
 from dataclasses import replace
 
 from carobladder.routing import RouteTable
 from tests.forwarding.fixtures import (
     Instance,
+    build_request,
     build_stream_head,
     encode_chunk,
     encode_event,
@@ -18,6 +20,10 @@
 
 EVENTS = range(1, 4)
 WHOLE = b"".join(encode_event(number) for number in EVENTS)
+# Above the pause after which a resumable stream is left.
+PAUSE_SECONDS = 1.8
+LARGE_EVENT_BYTES = 30_000
+LARGE_EVENTS = range(1, 200)
 
 
 async def fall_silent(request: bytes, writer: asyncio.StreamWriter) -> None:
@@ -39,6 +45,16 @@
     writer.write(b"0\r\n\r\n")
 
 
+async def send_large_events(request: bytes, writer: asyncio.StreamWriter) -> None:
+    """Respond with large events as fast as the caller reads them."""
+    writer.write(build_stream_head(request))
+    for number in LARGE_EVENTS:
+        text = b"y" * LARGE_EVENT_BYTES
+        writer.write(encode_chunk(b"id: %d\ndata: %s\n\n" % (number, text)))
+        await writer.drain()
+    writer.write(b"0\r\n\r\n")
+
+
 def allow_attempts(instance: Instance, attempts: int) -> None:
     """Let a resumable stream go to this number of targets."""
     assert instance.table is not None
@@ -57,6 +73,23 @@
     return decode_chunks(body)
 
 
+async def read_after_pause(instance: Instance) -> bytes:
+    """Return the answer to a caller that reads nothing for a while after its head."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, ("127.0.0.1", instance.server.port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+    writer.write(build_request("/resumable/x", b"a", Carobladder_Deadline="6000"))
+    head = await reader.readuntil(b"\r\n\r\n")
+    await asyncio.sleep(PAUSE_SECONDS)
+    try:
+        return head + await reader.read()
+    finally:
+        writer.close()
+
+
 class SoundStreamTest(unittest.TestCase):
     """Guard against leaving sound targets."""
 
@@ -77,6 +110,18 @@
             self.assertEqual(len(streams.targets[0].requests), 1)
             self.assertEqual(streams.count_requests(), number + 2)
 
+    # Guards against a target that is left since its caller did not read.
+    @in_virtual_time
+    async def test_pause_of_the_caller_is_no_silence_of_the_target(self):
+        streams = VirtualInstance(send_large_events, send_large_events)
+        async with streams as instance:
+            allow_long_answers(instance)
+            answer = await read_after_pause(instance)
+            data, complete = decode_chunks(answer.partition(b"\r\n\r\n")[2])
+            self.assertTrue(complete)
+            self.assertEqual(data.count(b"id: "), len(LARGE_EVENTS))
+            self.assertEqual(streams.count_requests(), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
