Bound the time between whole events by a timer and not by bytes

Cause: the wait for bytes began again with each byte, and whether a whole event was overdue was looked at only when bytes came. So a target that sent a byte now and then was left at the first byte after the pause (1.6 s here): with a byte each 1.5 s, after 3.0 s, when its caller has left. Before the first event it was never left.

Ruled out: the busy machine. The fault shows without any delay; load only decides which of two bytes finds it.

Change: the relay gives the client the time at which the next whole event is due, and no byte moves it. When it has passed, the wait for the event is extended or the attempt is given up, as for a target that sends nothing. Such an attempt counts as overdue now, and not as a connection that broke.

Tests: the listed test in virtual time with the same bound, with bytes each 0.2, 0.5 and 1.5 s, and one more for the first event. Now all go on within 1.8 s.

--- a/carobladder/clients/answers.py
+++ b/carobladder/clients/answers.py
@@ -102,21 +102,21 @@
     async def push(
         self,
         sink: Sink,
-        gap_seconds: float,
+        timeout_seconds: float,
         extend_deadline: DeadlineExtender | None = None,
     ) -> bool:
         """Pass the rest of the body to ``sink`` as it arrives.
 
         Return True at the end of the body and False once ``sink`` returned false;
         the method may then be called again. Raises what ``sink`` raises, and
-        ConnectionBrokenError if the response is cut off or no bytes arrive for
-        ``gap_seconds`` and what ``extend_deadline`` adds.
+        ConnectionBrokenError if the response is cut off or lasts longer than
+        ``timeout_seconds`` and what ``extend_deadline`` adds.
         """
         connection = self._connection
         if connection is None:
             return True
         try:
-            at_end = await connection.push_data(sink, gap_seconds, extend_deadline)
+            at_end = await connection.push_data(sink, timeout_seconds, extend_deadline)
         except BaseException:
             self.close()
             raise
--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -12,8 +12,8 @@
 __all__ = ["DEFAULT_IDLE_SECONDS", "ClientConnection", "DeadlineExtender", "Sink"]
 
 Sink = Callable[[bytes], bool]
-# Called when no byte has come before a deadline; returns the seconds to go on waiting,
-# or 0 to give the response up.
+# Called when a deadline has passed; returns the seconds to go on waiting, or 0 to give
+# the response up.
 DeadlineExtender = Callable[[], float]
 
 _MAX_ANSWER_HEADER_BYTES = 65_536
@@ -51,7 +51,6 @@
         self._request: h11.Request | None = None
         self._sink: Sink | None = None
         self._push_result: asyncio.Future[bool] | None = None
-        self._max_gap_seconds = 0.0
         self._deadline = 0.0
         self._extend_deadline: DeadlineExtender | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -236,18 +235,18 @@
     async def push_data(
         self,
         sink: Sink,
-        gap_seconds: float,
+        timeout_seconds: float,
         extend_deadline: DeadlineExtender | None = None,
     ) -> bool:
         """Pass the body to ``sink`` as it arrives; return True at its end.
 
-        Return False once ``sink`` returned false. ``gap_seconds`` bounds the time
-        between two chunks. The bytes go from the socket to the sink within one
-        callback, because waking a task for each chunk costs about as much as the
-        rest of its path. Raises ConnectionBrokenError and what ``sink`` raises.
+        Return False once ``sink`` returned false. No byte extends the timeout, as only
+        ``extend_deadline`` can tell whether the body has gone on. The bytes go from the
+        socket to the sink within one callback, because waking a task for each chunk
+        costs about as much as the rest of its path. Raises ConnectionBrokenError and
+        what ``sink`` raises.
         """
-        self._max_gap_seconds = gap_seconds
-        self._arm_timer(self._loop.time() + gap_seconds, extend_deadline)
+        self._arm_timer(self._loop.time() + timeout_seconds, extend_deadline)
         at_end = self._push(sink)
         if at_end is not None:
             return at_end
@@ -297,9 +296,7 @@
             self._sink = None
             pushed.set_exception(error)
             return
-        if at_end is None:
-            self._deadline = self._loop.time() + self._max_gap_seconds
-        else:
+        if at_end is not None:
             self._sink = None
             pushed.set_result(at_end)
 
@@ -397,7 +394,7 @@
         kind = ConnectionBrokenError
         if self.timed_out:
             kind = AnswerOverdueError
-            reason = "no bytes of the response before the deadline"
+            reason = "the response did not go on before the deadline"
         return kind(
             f"{self.address}: {reason}; try another target",
             request_written=self.request_written,
--- a/carobladder/exceptions.py
+++ b/carobladder/exceptions.py
@@ -130,7 +130,7 @@
 
 
 class AnswerOverdueError(ConnectionBrokenError):
-    """Report that no bytes of an answer came within the caller's time limit."""
+    """Report that an answer did not go on within the caller's time limit."""
 
 
 class MemoryExceededError(ConnectionBrokenError):
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -124,8 +124,9 @@
         self._tracker = tracker or StreamTracker()
         self._sends_error_event = sends_error_event
         self._extend_wait = extend_wait
-        # Time since which the target owes the next complete event.
+        # Time since which the target owes the next complete event, and its limit.
         self._waits_since = 0.0
+        self._wait_seconds = 0.0
         self._last_chunk_at: float | None = None
         self._first_chunk_at = 0.0
         self._chunk_count = 0
@@ -208,14 +209,13 @@
     async def _relay_events(self, opened: StreamAttempt[_Target]) -> TargetError | None:
         """Relay complete events; return the error that broke the stream, or None."""
         self._tracker.start_attempt()
-        self._waits_since = self._observer.monotonic()
+        self._begin_attempt_wait()
         try:
             await self._relay_first_events(opened)
+            self._wait_seconds = self._timeouts.stream_gap_seconds
             while not self._tracker.finished:
                 if await opened.answer.push(
-                    self._relay_data,
-                    self._timeouts.stream_gap_seconds,
-                    self._extend_gap,
+                    self._relay_data, self._remaining_wait, self._extend_gap
                 ):
                     self._tracker.end_attempt()
                     break
@@ -231,17 +231,18 @@
         opened.answer.leave_end()
         return None
 
-    async def _relay_first_events(self, opened: StreamAttempt[_Target]) -> None:
-        """Start the response to the caller once a complete event has arrived."""
-        events = b""
+    def _begin_attempt_wait(self) -> None:
         limit_seconds = self._timeouts.first_byte_seconds
         if self._extend_wait is not None:
             limit_seconds = min(limit_seconds, self._timeouts.stream_gap_seconds)
+        self._wait_seconds = min(limit_seconds, self._session.remaining_seconds)
+        self._waits_since = self._observer.monotonic()
+
+    async def _relay_first_events(self, opened: StreamAttempt[_Target]) -> None:
+        """Start the response to the caller once a complete event has arrived."""
+        events = b""
         while not events:
-            remaining_seconds = self._session.remaining_seconds
-            data = await opened.answer.read(
-                min(limit_seconds, remaining_seconds), self._extend_gap
-            )
+            data = await opened.answer.read(self._remaining_wait, self._extend_gap)
             if not data:
                 self._end_without_event(opened)
                 break
@@ -277,28 +278,23 @@
         if events:
             writable = self._responder.write_chunk(events)
             self._note_chunk()
-        return writable and not (
-            tracker.finished or tracker.fault or (not events and self._is_stalled())
-        )
+        return writable and not (tracker.finished or tracker.fault)
 
-    def _is_stalled(self) -> bool:
-        """Return whether no complete event arrived within the stream gap timeout."""
-        if self._last_chunk_at is None:
-            return False
-        pause = self._observer.monotonic() - self._waits_since
-        return pause > self._timeouts.stream_gap_seconds and not self._extend_gap()
+    @property
+    def _remaining_wait(self) -> float:
+        """Seconds in which the next complete event must arrive."""
+        ends_at = self._waits_since + self._wait_seconds
+        return max(0.0, ends_at - self._observer.monotonic())
 
     def _extend_gap(self) -> float:
         """Return the seconds to go on waiting for an event; 0 to give up."""
+        if remaining_seconds := self._remaining_wait:
+            return remaining_seconds
         if self._extend_wait is None:
             return 0.0
         return self._extend_wait(self._tracker.resumable)
 
     def _check_fault(self) -> None:
-        if self._is_stalled():
-            raise _build_broken_error(
-                "bytes arrived, but no complete event within the stream gap timeout"
-            )
         fault = self._tracker.fault
         if fault is StreamFault.MEMORY_EXCEEDED:
             tracker = self._tracker
--- a/tests/forwarding/test_stream_waits.py
+++ b/tests/forwarding/test_stream_waits.py
@@ -15,13 +15,17 @@
     read_header,
 )
 from tests.forwarding.silence import allow_long_answers
-from tests.forwarding.streams import VirtualInstance, decode_chunks
+from tests.forwarding.streams import VirtualInstance, build_script, decode_chunks
 from tests.support.looptime import in_virtual_time
 
 EVENTS = range(1, 4)
 WHOLE = b"".join(encode_event(number) for number in EVENTS)
 # Above the pause after which a resumable stream is left.
 PAUSE_SECONDS = 1.8
+# Pauses between the bytes of targets that end no event, and the time in which another
+# target must have gone on.
+BYTE_PAUSES_SECONDS = (0.2, 0.5, 1.5)
+RESUMED_SECONDS = 1.8
 LARGE_EVENT_BYTES = 30_000
 LARGE_EVENTS = range(1, 200)
 
@@ -45,6 +49,18 @@
     writer.write(b"0\r\n\r\n")
 
 
+def stall_after(data: bytes, pause_seconds: float):
+    """Return a script that sends data and then single bytes that end no event."""
+
+    async def stall(request: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(build_stream_head(request) + encode_chunk(data))
+        while not writer.is_closing():
+            await asyncio.sleep(pause_seconds)
+            writer.write(encode_chunk(b"t"))
+
+    return stall
+
+
 async def send_large_events(request: bytes, writer: asyncio.StreamWriter) -> None:
     """Respond with large events as fast as the caller reads them."""
     writer.write(build_stream_head(request))
@@ -123,5 +139,39 @@
             self.assertEqual(streams.count_requests(), 1)
 
 
+class StalledStreamTest(unittest.TestCase):
+    """Guard against waiting for targets whose bytes end no event."""
+
+    async def check_resumed(self, data: bytes, pause_seconds: float) -> None:
+        """Check that each stream goes on in time after a target has sent ``data``."""
+        stall = stall_after(data, pause_seconds)
+        streams = VirtualInstance(stall, build_script(EVENTS))
+        async with streams as instance:
+            allow_long_answers(instance)
+            loop = asyncio.get_running_loop()
+            for number in range(4):
+                began = loop.time()
+                fields = {"Carobladder_Request_Id": f"id{number}"}
+                answer = await call_stream(instance, **fields)
+                self.assertEqual(answer, (WHOLE, True))
+                self.assertLess(loop.time() - began, RESUMED_SECONDS)
+            self.assertGreaterEqual(len(streams.targets[0].requests), 1)
+
+    # Guards against bytes that restart the wait for an event, or are needed to end it.
+    @in_virtual_time
+    async def test_stream_with_bytes_but_no_whole_events_is_resumed_elsewhere(self):
+        for pause_seconds in BYTE_PAUSES_SECONDS:
+            with self.subTest(pause_seconds):
+                data = encode_event(1) + b"id: 2\nda"
+                await self.check_resumed(data, pause_seconds)
+
+    # Guards against bytes that restart the wait for the first event.
+    @in_virtual_time
+    async def test_stream_whose_first_event_does_not_end_goes_elsewhere(self):
+        for pause_seconds in BYTE_PAUSES_SECONDS:
+            with self.subTest(pause_seconds):
+                await self.check_resumed(b"id: 1\nda", pause_seconds)
+
+
 if __name__ == "__main__":
     unittest.main()
