Count the time of a request that waited for a held event loop

What callers see: after the event loop was held, targets are handed more time than their callers wait, and unsafe requests run for callers that have left meanwhile.

Cause: the time of a request counted from the parse of its first byte. What it waited in its socket before was not known.

Change: a timer shows that the loop was held. For requests that are read then, the kernel tells how long ago it got their last bytes, which counts for at most the length of the hold; and the connection is looked at for its end. Without a hold nothing is asked.

Ruled out: asking the kernel for each request, which costs a call, and relies on a clock that is not ours.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -49,6 +49,7 @@
     LoadMonitor,
     TargetSender,
 )
+from carobladder.gateway.loopholds import LoopHolds
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.memory import MemoryBudget
@@ -393,6 +394,7 @@
             head_handler=handler,
             body_budget=MemoryBudget(self._memory_bytes // _BODY_DIVISOR),
             max_unsent_bytes=self._memory_bytes // _UNSENT_DIVISOR,
+            holds=LoopHolds(self._clock),
         )
 
 
--- a/carobladder/gateway/connections.py
+++ b/carobladder/gateway/connections.py
@@ -312,7 +312,8 @@
         return True
 
     async def _parse_request(self, request_id: str) -> Request:
-        received = self._state.clock.monotonic()
+        waited_seconds = self._find_wait()
+        received = self._state.clock.monotonic() - waited_seconds
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             raise CallerGoneError("the caller closed its connection")
@@ -327,6 +328,8 @@
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             assert isinstance(event, h11.Data)
             body.add(bytes(event.data), self._limits)
+        if waited_seconds and self._open_intake.has_left():
+            raise CallerGoneError("the caller left while its request was not read")
         # Reading goes on while the request is handled, to see its caller leave.
         self._open_intake.settle(len(self._http.trailing_data[0]))
         return build_request(
@@ -337,6 +340,12 @@
             server_end=self._state.end,
         )
 
+    def _find_wait(self) -> float:
+        """Return how long the first bytes of the request have waited to be read."""
+        if self._state.holds is None or self._transport is None:
+            return 0.0
+        return self._state.holds.find_wait(self._transport.get_extra_info("socket"))
+
     async def _next_event(self) -> object:
         while True:
             event = self._http.next_event()
--- a/carobladder/gateway/intake.py
+++ b/carobladder/gateway/intake.py
@@ -80,6 +80,10 @@
             return
         self._loop.call_at(min(silent_at, ends_at), self._abort_when_silent, ends_at)
 
+    def has_left(self) -> bool:
+        """Return whether the caller has closed or reset the connection."""
+        return _has_left(self._transport.get_extra_info("socket"))
+
     def stop_checks(self) -> None:
         """End the checks for the caller, as the connection is closed."""
         if self._check is not None:
@@ -90,7 +94,7 @@
         self._check = self._loop.call_later(_CHECK_SECONDS, self._check_caller)
 
     def _check_caller(self) -> None:
-        if _has_left(self._transport.get_extra_info("socket")):
+        if self.has_left():
             self._check = None
             self._on_left()
         else:
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -8,6 +8,7 @@
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection
 from carobladder.gateway.listeners import BACKLOG, open_listener
+from carobladder.gateway.loopholds import LoopHolds
 from carobladder.gateway.ports import Handler, HeadHandler, ServerEnd
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.serverstate import OpenConnection, ServerState
@@ -43,6 +44,7 @@
         head_handler: HeadHandler | None = None,
         body_budget: MemoryBudget | None = None,
         max_unsent_bytes: int | None = None,
+        holds: LoopHolds | None = None,
     ) -> None:
         self._state = ServerState(
             handler,
@@ -55,6 +57,7 @@
             head_handler=head_handler,
             body_budget=body_budget,
             max_unsent_bytes=max_unsent_bytes,
+            holds=holds,
         )
         self._state.no_connections.set()
         self._server: asyncio.Server | None = None
@@ -74,6 +77,8 @@
     async def start(self, address: str) -> None:
         """Listen at IP:PORT and accept connections; port 0 selects a free port."""
         loop = asyncio.get_running_loop()
+        if self._state.holds is not None:
+            self._state.holds.start()
         self._listener = open_listener(address)
         self._server = await loop.create_server(
             self._create_connection, sock=self._listener, backlog=BACKLOG
--- a/carobladder/gateway/serverstate.py
+++ b/carobladder/gateway/serverstate.py
@@ -7,6 +7,7 @@
 
 from carobladder.clock import Clock
 from carobladder.gateway.bodymemory import BodyMemory
+from carobladder.gateway.loopholds import LoopHolds
 from carobladder.gateway.ports import Handler, HeadHandler, ServerEnd
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.sendmemory import SendMemory
@@ -44,6 +45,7 @@
     ``head_handler`` refuses requests before their bodies are read, if there is one.
     ``body_budget`` bounds the long bodies of all requests, if there is one.
     ``max_unsent_bytes`` bounds the answers that callers have not taken yet.
+    ``holds`` watches the event loop, if requests that waited for it must be known.
     ``no_connections`` is set while no connection is open.
     """
 
@@ -60,6 +62,7 @@
     head_handler: HeadHandler | None = None
     body_budget: MemoryBudget | None = None
     max_unsent_bytes: int | None = None
+    holds: LoopHolds | None = None
     body_memory: BodyMemory = field(init=False)
     send_memory: SendMemory = field(init=False)
     connections: set["OpenConnection"] = field(default_factory=set)
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -27,6 +27,7 @@
     LoadMonitor,
     TargetSender,
 )
+from carobladder.gateway.loopholds import LoopHolds
 from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
 from carobladder.platform.exchanges import PlatformCodec
@@ -216,6 +217,7 @@
             generator,
             adds_request_id=False,
             head_handler=handler,
+            holds=LoopHolds(self.clock),
         )
 
     async def __aenter__(self) -> "Instance":
