Failing test: A drain refuses connections beside a request that it took over

What callers see: connections are refused by an instance that still runs, for as long as a request lasts that was in the accept queue as the listener was closed.

Cause: finish_drain closes the listener as soon as no connection is open (gateway/server.py, finish_drain and _stop_listening), takes over what is in the queue, and then waits for it up to the end of the grace time.

In a drain it needs a caller in the queue in the iterations in which the last connection closes.

--- a/tests/gateway/test_accept_queue.py
+++ b/tests/gateway/test_accept_queue.py
@@ -5,7 +5,7 @@
 import socket
 
 from carobladder.gateway.ports import Answer
-from tests.gateway.test_connections import HEAD, ConnectionTest
+from tests.gateway.test_connections import HEAD, ConnectionTest, echo
 
 CALLERS = 20
 TIMEOUT_SECONDS = 5.0
@@ -15,9 +15,14 @@
 class AcceptQueueTest(ConnectionTest):
     """Guard against requests that a planned stop resets before they are accepted."""
 
+    async def start(self, handle=echo, **limits: float) -> None:
+        """Start a server, and note its port, which it forgets at its end."""
+        await super().start(handle, **limits)
+        self.port = self.gateway.server.port
+
     def connect_without_loop(self, data: bytes) -> socket.socket:
         """Connect and send while the event loop can't accept."""
-        caller = socket.create_connection(("127.0.0.1", self.gateway.server.port))
+        caller = socket.create_connection(("127.0.0.1", self.port))
         self.addCleanup(caller.close)
         caller.sendall(data)
         caller.setblocking(False)
@@ -69,3 +74,32 @@
         self.assertEqual(closed.accepted, CALLERS)
         whole = [answer for answer in answers if answer.startswith(b"HTTP/1.1 ")]
         self.assertEqual(len(whole), CALLERS)
+
+    # Guards against an instance that runs on for seconds, with the requests that it
+    # took over, and refuses connections meanwhile.
+    async def test_caller_beside_a_request_that_was_taken_over_is_answered(self):
+        begun, release = asyncio.Event(), asyncio.Event()
+
+        async def wait_for_release(request, responder) -> None:
+            begun.set()
+            await release.wait()
+            await responder.send_answer(Answer(200, (), b"done"))
+
+        await self.start(wait_for_release)
+        self.writer.close()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await self.state.no_connections.wait()
+            first = self.connect_without_loop(REQUEST)
+            drain = asyncio.create_task(
+                self.gateway.server.finish_drain(TIMEOUT_SECONDS)
+            )
+            await begun.wait()
+            try:
+                second = self.connect_without_loop(REQUEST)
+            except ConnectionRefusedError:
+                self.fail("the instance runs and refuses connections")
+            finally:
+                release.set()
+            for caller in (first, second):
+                self.assertIn(b" 200 ", await self.read_to_end(caller))
+            self.assertTrue(await drain)
