Test that an instance that is to stop does not listen

The mutation that listens and drains all the same turned no test of tests.entry.test_slow_starts and tests.entry.test_early_signals red, since their SIGTERM while the program loads ends the process by its default action.

--- a/tests/entry/test_listening.py
+++ b/tests/entry/test_listening.py
@@ -60,6 +60,17 @@
         status, _ = await self.serve_early_caller()
         self.assertIn(b" 200 ", status)
 
+    # Guards against callers that are taken by an instance that is to stop already.
+    async def test_instance_that_is_to_stop_does_not_listen(self):
+        self.configure(1)
+        self.register()
+        self.stop.set()
+        self.task = asyncio.create_task(self.instance.serve(self.stop))
+        async with asyncio.timeout(3.0):
+            await self.task
+        self.assertIsNone(self.instance.parts.server._server)
+        self.assertFalse(self.instance.ready)
+
     async def test_unavailable_store_does_not_delay_callers(self):
         self.store.down = True
         status, seconds = await self.serve_early_caller()
