Go on listening while the callers of the accept queue are served

What callers see: connections are refused by an instance that still runs, for as long as a request lasts that was in the accept queue as the listener was closed.

Cause: a drain closed the listener in the moment in which no connection was open, took over its queue, and then waited for what it had taken over, up to the end of the grace time.

What comes in the iterations of the close itself is still taken over.

--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -119,16 +119,17 @@
             ends_at = self._state.clock.monotonic() + limit_seconds
             loop.call_later(_IDLE_GRACE_SECONDS, self._set_end, ends_at)
         loop_ends_at = loop.time() + limit_seconds
-        if not await self._wait_without_connections(loop_ends_at):
-            await self._end_requests()
-        await self._stop_listening()
-        if self._state.ended:
-            await self._wait_without_connections(loop.time() + _LAST_SECONDS)
-            return False
-        # A connection that was taken over may still have a request.
-        if await self._wait_without_connections(loop_ends_at):
-            return True
+        while await self._wait_without_connections(loop_ends_at):
+            await _run_iterations(_ACCEPT_ITERATIONS)
+            if self._state.connections:
+                # Their callers were in the accept queue.
+                continue
+            await self._stop_listening()
+            if await self._wait_without_connections(loop_ends_at):
+                return True
         await self._end_requests()
+        await self._stop_listening()
+        await self._wait_without_connections(loop.time() + _LAST_SECONDS)
         return False
 
     async def _wait_without_connections(self, ends_at: float) -> bool:
@@ -153,8 +154,7 @@
         assert self._listener is not None
         loop = asyncio.get_running_loop()
         loop.remove_reader(self._listener)
-        for _ in range(_ACCEPT_ITERATIONS):
-            await asyncio.sleep(0)
+        await _run_iterations(_ACCEPT_ITERATIONS)
         waiting = self._accept_waiting()
         self._server.close()
         emit(ListenerClosed(len(waiting)))
@@ -193,3 +193,9 @@
         for connection in list(self._state.connections):
             connection.abort()
         await self._state.no_connections.wait()
+
+
+async def _run_iterations(count: int) -> None:
+    """Let the event loop run for a number of iterations."""
+    for _ in range(count):
+        await asyncio.sleep(0)
