Start instances slowly in the soak

The delay and the moments of SIGHUP and SIGTERM in such a start are drawn with the seed. SIGHUP is sent only once the process has set its handler. The excuse _began_in_start is gone: nobody may be connected and have no end. A process that nobody could connect to when SIGTERM came ends within 1 s; one that serves ends within its grace time (8.0 s + 0.1 s in which the soak sees it, 8.5 s before). Settings files are replaced whole, and with the number drawn for this instance; before, only the instance told last got a changed file.

In the short run two instances start slowly, which takes 12 s of requests instead of 9 s.

Ruled out: slow first starts. Callers begin once all instances are ready.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -40,9 +40,13 @@
     ends = Counter(each.end.value for each in record.sent)
     answered = (each for each in record.sent if each.end is End.ANSWERED)
     statuses = Counter(each.status for each in answered)
+    slow_count = sum(each.delay_seconds > 0.0 for each in record.starts)
+    early_count = sum(not each.listening for each in record.terminations)
     print(
         f"seed {seed}: {len(record.sent)} requests, {len(record.runs)} runs, "
-        f"{len(record.terminations)} terminations, ends {dict(sorted(ends.items()))}, "
+        f"{len(record.terminations)} terminations ({early_count} while loading), "
+        f"{len(record.starts)} starts ({slow_count} slow), "
+        f"ends {dict(sorted(ends.items()))}, "
         f"statuses {dict(sorted(statuses.items()))}, "
         f"{len(record.stalls)} stalls, "
         f"{len(crossed)} crossed a close, {len(findings)} findings",
--- a/tests/soak/bed.py
+++ b/tests/soak/bed.py
@@ -1,21 +1,18 @@
 """Instances as processes, their targets and the planned work of a run."""
 
 import asyncio
-import os
 import random
 import signal
 import socket
-import sys
-import sysconfig
 import time
-import tomllib
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from review.bed import Record as StoreJournal
-from review.bed import Store, open_channel, read_head
+from review.bed import Store
 from tests.soak.callers import KEY, Address, Caller
+from tests.soak.processes import Instance, SlowStart, accepts
 from tests.soak.records import (
     GRACE_SECONDS,
     HOST,
@@ -30,11 +27,12 @@
 
 __all__ = ["Options", "play"]
 
-_ROOT = Path(__file__).resolve().parent.parent.parent
 _INSTANCES = 3
 _READY_SECONDS = 15.0
 _PORTS = range(12_000, 30_000)
+# Beyond the grace time a process is left running for this long, to see when it ends.
 _EXIT_MARGIN_SECONDS = 0.5
+_RETRY_SLACK = 58
 _HEADER_BYTES = (8192, 16_384)
 _BODY_BYTES = (200_000, 4_194_304)
 _MOST_CONNECTIONS = (40, 110)
@@ -54,18 +52,6 @@
     caller_count: int = 18
 
 
-@dataclass(slots=True)
-class _Instance:
-    name: str
-    address: str
-    readiness: str
-    settings: Path
-    process: asyncio.subprocess.Process | None = None
-    starts: int = 0
-    stopping: bool = False
-    listening: bool = False
-
-
 async def play(options: Options) -> Record:
     """Play a run and return what was seen."""
     bed = _Bed(options)
@@ -83,11 +69,12 @@
         self._generator = random.Random(f"{options.seed}/work")
         self._started = time.monotonic()
         self._store = Store(StoreJournal(options.folder / "store.txt"))
-        self._instances: list[_Instance] = []
+        self._instances: list[Instance] = []
         self._targets: list[Target] = []
         self._version = 0
         self._idle_ms = _IDLE_MS[-1]
-        self._retry_slack = 58
+        self._until = 0.0
+        self._signals = asyncio.TaskGroup()
 
     async def play(self) -> None:
         """Start everything, send requests beside planned work, and stop."""
@@ -100,12 +87,12 @@
         await asyncio.gather(*(self._start(each) for each in self._instances))
         # Instances learn of each other and of the targets.
         await asyncio.sleep(1.5)
-        until = self._now() + self._options.seconds
+        until = self._until = self._now() + self._options.seconds
         callers = [caller.run(until) for caller in self._build_callers()]
         stalls = asyncio.create_task(
             watch_stalls(self.record.stalls, self._started, self._list_processes)
         )
-        async with asyncio.TaskGroup() as group:
+        async with self._signals, asyncio.TaskGroup() as group:
             for caller in callers:
                 group.create_task(caller)
             group.create_task(self._work(until))
@@ -115,7 +102,7 @@
     async def close(self) -> None:
         """End what still runs."""
         for instance in self._instances:
-            if instance.process and instance.process.returncode is None:
+            if instance.process and instance.is_running:
                 instance.process.kill()
                 await instance.process.wait()
         for listener in (*self._targets, self._store):
@@ -129,7 +116,7 @@
         return {
             each.name: each.process.pid
             for each in self._instances
-            if each.process and each.process.returncode is None
+            if each.process and each.is_running
         }
 
     def _build_callers(self) -> list[Caller]:
@@ -160,66 +147,52 @@
                 self._targets.append(target)
 
     def _add_instance(self, name: str, ports: list[int]) -> None:
-        addresses = [f"127.0.0.1:{port}" for port in ports]
-        settings = self._options.folder / f"{name}.toml"
-        instance = _Instance(name, addresses[0], addresses[1], settings)
-        keys = ("listen", "readiness_listen", "metrics_listen", "peer_listen")
-        lines = [f'{key} = "{at}"' for key, at in zip(keys, addresses, strict=True)]
-        lines += [
-            f'instance = "{name}"',
-            'data_centre = "z-a"',
-            f'store_address = "{self._store.address}"',
-            "memory_mb = 300",
-            "share_partitions = 12",
-            "entry_renewal_ms = 1200",
-            "key_revocation_ms = 5000",
-            "configuration_ms = 2000",
-            "drain_notice_ms = 2000",
-            f"shutdown_grace_seconds = {GRACE_SECONDS}",
-            "retry_ratio = 0.2",
-            "load_multiple = 2",
-            f"retry_slack = {self._retry_slack}",
-        ]
-        settings.write_text("\n".join(lines) + "\n", encoding="utf-8")
+        folder = self._options.folder
+        instance = Instance(name, ports, self._store.address, folder)
+        instance.write_settings(_RETRY_SLACK)
         self._instances.append(instance)
 
-    async def _start(self, instance: _Instance) -> None:
-        """Start a process with the command of the deploy file and await readiness."""
-        instance.starts += 1
-        path = self._options.folder / f"{instance.name}.{instance.starts}.log"
-        with path.open("wb") as log:
-            instance.process = await asyncio.create_subprocess_exec(
-                *_read_command(),
-                cwd=_ROOT,
-                env={
-                    "PATH": os.environ["PATH"],
-                    "HOME": os.environ.get("HOME", "/"),
-                    "PYTHONPATH": _find_packages(),
-                    "PYTHONDONTWRITEBYTECODE": "1",
-                    "CAROBLADDER_SETTINGS": str(instance.settings),
-                },
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-        instance.stopping = False
-        instance.listening = False
-        asyncio.ensure_future(self._watch(instance, instance.process))
-        began = self._now()
-        end = began + _READY_SECONDS
-        while not await _ask_ready(instance.readiness):
-            instance.listening = instance.listening or await _accepts(instance.address)
-            if instance.stopping:
-                break
+    async def _start(self, instance: Instance) -> None:
+        """Start a process and wait until it is ready or told to stop."""
+        seed = f"{self._options.seed}/{instance.name}/{instance.start_count}"
+        # Without callers, as at first, a slow start shows nothing.
+        slow = SlowStart.draw(seed) if instance.start_count else None
+        delay = slow.delay_seconds if slow else 0.0
+        process = await instance.launch(slow)
+        start = Start(instance.name, self._now(), delay_seconds=delay)
+        self.record.starts.append(start)
+        asyncio.ensure_future(self._watch(instance, process))
+        if slow is not None:
+            self._signals.create_task(self._reload_start(instance, slow))
+            self._signals.create_task(self._stop_start(instance, slow))
+        end = start.began + delay + _READY_SECONDS
+        while instance.process is process and not instance.stopping:
+            if await instance.ask_ready():
+                start.ready = self._now()
+                return
             if self._now() > end:
                 self.record.faults.append(f"{instance.name} is not ready")
-                break
+                return
             await asyncio.sleep(0.05)
-        instance.listening = True
-        self.record.starts.append(Start(instance.name, began, self._now()))
+
+    async def _reload_start(self, instance: Instance, slow: SlowStart) -> None:
+        """Send a slow start its drawn SIGHUP."""
+        process = instance.process
+        if slow.reload_at is not None:
+            await asyncio.sleep(slow.reload_at)
+            if instance.process is process:
+                self._reload(instance)
+
+    async def _stop_start(self, instance: Instance, slow: SlowStart) -> None:
+        """Send a slow start its drawn SIGTERM and start the instance anew."""
+        process = instance.process
+        if slow.stop_at is not None:
+            await asyncio.sleep(slow.stop_at)
+            if instance.process is process:
+                await self._restart(instance, 0.0)
 
     async def _watch(
-        self, instance: _Instance, process: asyncio.subprocess.Process
+        self, instance: Instance, process: asyncio.subprocess.Process
     ) -> None:
         status = await process.wait()
         self.record.exits.append((instance.name, self._now()))
@@ -247,38 +220,35 @@
                 else:
                     self._reload(instance)
 
-    async def _restart(self, instance: _Instance, down: float) -> None:
+    async def _restart(self, instance: Instance, down: float) -> None:
         if not instance.stopping:
             await self._stop(instance)
             await asyncio.sleep(down)
-            await self._start(instance)
+            if self._now() < self._until:
+                await self._start(instance)
 
-    async def _stop(self, instance: _Instance) -> None:
+    async def _stop(self, instance: Instance) -> None:
         process = instance.process
         if process is None or process.returncode is not None:
             return
         instance.stopping = True
-        self.record.terminations.append(Termination(instance.name, self._now()))
+        at = self._now()
         process.send_signal(signal.SIGTERM)
+        listening = await accepts(instance.address)
+        self.record.terminations.append(Termination(instance.name, at, listening))
         try:
             async with asyncio.timeout(GRACE_SECONDS + _EXIT_MARGIN_SECONDS):
                 await process.wait()
         except TimeoutError:
-            self.record.faults.append(f"{instance.name} outlives its grace time")
             process.kill()
             await process.wait()
 
-    def _reload(self, instance: _Instance) -> None:
+    def _reload(self, instance: Instance) -> None:
         """Change a setting of a running instance and tell it."""
-        # Before a process listens, the interpreter itself is starting.
-        if instance.stopping or not instance.listening:
-            return
-        before = f"retry_slack = {self._retry_slack}"
-        self._retry_slack = self._generator.randint(40, 80)
-        after = f"retry_slack = {self._retry_slack}"
-        text = instance.settings.read_text(encoding="utf-8")
-        instance.settings.write_text(text.replace(before, after), encoding="utf-8")
-        instance.process.send_signal(signal.SIGHUP)
+        # Before a process handles the signal, it ends by it.
+        if not instance.stopping and instance.is_running and instance.handles_reload:
+            instance.write_settings(self._generator.randint(40, 80))
+            instance.reload()
 
     def _change(self) -> None:
         """Write a new configuration to the store."""
@@ -341,39 +311,6 @@
     }
 
 
-def _read_command() -> list[str]:
-    """Return the command of the deploy file, for the running interpreter."""
-    text = (_ROOT / "deploy" / "system.toml").read_text(encoding="utf-8")
-    words = str(tomllib.loads(text)["roles"]["entry"]["run"]).split()
-    return [sys.executable if word == "python3" else word for word in words]
-
-
-def _find_packages() -> str:
-    built = _ROOT / "target" / "deps"
-    packages = built if built.is_dir() else Path(sysconfig.get_path("purelib"))
-    return f"{packages}{os.pathsep}{_ROOT}"
-
-
-async def _accepts(address: str) -> bool:
-    try:
-        _, writer = await open_channel(address)
-    except OSError:
-        return False
-    writer.close()
-    return True
-
-
-async def _ask_ready(address: str) -> bool:
-    try:
-        reader, writer = await open_channel(address)
-    except OSError:
-        return False
-    writer.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-    head = await read_head(reader)
-    writer.close()
-    return head is not None and " 200 " in head.start
-
-
 def _find_free_ports(count: int) -> list[int]:
     """Return free ports below those that the kernel gives to callers.
 
--- a/tests/soak/judges.py
+++ b/tests/soak/judges.py
@@ -1,8 +1,10 @@
 """Judges of a run, by what callers and targets saw."""
 
+import math
 from collections.abc import Iterator
 
 from tests.soak.records import GRACE_SECONDS, TENANT, End, Finding, Record, Run, Sent
+from tests.soak.stalls import sum_stalls
 
 __all__ = ["judge", "list_crossed"]
 
@@ -10,6 +12,10 @@
 _OWN_FAILURES = frozenset({500, 502, 504})
 # A process closes its listener this long before it ends, at most.
 _CLOSING_SECONDS = 0.3
+# The soak sees the end of a process this late, at most.
+_SEEN_SECONDS = 0.1
+# A process that nobody could connect to ends this long after SIGTERM, at most.
+_LOADING_END_SECONDS = 1.0
 # Share of the time limit after which an answer that ends is late, not lost.
 _USED_SHARE = 0.95
 # Requests sent this long after SIGTERM may still end with the grace time.
@@ -23,6 +29,7 @@
     for run in record.runs:
         runs.setdefault(run.request_id, []).append(run)
     findings = [Finding("FAULT", text) for text in record.faults]
+    findings += _find_late_exits(record)
     findings += _find_unasked(record)
     for sent in record.sent:
         own = runs.get(sent.request_id, [])
@@ -53,6 +60,21 @@
     yield from _find_lost(record, sent, runs)
 
 
+def _find_late_exits(record: Record) -> Iterator[Finding]:
+    for each in record.terminations:
+        exits = [
+            at for name, at in record.exits if name == each.instance and at >= each.at
+        ]
+        ended = min(exits, default=math.inf)
+        grace = GRACE_SECONDS + _SEEN_SECONDS
+        limit = grace if each.listening else _LOADING_END_SECONDS
+        stalled = sum_stalls(record.stalls, each.instance, each.at, ended)
+        if ended - each.at - stalled > limit:
+            state = "serving" if each.listening else "loading"
+            text = f"{each.instance} ends at {ended:.3f}, SIGTERM at {each.at:.3f}"
+            yield Finding("FAULT", f"{text} while {state}")
+
+
 def _find_unasked(record: Record) -> Iterator[Finding]:
     sent = {each.request_id: each for each in record.sent}
     for run in record.runs:
@@ -93,7 +115,7 @@
     record: Record, sent: Sent, runs: list[Run]
 ) -> Iterator[tuple[str, str]]:
     is_timed = not _is_stalled(record, sent)
-    if sent.end is End.GIVEN_UP and is_timed and not _began_in_start(record, sent):
+    if sent.end is End.GIVEN_UP and is_timed:
         yield "LOST", "no answer after the time limit"
     if sent.end is End.UNCONNECTED and is_timed and _is_listening(record, sent):
         yield "LOST", "connection refused by an instance that runs"
@@ -130,7 +152,9 @@
     ready = [
         start.ready
         for start in record.starts
-        if start.instance == sent.instance and start.ready < sent.ended
+        if start.instance == sent.instance
+        and start.ready is not None
+        and start.ready < sent.ended
     ]
     return bool(ready) and not any(
         name == sent.instance and max(ready) < at < sent.ended + _CLOSING_SECONDS
@@ -138,14 +162,6 @@
     )
 
 
-def _began_in_start(record: Record, sent: Sent) -> bool:
-    """Return whether the request waited for a process that was starting."""
-    return any(
-        start.instance == sent.instance and start.began <= sent.began <= start.ready
-        for start in record.starts
-    )
-
-
 def _is_excused(record: Record, sent: Sent, runs: list[Run]) -> bool:
     if runs and _is_broken(runs):
         return True
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -139,19 +139,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Termination:
-    """SIGTERM of an instance."""
+    """SIGTERM of an instance; ``listening`` tells whether callers could connect."""
 
     instance: str
     at: float
+    listening: bool = True
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Start:
-    """Start of an instance's process, until it is ready."""
+    """Start of an instance's process; ``ready`` is None if it was not ready."""
 
     instance: str
     began: float
-    ready: float
+    ready: float | None = None
+    delay_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,8 +180,8 @@
 class Record:
     """All that was seen in a run.
 
-    ``faults`` names processes that did not start, ended alone or did not end in time;
-    ``stalls`` are the times in which a process got no turn.
+    ``faults`` names processes that did not start or ended alone; ``stalls`` are the
+    times in which a process got no turn.
     """
 
     sent: list[Sent] = field(default_factory=list)
--- a/tests/soak/stalls.py
+++ b/tests/soak/stalls.py
@@ -7,7 +7,7 @@
 
 from tests.soak.records import Stall
 
-__all__ = ["watch_stalls"]
+__all__ = ["sum_stalls", "watch_stalls"]
 
 _TURN_SECONDS = 0.05
 _STALL_SECONDS = 0.3
@@ -37,6 +37,17 @@
                 stalls.append(Stall(name, began - stalled, now))
 
 
+def sum_stalls(stalls: list[Stall], instance: str, began: float, ended: float) -> float:
+    """Return for how many seconds of a time an instance or the soak got no turn."""
+    total, until = 0.0, began
+    for stall in sorted(stalls, key=lambda each: each.began):
+        if stall.instance in ("", instance):
+            last = min(stall.ended, ended)
+            total += max(0.0, last - max(stall.began, until))
+            until = max(until, last)
+    return total
+
+
 def _read_wait(pid: int) -> float:
     """Return for how many seconds a process was ready to run and did not.
 
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -86,14 +86,34 @@
         self.assertEqual(list_rules([replace(cut, ended=13.9)], [run]), [])
         stream = build_sent("draft", end=End.CUT, answer=b"", ended=15.0)
         terminations = [Termination("front-0", 8.0)]
-        rules = list_rules([stream], [build_run("draft")], terminations=terminations)
+        rules = list_rules(
+            [stream],
+            [build_run("draft")],
+            terminations=terminations,
+            exits=[("front-0", 15.5)],
+        )
         self.assertEqual(rules, [])
 
-    # A request that waited for a process that was starting, taken for a lost one.
-    def test_allows_a_wait_for_a_start(self):
-        sent = build_sent("brief", end=End.GIVEN_UP, status=0, ended=12.0)
-        starts = [Start("front-0", 9.5, 11.0)]
-        self.assertEqual(list_rules([sent], [], starts=starts), [])
+    # Processes that end in time, or late only by a stall, taken for ones that hang.
+    def test_allows_ends_in_time(self):
+        for listening, ended, stalls in (
+            (True, 17.9, []),
+            (True, 18.4, [Stall("front-0", 11.0, 11.5)]),
+            (False, 10.9, []),
+            (False, 11.4, [Stall("", 10.2, 10.7)]),
+        ):
+            terminations = [Termination("front-0", 10.0, listening)]
+            exits = [("front-0", 5.0), ("front-0", ended), ("front-0", 30.0)]
+            rules = list_rules(
+                [], [], terminations=terminations, exits=exits, stalls=stalls
+            )
+            self.assertEqual(rules, [], ended)
+
+    # A start that takes seconds, taken for an instance that refuses connections.
+    def test_allows_refused_connections_before_an_instance_is_ready(self):
+        sent = build_sent("look", end=End.UNCONNECTED, status=0, sent=None)
+        for start in (Start("front-0", 1.0, 10.3), Start("front-0", 1.0)):
+            self.assertEqual(list_rules([sent], [], starts=[start]), [], start)
 
     # A process that got no turn on a busy machine, taken for one that waits too long.
     def test_allows_stalls_of_a_busy_machine(self):
@@ -176,7 +196,9 @@
         sent = build_sent("order", end=End.CUT, status=0, answer=b"", ended=12.0)
         terminations = [Termination("front-0", 5.0)]
         run = build_run("order")
-        rules = list_rules([sent], [run], terminations=terminations)
+        rules = list_rules(
+            [sent], [run], terminations=terminations, exits=[("front-0", 12.0)]
+        )
         self.assertEqual(rules, ["LOST"])
 
     # A failure of the instance's own while the target works.
@@ -217,7 +239,25 @@
             left = build_sent("look", end=End.LEFT, status=0, headers={}, answer=b"")
             self.assertEqual(list_rules([left], [run]), ["UNASKED"], fields)
 
-    # A process that ends alone, or outlives its grace time.
+    # A connection that waits for a process that is starting.
+    def test_finds_requests_without_an_end_in_a_start(self):
+        sent = build_sent("brief", end=End.GIVEN_UP, status=0, ended=12.0)
+        starts = [Start("front-0", 9.5, 11.0, 1.0)]
+        self.assertEqual(list_rules([sent], [], starts=starts), ["LOST"])
+
+    # A process that outlives its grace time, or drains though nobody could connect.
+    def test_finds_late_ends_of_processes(self):
+        for listening, exits in (
+            (True, [("front-0", 18.2)]),
+            (True, [("front-1", 12.0)]),
+            (False, [("front-0", 11.1)]),
+            (False, [("front-0", 9.0), ("front-0", 12.4)]),
+        ):
+            terminations = [Termination("front-0", 10.0, listening)]
+            rules = list_rules([], [], terminations=terminations, exits=exits)
+            self.assertEqual(rules, ["FAULT"], exits)
+
+    # A process that ends alone.
     def test_finds_faults_of_processes(self):
         self.assertEqual(list_rules([], [], faults=["ended alone"]), ["FAULT"])
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,8 +9,10 @@
 from tests.soak.judges import judge
 from tests.soak.records import End
 
-SEED = 4
-SECONDS = 9.0
+# Each instance starts slowly when it is started for the second time; two of the starts
+# get a signal.
+SEED = 513
+SECONDS = 12.0
 FEWEST_ANSWERS = 30
 
 
@@ -29,6 +31,8 @@
         ]
         self.assertGreater(len(served), FEWEST_ANSWERS)
         self.assertGreater(len(record.terminations), 0)
+        slow = [start for start in record.starts if start.delay_seconds > 0.0]
+        self.assertGreater(len(slow), 0)
 
 
 if __name__ == "__main__":
