--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,12 +7,11 @@
 from hashlib import sha256
 
 from review.bed import read_head
-from tests.soak.records import HOST, ROUTES, End, Record, Sent
+from tests.soak.records import CONNECT_SECONDS, HOST, ROUTES, End, Record, Sent
 
 __all__ = ["KEY", "Address", "Caller"]
 
 KEY = "n2ctnfzs989anu6wsjnb"
-_CONNECT_SECONDS = 1.0
 _RETRY_SECONDS = 0.05
 _DEADLINES_MS = (800, 6000, 9000, 12_000)
 # Waiting beyond the time limit shows whether the instance ends the request at all.
@@ -90,8 +89,10 @@
         began = self._now()
         try:
             reader, writer = await self._connect(sent)
-        except (OSError, TimeoutError):
-            sent.end, sent.began, sent.ended = End.UNCONNECTED, began, self._now()
+        except OSError as error:
+            is_late = isinstance(error, TimeoutError)
+            sent.end = End.UNCONNECTED if is_late else End.REFUSED
+            sent.began, sent.ended = began, self._now()
             await asyncio.sleep(_RETRY_SECONDS)
             return
         if not leaves:
@@ -119,7 +120,7 @@
             return channel
         self._drop()
         host, _, port = dict(self._addresses)[sent.instance].rpartition(":")
-        async with asyncio.timeout(_CONNECT_SECONDS):
+        async with asyncio.timeout(CONNECT_SECONDS):
             self._channel = await asyncio.open_connection(host, int(port))
         return self._channel
 
--- a/tests/soak/judges.py
+++ b/tests/soak/judges.py
@@ -3,7 +3,18 @@
 import math
 from collections.abc import Iterator
 
-from tests.soak.records import GRACE_SECONDS, TENANT, End, Finding, Record, Run, Sent
+from tests.soak.records import (
+    CONNECT_SECONDS,
+    CROSSING_SECONDS,
+    GRACE_SECONDS,
+    TENANT,
+    End,
+    Finding,
+    Record,
+    Run,
+    Sent,
+    Termination,
+)
 from tests.soak.stalls import sum_stalls
 
 __all__ = ["judge", "list_crossed"]
@@ -11,16 +22,16 @@
 _REFUSALS = frozenset({408, 421, 429, 503})
 _OWN_FAILURES = frozenset({500, 502, 504})
 # A process closes its listener this long before it ends, at most.
-_CLOSING_SECONDS = 0.3
+_CLOSING_SECONDS = 0.2
 # The soak sees the end of a process this late, at most.
 _SEEN_SECONDS = 0.1
 # A process that nobody could connect to ends this long after SIGTERM, at most.
 _LOADING_END_SECONDS = 1.0
-# Share of the time limit after which an answer that ends is late, not lost.
-_USED_SHARE = 0.95
-# Requests sent this long after SIGTERM may still end with the grace time.
+# A request has an end this long after its time limit, at most.
+_LATE_SECONDS = 0.5
+# Requests sent this long after SIGTERM may be cut in the last part of the grace time.
 _EARLY_SECONDS = 3.0
-_LAST_SHARE = 5 / 6
+_LAST_PART_SECONDS = GRACE_SECONDS * 5 / 6
 
 
 def judge(record: Record) -> list[Finding]:
@@ -114,16 +125,20 @@
 def _find_lost(
     record: Record, sent: Sent, runs: list[Run]
 ) -> Iterator[tuple[str, str]]:
-    is_timed = not _is_stalled(record, sent)
-    if sent.end is End.GIVEN_UP and is_timed:
-        yield "LOST", "no answer after the time limit"
-    if sent.end is End.UNCONNECTED and is_timed and _is_listening(record, sent):
+    stalled = sum_stalls(record.stalls, sent.instance, sent.began, sent.ended)
+    if sent.end is End.GIVEN_UP:
+        if sent.elapsed - stalled > sent.limit_seconds + _LATE_SECONDS:
+            yield "LOST", "no answer after the time limit"
+    elif sent.end is End.UNCONNECTED:
+        if sent.elapsed - stalled >= CONNECT_SECONDS and _is_listening(record, sent):
+            yield "LOST", "no connection to an instance that runs"
+    elif sent.end is End.REFUSED and _is_listening(record, sent):
         yield "LOST", "connection refused by an instance that runs"
     if sent.sent is None or _is_excused(record, sent, runs):
         return
     if sent.end is End.CUT and runs:
         yield "LOST", "cut after it was passed on"
-    elif sent.end is End.CUT and not sent.is_crossed and is_timed:
+    elif sent.end is End.CUT and sent.ended - sent.sent - stalled > CROSSING_SECONDS:
         yield "LOST", f"cut {sent.ended - sent.sent:.3f} s after its last byte"
     elif _is_own_failure(sent) and runs and runs[-1].status == 200:
         yield "LOST", "failure though its target was sound"
@@ -137,44 +152,50 @@
     )
 
 
-def _is_stalled(record: Record, sent: Sent) -> bool:
-    """Return whether its caller or instance got no turn, so that its times are late."""
-    return any(
-        stall.instance in ("", sent.instance)
-        and stall.began < sent.ended
-        and stall.ended > sent.began
-        for stall in record.stalls
-    )
-
-
 def _is_listening(record: Record, sent: Sent) -> bool:
-    """Return whether the process was ready before a refusal and ran on after it."""
+    """Return whether the process was ready before a connection and ran on after it."""
     ready = [
         start.ready
         for start in record.starts
         if start.instance == sent.instance
         and start.ready is not None
-        and start.ready < sent.ended
+        and start.ready <= sent.began
     ]
-    return bool(ready) and not any(
-        name == sent.instance and max(ready) < at < sent.ended + _CLOSING_SECONDS
-        for name, at in record.exits
-    )
+    if not ready:
+        return False
+    exits = [
+        at for name, at in record.exits if name == sent.instance and at > max(ready)
+    ]
+    ended = min(exits, default=math.inf)
+    stalled = sum_stalls(record.stalls, sent.instance, sent.ended, ended)
+    return ended - sent.ended - stalled > _CLOSING_SECONDS
 
 
 def _is_excused(record: Record, sent: Sent, runs: list[Run]) -> bool:
     if runs and _is_broken(runs):
         return True
-    if sent.elapsed >= sent.limit_seconds * _USED_SHARE:
+    if sent.elapsed >= sent.limit_seconds:
         return True
     return bool(runs) and any(
         termination.instance == sent.instance
-        and sent.began <= termination.at + _EARLY_SECONDS
-        and sent.ended >= termination.at + GRACE_SECONDS * _LAST_SHARE
+        and _is_cut_by_grace(termination, sent, runs[-1])
         for termination in record.terminations
     )
 
 
+def _is_cut_by_grace(termination: Termination, sent: Sent, run: Run) -> bool:
+    """Return whether the target was at work in the last part of the grace time.
+
+    ``run`` is the last one of the request.
+    """
+    return (
+        sent.sent is not None
+        and sent.sent <= termination.at + _EARLY_SECONDS
+        and run.dropped is not None
+        and run.dropped >= termination.at + _LAST_PART_SECONDS
+    )
+
+
 def _is_broken(runs: list[Run]) -> bool:
     """Return whether the last target broke off, or failed to go on for one that did."""
     last = runs[-1]
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 __all__ = [
+    "CONNECT_SECONDS",
     "CROSSING_SECONDS",
     "GRACE_SECONDS",
     "HOST",
@@ -24,6 +25,8 @@
 HOST = "shop.example"
 TENANT = "hule930"
 GRACE_SECONDS = 8
+# Callers wait this long for a connection.
+CONNECT_SECONDS = 1.0
 # A request may cross the close of its connection for this long.
 CROSSING_SECONDS = 0.2
 
@@ -70,6 +73,7 @@
     LEFT = "left"
     GIVEN_UP = "given up"
     UNCONNECTED = "unconnected"
+    REFUSED = "refused"
 
 
 @dataclass(slots=True)
--- a/tests/soak/stalls.py
+++ b/tests/soak/stalls.py
@@ -31,7 +31,8 @@
             stalls.append(Stall("", began, now))
         for name, pid in list_processes().items():
             wait = _read_wait(pid)
-            stalled = wait - waits.get(pid, 0.0)
+            # What a process waited for before the first look was no part of the run.
+            stalled = wait - waits.get(pid, wait)
             waits[pid] = wait
             if stalled > _STALL_SECONDS:
                 stalls.append(Stall(name, began - stalled, now))
--- a/tests/soak/test_judges.py
+++ b/tests/soak/test_judges.py
@@ -83,17 +83,30 @@
         run = build_run("order")
         broken = replace(run, broke_off=True)
         self.assertEqual(list_rules([cut], [broken]), [])
-        self.assertEqual(list_rules([replace(cut, ended=13.9)], [run]), [])
-        stream = build_sent("draft", end=End.CUT, answer=b"", ended=15.0)
+        self.assertEqual(list_rules([replace(cut, ended=14.0)], [run]), [])
+
+    # The last sixth of the grace time, taken for a cut of the instance's own.
+    def test_allows_cuts_of_early_requests_at_the_end_of_the_grace_time(self):
+        sent = build_sent("draft", end=End.CUT, answer=b"", sent=11.0, ended=15.4)
+        run = build_run("draft", dropped=15.4)
         terminations = [Termination("front-0", 8.0)]
         rules = list_rules(
-            [stream],
-            [build_run("draft")],
-            terminations=terminations,
-            exits=[("front-0", 15.5)],
+            [sent], [run], terminations=terminations, exits=[("front-0", 15.5)]
         )
         self.assertEqual(rules, [])
 
+    # Times that a busy machine makes late, taken for those of the instance.
+    def test_allows_bounds_that_stalls_move(self):
+        late = build_sent("order", end=End.GIVEN_UP, status=0, ended=15.0)
+        cut = build_sent("order", end=End.CUT, status=0, answer=b"", ended=10.7)
+        slow = build_sent("look", end=End.UNCONNECTED, status=0, sent=None, ended=11.01)
+        starts = [Start("front-0", 1.0, 2.0)]
+        for instance in ("", "front-0"):
+            stalls = [Stall(instance, 10.15, 10.65)]
+            for sent in (late, cut, slow):
+                rules = list_rules([sent], [], starts=starts, stalls=stalls)
+                self.assertEqual(rules, [], sent)
+
     # Processes that end in time, or late only by a stall, taken for ones that hang.
     def test_allows_ends_in_time(self):
         for listening, ended, stalls in (
@@ -111,21 +124,10 @@
 
     # A start that takes seconds, taken for an instance that refuses connections.
     def test_allows_refused_connections_before_an_instance_is_ready(self):
-        sent = build_sent("look", end=End.UNCONNECTED, status=0, sent=None)
-        for start in (Start("front-0", 1.0, 10.3), Start("front-0", 1.0)):
+        sent = build_sent("look", end=End.REFUSED, status=0, sent=None)
+        for start in (Start("front-0", 1.0, 10.05), Start("front-0", 1.0)):
             self.assertEqual(list_rules([sent], [], starts=[start]), [], start)
 
-    # A process that got no turn on a busy machine, taken for one that waits too long.
-    def test_allows_stalls_of_a_busy_machine(self):
-        sent = build_sent("order", end=End.GIVEN_UP, status=0, ended=16.0)
-        for stall, rules in (
-            (Stall("", 12.0, 15.0), []),
-            (Stall("front-0", 12.0, 15.0), []),
-            (Stall("front-1", 12.0, 15.0), ["LOST"]),
-            (Stall("", 2.0, 5.0), ["LOST"]),
-        ):
-            self.assertEqual(list_rules([sent], [], stalls=[stall]), rules, stall)
-
     # A failure of the instance's own after one of its target, taken for a lost answer.
     def test_allows_a_failure_after_a_failed_run(self):
         sent = build_sent("look", status=502, headers={}, answer=b"")
@@ -191,15 +193,71 @@
         sent = build_sent("order", end=End.CUT, status=0, answer=b"", ended=10.4)
         self.assertEqual(list_rules([sent], []), ["LOST"])
 
-    # A grace time that excuses a request sent long after SIGTERM.
-    def test_finds_cuts_of_late_requests_at_the_end_of_the_grace_time(self):
-        sent = build_sent("order", end=End.CUT, status=0, answer=b"", ended=12.0)
-        terminations = [Termination("front-0", 5.0)]
-        run = build_run("order")
-        rules = list_rules(
-            [sent], [run], terminations=terminations, exits=[("front-0", 12.0)]
-        )
-        self.assertEqual(rules, ["LOST"])
+    # A grace time that excuses a request sent long after SIGTERM, a target that had
+    # finished its work, or a cut before the last sixth.
+    def test_finds_other_cuts_at_the_end_of_the_grace_time(self):
+        for at, dropped in ((7.0, 15.0), (8.2, None), (8.2, 14.8)):
+            sent = build_sent("draft", end=End.CUT, answer=b"", ended=15.0)
+            run = build_run("draft", dropped=dropped)
+            terminations = [Termination("front-0", at)]
+            rules = list_rules(
+                [sent], [run], terminations=terminations, exits=[("front-0", 15.0)]
+            )
+            self.assertEqual(rules, ["LOST"], at)
+
+    # A limit that is nearly reached, taken for one that is reached.
+    def test_finds_cuts_shortly_before_the_time_limit(self):
+        sent = build_sent("order", end=End.CUT, status=0, answer=b"", ended=13.9)
+        self.assertEqual(list_rules([sent], [build_run("order")]), ["LOST"])
+
+    # A stall that excuses what is no lateness, or more than its own length.
+    def test_finds_faults_beside_stalls(self):
+        starts = [Start("front-0", 1.0, 2.0)]
+        cut = build_sent("order", end=End.CUT, status=0, answer=b"", ended=11.0)
+        late = build_sent("order", end=End.GIVEN_UP, status=0, ended=15.0)
+        refused = build_sent("look", end=End.REFUSED, status=0, sent=None, ended=10.7)
+        slow = build_sent("look", end=End.UNCONNECTED, status=0, sent=None, ended=11.6)
+        for sent, runs, length in (
+            (cut, [build_run("order")], 0.9),
+            (cut, [], 0.6),
+            (late, [], 0.4),
+            (refused, [], 0.5),
+            (slow, [], 0.5),
+        ):
+            for instance in ("", "front-0"):
+                stalls = [Stall(instance, 10.05, 10.05 + length)]
+                rules = list_rules([sent], runs, starts=starts, stalls=stalls)
+                self.assertEqual(rules, ["LOST"], sent)
+
+    # A stall of another instance or at another time that moves a bound.
+    def test_finds_late_ends_beside_other_stalls(self):
+        sent = build_sent("order", end=End.GIVEN_UP, status=0, ended=15.0)
+        for stall in (Stall("front-1", 11.0, 14.0), Stall("", 2.0, 5.0)):
+            self.assertEqual(list_rules([sent], [], stalls=[stall]), ["LOST"], stall)
+
+    # Stalls of the soak and of an instance at the same time that are counted twice.
+    def test_finds_late_ends_beside_common_stalls(self):
+        sent = build_sent("order", end=End.GIVEN_UP, status=0, ended=15.0)
+        stalls = [Stall("", 11.0, 11.4), Stall("front-0", 11.1, 11.4)]
+        self.assertEqual(list_rules([sent], [], stalls=stalls), ["LOST"])
+
+    # A connection that waits for a process that is starting.
+    def test_finds_requests_without_an_end_in_a_start(self):
+        sent = build_sent("brief", end=End.GIVEN_UP, status=0, ended=12.0)
+        starts = [Start("front-0", 9.5, 11.0, 1.0)]
+        self.assertEqual(list_rules([sent], [], starts=starts), ["LOST"])
+
+    # A process that outlives its grace time, or drains though nobody could connect.
+    def test_finds_late_ends_of_processes(self):
+        for listening, exits in (
+            (True, [("front-0", 18.2)]),
+            (True, [("front-1", 12.0)]),
+            (False, [("front-0", 11.1)]),
+            (False, [("front-0", 9.0), ("front-0", 12.4)]),
+        ):
+            terminations = [Termination("front-0", 10.0, listening)]
+            rules = list_rules([], [], terminations=terminations, exits=exits)
+            self.assertEqual(rules, ["FAULT"], exits)
 
     # A failure of the instance's own while the target works.
     def test_finds_failures_beside_sound_targets(self):
@@ -209,7 +267,7 @@
 
     # A process that refuses connections while it runs, or while it drains.
     def test_finds_refused_connections(self):
-        sent = build_sent("look", end=End.UNCONNECTED, status=0, sent=None)
+        sent = build_sent("look", end=End.REFUSED, status=0, sent=None)
         starts = [Start("front-0", 1.0, 2.0)]
         for exits, rules in (
             ([], ["LOST"]),
@@ -220,6 +278,12 @@
             found = list_rules([sent], [], starts=starts, exits=exits)
             self.assertEqual(found, rules, exits)
 
+    # A process that leaves connections waiting in its full queue.
+    def test_finds_connections_that_are_not_made(self):
+        sent = build_sent("look", end=End.UNCONNECTED, status=0, sent=None, ended=11.01)
+        starts = [Start("front-0", 1.0, 2.0)]
+        self.assertEqual(list_rules([sent], [], starts=starts), ["LOST"])
+
     # A request that hangs beyond its time limit.
     def test_finds_requests_without_an_end(self):
         sent = build_sent("order", end=End.GIVEN_UP, status=0, ended=16.0)
@@ -239,24 +303,6 @@
             left = build_sent("look", end=End.LEFT, status=0, headers={}, answer=b"")
             self.assertEqual(list_rules([left], [run]), ["UNASKED"], fields)
 
-    # A connection that waits for a process that is starting.
-    def test_finds_requests_without_an_end_in_a_start(self):
-        sent = build_sent("brief", end=End.GIVEN_UP, status=0, ended=12.0)
-        starts = [Start("front-0", 9.5, 11.0, 1.0)]
-        self.assertEqual(list_rules([sent], [], starts=starts), ["LOST"])
-
-    # A process that outlives its grace time, or drains though nobody could connect.
-    def test_finds_late_ends_of_processes(self):
-        for listening, exits in (
-            (True, [("front-0", 18.2)]),
-            (True, [("front-1", 12.0)]),
-            (False, [("front-0", 11.1)]),
-            (False, [("front-0", 9.0), ("front-0", 12.4)]),
-        ):
-            terminations = [Termination("front-0", 10.0, listening)]
-            rules = list_rules([], [], terminations=terminations, exits=exits)
-            self.assertEqual(rules, ["FAULT"], exits)
-
     # A process that ends alone.
     def test_finds_faults_of_processes(self):
         self.assertEqual(list_rules([], [], faults=["ended alone"]), ["FAULT"])
