Listen while the last callers of a drain are served

Cause: once no connection was open, a drain stopped to accept, took over what the kernel had accepted meanwhile and closed the listener, whether or not it had taken over somebody. Their requests were then served for as long as the grace time allows.

Change: the listener is closed once nothing waits and no connection is open. Until then the accept queue is looked at each 0.05 s; asyncio can't stop to accept and go on later. At the end of the grace time all is as before. listener_closed counts all connections that were taken over.

Ruled out: waiting some more iterations before the listener stops to accept, as a caller may come in the next one.

--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -21,6 +21,8 @@
 _IDLE_GRACE_SECONDS = 0.5
 # Event loop iterations until a connection that the loop has just accepted is added.
 _ACCEPT_ITERATIONS = 3
+# Time between two looks at the accept queue at the end of a drain.
+_ACCEPT_INTERVAL_SECONDS = 0.05
 # Time for the error responses to requests that are cancelled at the end of a drain.
 _END_SECONDS = 0.3
 # Time for the refusals to callers that connected just before the listener was closed.
@@ -60,6 +62,7 @@
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None
         self._closes_idle = False
+        self._taken_over_count = 0
 
     @property
     def port(self) -> int:
@@ -114,16 +117,14 @@
             ends_at = self._state.clock.monotonic() + limit_seconds
             loop.call_later(_IDLE_GRACE_SECONDS, self._set_end, ends_at)
         loop_ends_at = loop.time() + limit_seconds
-        if not await self._wait_without_connections(loop_ends_at):
-            await self._end_requests()
-        await self._stop_listening()
-        if self._state.ended:
-            await self._wait_without_connections(loop.time() + _LAST_SECONDS)
-            return False
-        # A connection that was taken over may still have a request.
-        if await self._wait_without_connections(loop_ends_at):
+        if await self._wait_without_connections(
+            loop_ends_at
+        ) and await self._stop_listening(loop_ends_at):
             return True
         await self._end_requests()
+        await self._stop_accepting()
+        await self._close_listener()
+        await self._wait_without_connections(loop.time() + _LAST_SECONDS)
         return False
 
     async def _wait_without_connections(self, ends_at: float) -> bool:
@@ -137,25 +138,49 @@
     def _set_end(self, ends_at: float) -> None:
         self._state.end = ServerEnd(ends_at, self._state.clock.monotonic())
 
-    async def _stop_listening(self) -> None:
-        """Close the listener and take over the connections in its accept queue.
+    async def _stop_listening(self, ends_at: float) -> bool:
+        """Close the listener once nobody waits and no connection is open.
 
-        The kernel resets what is in the queue of a listener that is closed, and asyncio
-        drops without a log what it has accepted but not added to the closed server.
+        Returns whether this happened by a time of the event loop. asyncio can't stop to
+        accept and go on later, so that connections are taken over from the queue.
         """
-        if self._server is None or not self._server.is_serving():
-            return
-        assert self._listener is not None
+        if self._listener is None:
+            return await self._wait_without_connections(ends_at)
         loop = asyncio.get_running_loop()
-        loop.remove_reader(self._listener)
+        await self._stop_accepting()
+        while loop.time() < ends_at:
+            waiting = self._accept_waiting()
+            await self._add_accepted(waiting)
+            if not waiting and not self._state.connections:
+                await self._close_listener()
+                return await self._wait_without_connections(ends_at)
+            until = min(ends_at, loop.time() + _ACCEPT_INTERVAL_SECONDS)
+            await self._wait_without_connections(until)
+        return False
+
+    async def _stop_accepting(self) -> None:
+        """Leave new connections in the accept queue.
+
+        asyncio drops without a log what it has accepted but not added to a server that
+        is closed meanwhile.
+        """
+        if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
         for _ in range(_ACCEPT_ITERATIONS):
             await asyncio.sleep(0)
+
+    async def _close_listener(self) -> None:
+        """Close the listener and take over the connections in its accept queue.
+
+        The kernel resets what is in the queue of a listener that is closed.
+        """
+        if self._server is None or self._listener is None:
+            return
         waiting = self._accept_waiting()
         self._server.close()
-        emit(ListenerClosed(len(waiting)))
-        for sock in waiting:
-            with suppress(OSError):
-                await loop.connect_accepted_socket(self._create_connection, sock)
+        self._listener = None
+        emit(ListenerClosed(self._taken_over_count))
+        await self._add_accepted(waiting)
 
     def _accept_waiting(self) -> list[socket.socket]:
         assert self._listener is not None
@@ -171,6 +196,13 @@
                 return accepted
             sock.setblocking(False)
             accepted.append(sock)
+            self._taken_over_count += 1
+
+    async def _add_accepted(self, accepted: list[socket.socket]) -> None:
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            with suppress(OSError):
+                await loop.connect_accepted_socket(self._create_connection, sock)
 
     async def _end_requests(self) -> None:
         """Cancel the requests and leave their handlers a moment for an error."""
--- a/tests/gateway/test_accept_queue.py
+++ b/tests/gateway/test_accept_queue.py
@@ -9,6 +9,7 @@
 
 CALLERS = 20
 TIMEOUT_SECONDS = 5.0
+DRAINING_SECONDS = 0.1
 REQUEST = HEAD + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -69,3 +70,26 @@
         self.assertEqual(closed.accepted, CALLERS)
         whole = [answer for answer in answers if answer.startswith(b"HTTP/1.1 ")]
         self.assertEqual(len(whole), CALLERS)
+
+    # Guards against a closed listener while a caller from the queue is still served.
+    async def test_callers_are_answered_while_one_of_the_queue_is_served(self):
+        release = asyncio.Event()
+
+        async def wait_for_release(request, responder) -> None:
+            await release.wait()
+            await responder.send_answer(Answer(200, (), b"done"))
+
+        await self.start(wait_for_release)
+        self.writer.close()
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            await self.state.no_connections.wait()
+            first = self.connect_without_loop(REQUEST)
+            server = self.gateway.server
+            drain = asyncio.create_task(server.finish_drain(TIMEOUT_SECONDS))
+            await asyncio.sleep(DRAINING_SECONDS)
+            second = self.connect_without_loop(REQUEST)
+            await asyncio.sleep(DRAINING_SECONDS)
+            release.set()
+            for caller in (first, second):
+                self.assertIn(b" 200 ", await self.read_to_end(caller))
+            self.assertTrue(await drain)
