Test that an end signal wakes an idle event loop

The mutation with call_soon instead of call_soon_threadsafe turned no test of tests.entry.test_early_signals and test_signals red. In a whole instance the housekeeping, each 0.25 s, hides it.

--- a/tests/entry/test_early_signals.py
+++ b/tests/entry/test_early_signals.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 from dataclasses import dataclass
 from pathlib import Path
@@ -37,6 +38,8 @@
 CONCURRENT_LOADS = 2
 MAX_VERSIONS = 20
 BUSY_SECONDS = 0.3
+# Until the next timer of a loop that does nothing.
+IDLE_SECONDS = 6.0
 VERSION_SECONDS = 0.2
 
 
@@ -271,6 +274,18 @@
         self.assertIsNotNone(requested_at)
         self.assertLess(requested_at - began, BUSY_SECONDS)
 
+    # Guards against an end signal that an idle loop handles with its next timer.
+    async def test_end_signal_wakes_an_idle_loop(self):
+        self.keep_handlers()
+        handle_end_signals(self.instance, self.stop)
+        sender = threading.Timer(BUSY_SECONDS, os.kill, (os.getpid(), signal.SIGTERM))
+        sender.start()
+        began = self.clock.monotonic()
+        async with asyncio.timeout(IDLE_SECONDS):
+            await self.stop.wait()
+        sender.join()
+        self.assertLess(self.clock.monotonic() - began, IDLE_SECONDS / 2)
+
     # Guards against a grace time that a repeated signal extends beyond the kill.
     async def test_second_end_signal_leaves_the_arrival_of_the_first(self):
         self.keep_handlers()
