Await each instance's own report of an outage of the log

Cause: each instance judges the log by the time of its own last read (3 s). The test waited for the report of one instance and then expected the state of both. On a busy machine the last reads of the two were handled up to 0.074 s apart (one run at a load of 20 on 8 cores), and the time between the report and the question was 0.05 to 0.3 s. With the last read of the other instance handled 0.5 s later, the test failed ("claiming" is not "held-by-log").

Ruled out: a fault of the instances. Each holds its moves 3 s after its own last read.

Change: the test watches both instances and expects the state of each after its report, and also the end of the outage from both.

--- a/tests/instance/test_moves_running.py
+++ b/tests/instance/test_moves_running.py
@@ -34,6 +34,17 @@
         address = self.fleet.address(number)
         return (await fetch_json("GET", address, path, headers=headers)).body["status"]
 
+    async def open_watch(self, number: int) -> asyncio.StreamReader:
+        """Return the reader of what an instance reports to a watch."""
+        host, _, port = self.fleet.address(number).rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(
+            b"GET /admin/v1/watch HTTP/1.1\r\nHost: x\r\n"
+            b"Authorization: Bearer " + ADMIN_KEY.encode() + b"\r\n\r\n"
+        )
+        return reader
+
     async def wait_log_event(self, reader: asyncio.StreamReader) -> str:
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             while True:
@@ -41,22 +52,18 @@
                 if b'"type":"log"' in line:
                     return "down" if b'"down"' in line else "up"
 
+    # Each instance judges the log by its own last read, so both reports are awaited.
     async def test_status_and_watch_report_an_outage_and_its_end(self):
-        host, _, port = self.fleet.address(1).rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            b"GET /admin/v1/watch HTTP/1.1\r\nHost: x\r\n"
-            b"Authorization: Bearer " + ADMIN_KEY.encode() + b"\r\n\r\n"
-        )
+        readers = [await self.open_watch(number) for number in range(2)]
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             while "claiming" in str(await self.read_status(0)):
                 await asyncio.sleep(0.1)
         await fetch_json("POST", self.fleet.log_address, "/faults", OUTAGE)
-        self.assertEqual(await self.wait_log_event(reader), "down")
-        for number in range(2):
+        for number, reader in enumerate(readers):
+            self.assertEqual(await self.wait_log_event(reader), "down")
             status = await self.read_status(number)
             self.assertEqual(status["driver_state"], "held-by-log")
             self.assertEqual((status["share"], status["verdict"]), (0.0, "clear"))
         await fetch_json("POST", self.fleet.log_address, "/faults", {})
-        self.assertEqual(await self.wait_log_event(reader), "up")
-        writer.close()
+        for reader in readers:
+            self.assertEqual(await self.wait_log_event(reader), "up")
