Read what has come before a response is given up at its deadline

Cause: the timer of a deadline runs in the same iteration of the event loop as the reads of its sockets, and before the task that waits for them. After a hold of the loop beyond the deadline, a response whose bytes had come in time, and were read in that iteration, was given up: an attempt was ended or left for another target, and its target counted as overdue.

Ruled out: a later deadline, which a longer hold passes too, and waiting for a turn of the task alone, since a body of more than 16 kB takes several reads with turns between them.

Change: at a deadline, bytes that are at hand are read first. This ends after two iterations without any, and after 64 in all, so bytes that keep coming extend nothing.

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -5,7 +5,12 @@
 
 import h11
 
-from carobladder.clients.reads import EVENTS_IN_A_TURN, ReadFlow, SharedReads
+from carobladder.clients.reads import (
+    EVENTS_IN_A_TURN,
+    LateReads,
+    ReadFlow,
+    SharedReads,
+)
 from carobladder.clients.sockets import enable_keepalive
 from carobladder.exceptions import AnswerOverdueError, ConnectionBrokenError
 
@@ -54,6 +59,7 @@
         self._deadline = 0.0
         self._extend_deadline: DeadlineExtender | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._late_reads = LateReads()
 
     @property
     def usable(self) -> bool:
@@ -366,19 +372,36 @@
         """
         self._deadline = deadline
         self._extend_deadline = extend_deadline
+        if deadline > self._loop.time():
+            self._late_reads.reset()
         if self._timer is not None and self._timer.when() > self._deadline:
             self._cancel_timer()
         if self._timer is None:
             self._timer = self._loop.call_at(self._deadline, self._check_deadline)
 
+    def _has_unhandled_bytes(self) -> bool:
+        """Return whether bytes have come that wait for an iteration or a turn."""
+        is_woken = self._waiter is not None and self._waiter.done()
+        return is_woken or self._parsing_paused or self._flow.waits_for_turn
+
     def _check_deadline(self) -> None:
+        """Give the response up, unless there is time or bytes have come in time.
+
+        An event loop that was held reads these only in the iteration of this check.
+        """
         self._timer = None
-        if self._loop.time() < self._deadline:
+        now = self._loop.time()
+        if now < self._deadline:
             self._timer = self._loop.call_at(self._deadline, self._check_deadline)
-        elif self._waiter is not None or self._push_result is not None:
+        elif self._waiter is None and self._push_result is None:
+            return
+        elif self._late_reads.go_on(self._has_unhandled_bytes()):
+            self._timer = self._loop.call_at(now, self._check_deadline)
+        else:
             seconds = self._extend_deadline() if self._extend_deadline else 0.0
             if seconds > 0.0:
-                self._deadline = self._loop.time() + seconds
+                self._deadline = now + seconds
+                self._late_reads.reset()
                 self._timer = self._loop.call_at(self._deadline, self._check_deadline)
                 return
             self.timed_out = True
--- a/carobladder/clients/reads.py
+++ b/carobladder/clients/reads.py
@@ -7,7 +7,7 @@
 from carobladder.exceptions import MemoryExceededError
 from carobladder.memory import MemoryBudget
 
-__all__ = ["EVENTS_IN_A_TURN", "ReadFlow", "SharedReads"]
+__all__ = ["EVENTS_IN_A_TURN", "LateReads", "ReadFlow", "SharedReads"]
 
 # Bytes that are read from a socket at once.
 _READ_BYTES = 16_384
@@ -21,6 +21,33 @@
 # Turns in one iteration of the event loop, in which all other requests wait.
 _TURNS_IN_AN_ITERATION = 4
 
+# Iterations of the event loop in which bytes at hand are read beyond a deadline, and
+# those without any that end this: there may be a turn between two reads.
+_MAX_LATE_ITERATIONS = 64
+_MAX_QUIET_ITERATIONS = 2
+
+
+class LateReads:
+    """Bound on the iterations of the event loop that go on beyond a deadline."""
+
+    def __init__(self) -> None:
+        self._iterations = 0
+        self._quiet_iterations = 0
+
+    def reset(self) -> None:
+        """Begin with a deadline that has not passed."""
+        self._iterations = 0
+        self._quiet_iterations = 0
+
+    def go_on(self, has_bytes: bool) -> bool:
+        """Return whether to read on in the next iteration; count this one."""
+        self._iterations += 1
+        self._quiet_iterations = 0 if has_bytes else self._quiet_iterations + 1
+        return (
+            self._iterations <= _MAX_LATE_ITERATIONS
+            and self._quiet_iterations <= _MAX_QUIET_ITERATIONS
+        )
+
 
 class SharedReads:
     """What the connections of a client share to read: buffer, memory and turns."""
