Read what a target has sent before it counts as silent

Cause: the timer of a silence runs in the same iteration of the event loop as the read of the answer, and before the task that takes it. After a hold of the loop beyond the silence timeout (0.4 s at least), each target with a request in flight was suspected and reported as silent, though its answer had come.

Ruled out: a longer timeout, which a longer hold passes too.

Change: the timer runs four iterations later, as the time limit of a connection does, and is cancelled by an answer that is read meanwhile. An attempt that is given up as overdue in these iterations reports its target at once.

Tests: tests.forwarding.test_held_loop, an answer 0.05 s before the timeout with the loop held for 0.2 s (one report before, none now), and a target that is silent beyond the hold, which is reported as before.

--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -9,6 +9,7 @@
 from carobladder.clients.answers import AnswerStream
 from carobladder.clients.connection import DeadlineExtender
 from carobladder.clients.http import HttpClient
+from carobladder.clients.timeouts import LateTimer
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     AnswerOverdueError,
@@ -143,8 +144,9 @@
         silence_timeout = self.compute_silence_timeout(call, target)
         silence_timer = None
         if self._remaining_seconds(call) > silence_timeout + _DEADLINE_MARGIN_SECONDS:
-            silence_timer = loop.call_later(
-                silence_timeout, self._handle_silence, outcome, sent_at
+            silence_timer = LateTimer(
+                loop.time() + silence_timeout,
+                lambda: self._handle_silence(outcome, sent_at),
             )
         try:
             source = await self._find_prompt_source(call, target)
@@ -168,6 +170,8 @@
                 call, target, answer, deadline, extend_deadline
             )
         except TargetError as error:
+            if silence_timer is not None and isinstance(error, AnswerOverdueError):
+                silence_timer.finish()
             target.health.in_flight -= 1
             seconds = self.clock.monotonic() - sent_at
             if error.request_written and seconds >= silence_timeout:
