Let the test of long prompts follow virtual time

Cause: six requests with a deadline of 1.5 s wait 0.6 s for their engine.

Change: the test has a clock of its own, and also asserts that no silence was reported: with the timeout for prompts at 0.5 s, as a trial, the old assertions hold and this one fails.

--- a/tests/forwarding/test_handler.py
+++ b/tests/forwarding/test_handler.py
@@ -348,30 +348,6 @@
             self.assertEqual((await slow)[0], 504)
         self.assertEqual(instance.targets.find("i-0").health.failures, 0)
 
-    async def test_engine_that_processes_long_prompts_is_not_suspected(self):
-        """Many first requests arrive at once while the prompt cache is still empty."""
-
-        async def process_prompt(request: bytes, writer) -> None:
-            await asyncio.sleep(0.6)
-            writer.write(
-                build_stream_head(request)
-                + encode_chunk(encode_event(1))
-                + b"0\r\n\r\n"
-            )
-
-        instance = await self.start(process_prompt)
-        calls = [
-            instance.call(
-                "/resumable/x", b"a", Carobladder_Prompt_Prefix=f"aa:9,{number}:5"
-            )
-            for number in range(6)
-        ]
-        for status, _, _ in await asyncio.gather(*calls):
-            self.assertEqual(status, 200)
-        target = instance.targets.find("i-0")
-        self.assertEqual(target.health.failures, 0)
-        self.assertEqual(self.count_requests(), 6)
-
 
 class MalformedResponseTest(ForwardingTest):
     """Guard against responses that are truncated or belong to another request."""
--- a/tests/forwarding/test_stream_waits.py
+++ b/tests/forwarding/test_stream_waits.py
@@ -64,6 +64,14 @@
     writer.write(b"0\r\n\r\n")
 
 
+async def process_prompt(request: bytes, writer: asyncio.StreamWriter) -> None:
+    """Respond with one event after the time that a long prompt takes."""
+    await asyncio.sleep(0.6)
+    writer.write(
+        build_stream_head(request) + encode_chunk(encode_event(1)) + b"0\r\n\r\n"
+    )
+
+
 def stall_after(data: bytes, pause_seconds: float):
     """Return a script that sends data and then single bytes that end no event."""
 
@@ -165,6 +173,24 @@
             self.assertEqual(data.count(b"id: "), len(LARGE_EVENTS))
             self.assertEqual(streams.count_requests(), 1)
 
+    # Guards against an engine that is suspected or left, since many first requests
+    # arrive at once while the prompt cache is still empty.
+    @in_virtual_time
+    async def test_engine_that_processes_long_prompts_is_not_suspected(self):
+        streams = VirtualInstance(process_prompt)
+        async with streams as instance:
+            calls = [
+                instance.call(
+                    "/resumable/x", b"a", Carobladder_Prompt_Prefix=f"aa:9,{number}:5"
+                )
+                for number in range(6)
+            ]
+            for status, _, _ in await asyncio.gather(*calls):
+                self.assertEqual(status, 200)
+            self.assertEqual(instance.targets.find("i-0").health.failures, 0)
+            self.assertEqual(instance.reported_silent, [])
+            self.assertEqual(streams.count_requests(), 6)
+
 
 class StalledStreamTest(unittest.TestCase):
     """Guard against waiting for targets whose bytes end no event."""
