Quote no bytes of a target in the error of a request

Cause: the parser's message on an invalid answer quotes the bytes, and it became the message of the 502. On a connection that is in use again, these may be the late rest of an answer to another caller, longer than its length. That caller's words reached the next one.

Ruled out: whole second copies.

Change: only the kind of the fault is stated, as "illegal status line".

--- a/carobladder/clients/connection.py
+++ b/carobladder/clients/connection.py
@@ -328,7 +328,9 @@
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
-            raise self._build_error(f"invalid answer: {error}") from None
+            # What follows the kind of the fault may quote another caller's answer.
+            kind = str(error).partition(":")[0]
+            raise self._build_error(f"invalid answer: {kind}") from None
         if event is h11.NEED_DATA:
             self._flow.note_consumed(len(self._http.trailing_data[0]))
         return event
--- a/tests/forwarding/test_repeated_answers.py
+++ b/tests/forwarding/test_repeated_answers.py
@@ -75,6 +75,23 @@
                         for other in {b"id-one", b"id-two", b"id-three"} - {own}:
                             self.assertNotIn(other, received)
 
+    # Guards against an error that quotes an answer which is longer than its length.
+    async def test_late_rest_of_an_earlier_answer_reaches_nobody(self):
+        for path in ("/unsafe/x", "/safe/x", "/stream/x"):
+            with self.subTest(path):
+
+                async def script(request: bytes, writer: asyncio.StreamWriter) -> None:
+                    if len(self.targets[0].requests) % 2 == 0:
+                        writer.write(b"secret-of-one\r\n\r\n")
+                    writer.write(answer(request))
+
+                instance = await self.start(script)
+                first = await instance.exchange(build_request(path, b"a"))
+                self.assertIn(b" 200 ", first[:20])
+                second = await instance.exchange(build_request(path, b"a"))
+                self.assertIn(b" 502 ", second[:20])
+                self.assertNotIn(b"secret", second)
+
 
 class EndlessAnswerTest(ForwardingTest):
     """Guard against answers without end that a caller's request waits for."""
