Let callers connect while the program loads, for 0.6 s at most

Cause: with a listener that opens only when the instance serves, a caller is refused in a sound start as in a slow one.

Change: the early listener is back with a bound on its age. After 0.6 s a thread refuses who waits with 503 and a time to come back, and closes it; from then on callers are refused the connection until the instance serves. SIGTERM before that refuses who waits by a handler and ends the process, which also holds for the first process of a container, whose default action the kernel drops; so its special case goes.

Ruled out: loading faster.

Tests: tests.entry.test_earlylistener; a slow start may now connect callers in its first 0.6 s, and each of them must have its refusal before the load has ended. A caller of an early SIGTERM gets its refusal again, with status 0.

--- a/carobladder/entry/__main__.py
+++ b/carobladder/entry/__main__.py
@@ -5,8 +5,9 @@
 from carobladder.entry.processstart import ProcessStart
 
 if __name__ == "__main__":
-    # Created first, as SIGHUP would end the process while it loads the program.
+    # Created first, as signals would end the process while it loads the program.
     start = ProcessStart()
+    start.listen()
     from carobladder.entry.program import main
 
     # Exit without flushing standard output, which would block if its reader has
--- a/carobladder/entry/processstart.py
+++ b/carobladder/entry/processstart.py
@@ -1,6 +1,6 @@
-"""Start of the process, and what arrives before the program is loaded.
+"""Start of the process, and signals that arrive before the program is loaded.
 
-Only the standard library is imported here, as the handler is set first of all.
+Only the standard library is imported here, as the handlers are set first of all.
 """
 
 import os
@@ -8,34 +8,33 @@
 import time
 from types import FrameType
 
-__all__ = ["ProcessStart"]
+from carobladder.entry.earlylistener import EarlyListener
 
-_FIRST_PROCESS_ID = 1
-# Exit statuses of processes that a signal ends begin here in a shell and in containers.
-_SIGNAL_STATUS = 128
+__all__ = ["ProcessStart"]
 
 
 class ProcessStart:
-    """Record of the start of the process, and of a SIGHUP that arrives since.
+    """Record of the start of the process, until an event loop handles its signals.
 
-    SIGHUP would end the process by default; it is recorded until an event loop handles
-    it. SIGTERM keeps its default action as long: a process that has not listened yet
-    owes no response. The first process of a container ends by a handler, as the kernel
-    drops the signals that such a process does not handle. ``began`` is in monotonic
-    seconds.
+    SIGHUP, which would end the process by default, is recorded. SIGTERM refuses the
+    callers that wait, and ends the process. ``began`` is in monotonic seconds.
     """
 
     def __init__(self) -> None:
         self.began = time.monotonic()
         self.reload_requested = False
+        self.listener: EarlyListener | None = None
         signal.signal(signal.SIGHUP, self._note_reload)
-        if os.getpid() == _FIRST_PROCESS_ID:
-            signal.signal(signal.SIGTERM, _end)
+        signal.signal(signal.SIGTERM, self._end)
+
+    def listen(self) -> None:
+        """Let callers connect while the program loads, but not for long."""
+        self.listener = EarlyListener()
 
     def _note_reload(self, number: int, frame: FrameType | None) -> None:
         self.reload_requested = True
 
-
-def _end(number: int, frame: FrameType | None) -> None:
-    """End the process, as the default action of the signal would."""
-    os._exit(_SIGNAL_STATUS + number)
+    def _end(self, number: int, frame: FrameType | None) -> None:
+        if self.listener is not None:
+            self.listener.end()
+        os._exit(0)
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -16,6 +16,7 @@
     NOTICE_MARGIN_SECONDS,
     SHUTDOWN_MARGIN_SECONDS,
 )
+from carobladder.entry.earlylistener import EarlyListener
 from carobladder.entry.processstart import ProcessStart
 from carobladder.entry.status import StatusHandler, add_gauges
 from carobladder.exceptions import SettingsError
@@ -89,8 +90,13 @@
             return False
         return parts.fence.allows_callers
 
-    async def serve(self, stop: asyncio.Event) -> None:
-        """Serve until ``stop`` is set, then drain."""
+    async def serve(
+        self, stop: asyncio.Event, early_listener: EarlyListener | None = None
+    ) -> None:
+        """Serve until ``stop`` is set, then drain.
+
+        ``early_listener`` has been open while the program was loaded, if there is one.
+        """
         for server, address in self._status_servers:
             await server.start(address)
         async with asyncio.TaskGroup() as group:
@@ -100,9 +106,12 @@
             ]
             await self._wait_for_first_reads()
             finished = True
-            # A stopping instance that nobody has connected to needs no drain.
-            if not stop.is_set():
-                await self._listen()
+            if stop.is_set():
+                # Nobody has been served, so there is nothing to drain.
+                if early_listener is not None:
+                    early_listener.end()
+            else:
+                await self._listen(early_listener)
                 await stop.wait()
                 finished = await self._drain()
             for task in tasks:
@@ -110,14 +119,11 @@
         await self.parts.share_membership.leave()
         emit(InstanceStopped(finished))
 
-    async def _listen(self) -> None:
-        """Accept callers.
-
-        The kernel accepts connections for a listener whether or not anybody reads them,
-        so it is opened by an instance that reads them at once.
-        """
+    async def _listen(self, early_listener: EarlyListener | None) -> None:
+        """Accept callers."""
         settings = self._settings
-        await self.parts.server.start(settings.listen)
+        listener = early_listener.take() if early_listener is not None else None
+        await self.parts.server.start(settings.listen, listener)
         self._listening = True
         emit(
             InstanceStarted(
@@ -246,7 +252,7 @@
     # Looked at after the handler is set, so that no signal is missed.
     if start.reload_requested:
         _reload(instance, path)
-    await instance.serve(stop)
+    await instance.serve(stop, start.listener)
 
 
 def handle_end_signals(instance: PlatformInstance, stop: asyncio.Event) -> None:
--- a/carobladder/gateway/listeners.py
+++ b/carobladder/gateway/listeners.py
@@ -1,4 +1,8 @@
-"""Listening sockets for callers."""
+"""Listening sockets for callers.
+
+Only the standard library is imported here, as a program opens its socket before it
+loads the rest.
+"""
 
 import socket
 
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -77,12 +77,15 @@
         """Set the limits for future requests."""
         self._state.limits = limits
 
-    async def start(self, address: str) -> None:
-        """Listen at IP:PORT and accept connections; port 0 selects a free port."""
+    async def start(self, address: str, listener: socket.socket | None = None) -> None:
+        """Listen at IP:PORT and accept connections; port 0 selects a free port.
+
+        ``listener`` is open at the address already, if there is one.
+        """
         loop = asyncio.get_running_loop()
         if self._state.holds is not None:
             self._state.holds.start()
-        self._listener = open_listener(address)
+        self._listener = open_listener(address) if listener is None else listener
         self._server = await loop.create_server(
             self._create_connection, sock=self._listener, backlog=BACKLOG
         )
