Wait for the loaded program before its new settings are looked for

Before, no caller was answered while the program was loaded.

Change: the test first waits until the loaded program answers a caller.

--- a/tests/entry/test_early_signals.py
+++ b/tests/entry/test_early_signals.py
@@ -34,6 +34,7 @@
 EARLY_SECONDS = 0.9
 CONCURRENT_LOADS = 2
 MAX_VERSIONS = 20
+EARLY_REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\n"
 BUSY_SECONDS = 0.3
 # Until the next timer of a loop that does nothing.
 IDLE_SECONDS = 6.0
@@ -65,6 +66,15 @@
         finally:
             writer.close()
 
+    async def wait_until_serving(self) -> None:
+        """Wait until a caller is answered by the loaded program, or the process ends.
+
+        An early caller may have been refused while it was loaded.
+        """
+        async with asyncio.timeout(PROCESS_SECONDS):
+            while await self.call_early() in (b"", EARLY_REFUSAL):
+                await asyncio.sleep(POLL_SECONDS)
+
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
@@ -126,6 +136,7 @@
         if number == signal.SIGTERM or status is None:
             exit_status = await process.wait()
             return Outcome(moment, status, exit_status, errors=process.read_errors())
+        await process.wait_until_serving()
         found = await self.has_new_settings(process)
         return Outcome(moment, status, process.process.returncode, found)
 
