Revert "Count the grace time of a signal in a pause from the pause's begin"

The change takes the longest time that a signal may have waited: one that comes late in a hold, or to an instance that holds its own loop and handles signals between two instructions all the while, ends the drain by as much too early, before the last sixth of the grace time.

--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -259,15 +259,13 @@
     """Set ``stop`` at an end signal, and record when it arrived.
 
     A handler of the event loop would run, and learn the time, only once the loop is
-    idle. A process that was paused may have got the signal at any time of the pause,
-    and its grace time has run since, so that the earliest time is recorded.
+    idle.
     """
     loop = asyncio.get_running_loop()
 
     def request_stop(number: int, frame: FrameType | None) -> None:
         if instance.stop_requested_at is None:
-            held_seconds = instance.parts.server.find_hold()
-            instance.stop_requested_at = time.monotonic() - held_seconds
+            instance.stop_requested_at = time.monotonic()
         # A closed loop means that the process is ending.
         with suppress(RuntimeError):
             loop.call_soon_threadsafe(stop.set)
--- a/carobladder/gateway/loopholds.py
+++ b/carobladder/gateway/loopholds.py
@@ -38,7 +38,7 @@
 
         It is 0 unless the loop was held just before, and never longer than the hold.
         """
-        held_seconds = self.find_hold()
+        held_seconds = self._find_hold()
         if not held_seconds:
             return 0.0
         return min(held_seconds, _read_data_age(sock))
@@ -54,11 +54,8 @@
         assert self._ticked_at is not None
         return now - self._ticked_at > _TICK_SECONDS + _HELD_SECONDS
 
-    def find_hold(self) -> float:
-        """Return the seconds since the loop began to be held, 0 if it is not.
-
-        A hold counts until what arrived meanwhile has been read.
-        """
+    def _find_hold(self) -> float:
+        """Return the time since the loop began to be held, or 0."""
         if self._ticked_at is None:
             return 0.0
         now = self._clock.monotonic()
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -100,11 +100,6 @@
         loop = asyncio.get_running_loop()
         loop.call_later(_IDLE_GRACE_SECONDS, connection.close_if_idle)
 
-    def find_hold(self) -> float:
-        """Return for how many seconds the event loop has been held, if it is known."""
-        holds = self._state.holds
-        return 0.0 if holds is None else holds.find_hold()
-
     def begin_drain(self, end: ServerEnd | None = None) -> None:
         """Close connections after their current response, but keep listening.
 
