Hold SIGTERM back while the early listener opens

Cause: the listener is open some time before its object is known to the handler of SIGTERM, which then ends the process without a refusal. The start of the timer's thread lies in between.

Change: SIGTERM is blocked meanwhile, so that its handler runs once the listener is known.

--- a/carobladder/entry/processstart.py
+++ b/carobladder/entry/processstart.py
@@ -28,8 +28,16 @@
         signal.signal(signal.SIGTERM, self._end)
 
     def listen(self) -> None:
-        """Let callers connect while the program loads, but not for long."""
-        self.listener = EarlyListener()
+        """Let callers connect while the program loads, but not for long.
+
+        SIGTERM waits meanwhile: its handler could not refuse a caller of a listener
+        that it does not know yet.
+        """
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+        try:
+            self.listener = EarlyListener()
+        finally:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
 
     def _note_reload(self, number: int, frame: FrameType | None) -> None:
         self.reload_requested = True
--- a/tests/entry/test_early_signals.py
+++ b/tests/entry/test_early_signals.py
@@ -16,7 +16,9 @@
 import unittest
 from dataclasses import dataclass
 from pathlib import Path
+from unittest import mock
 
+from carobladder.entry import processstart
 from carobladder.entry.processstart import ProcessStart
 from carobladder.entry.runtime import handle_end_signals
 from tests.entry.fixtures import PlatformInstanceCase
@@ -279,6 +281,22 @@
         os.kill(os.getpid(), signal.SIGHUP)
         self.assertTrue(start.reload_requested)
 
+    # Guards against callers that are reset, as the handler does not know the listener.
+    def test_end_signal_as_the_listener_opens_waits_for_it(self):
+        before = signal.getsignal(signal.SIGTERM)
+        start = ProcessStart()
+        known: list[bool] = []
+        signal.signal(signal.SIGTERM, lambda *_: known.append(bool(start.listener)))
+        self.addCleanup(signal.signal, signal.SIGTERM, before)
+
+        def open_and_signal() -> mock.Mock:
+            os.kill(os.getpid(), signal.SIGTERM)
+            return mock.Mock()
+
+        with mock.patch.object(processstart, "EarlyListener", open_and_signal):
+            start.listen()
+        self.assertEqual(known, [True])
+
     # Guards against a signal that the kernel drops: the first process of a container
     # gets none that it has no handler for, so it would serve until it is killed.
     def test_end_signal_ends_the_process_by_a_handler(self):
