Accept the queue of a listener in one place

Cause: the early listener wrote the loop over the accept queue again that the gateway's server had. Change: both call accept_waiting of gateway.listeners, which imports the standard library only; the server still counts what it takes over. No behaviour changes.

--- a/carobladder/entry/earlylistener.py
+++ b/carobladder/entry/earlylistener.py
@@ -12,7 +12,7 @@
 import tomllib
 from contextlib import suppress
 
-from carobladder.gateway.listeners import open_listener
+from carobladder.gateway.listeners import accept_waiting, open_listener
 
 __all__ = ["EarlyListener"]
 
@@ -63,7 +63,7 @@
         if listener is None:
             return
         listener.setblocking(False)
-        waiting = _accept_waiting(listener)
+        waiting = accept_waiting(listener)
         listener.close()
         _refuse_all(waiting)
 
@@ -76,20 +76,6 @@
     return None
 
 
-def _accept_waiting(listener: socket.socket) -> list[socket.socket]:
-    waiting: list[socket.socket] = []
-    while True:
-        try:
-            sock, _ = listener.accept()
-        except ConnectionAbortedError:
-            # The first connection of the queue was reset by its caller.
-            continue
-        except OSError:
-            return waiting
-        sock.setblocking(False)
-        waiting.append(sock)
-
-
 def _refuse_all(callers: list[socket.socket]) -> None:
     """Refuse the requests of callers, and close each connection once its caller has.
 
--- a/carobladder/gateway/listeners.py
+++ b/carobladder/gateway/listeners.py
@@ -6,7 +6,7 @@
 
 import socket
 
-__all__ = ["BACKLOG", "open_listener"]
+__all__ = ["BACKLOG", "accept_waiting", "open_listener"]
 
 # Maximum number of connections in the accept queue.
 BACKLOG = 1024
@@ -22,3 +22,19 @@
     # their protocol only, and these do not.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return listener
+
+
+def accept_waiting(listener: socket.socket) -> list[socket.socket]:
+    """Accept the connections in the queue of a listener that does not block."""
+    accepted: list[socket.socket] = []
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except ConnectionAbortedError:
+            # The first connection of the queue was reset by its caller.
+            continue
+        except OSError:
+            # The queue is empty, or no descriptor is left for the others.
+            return accepted
+        sock.setblocking(False)
+        accepted.append(sock)
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -7,7 +7,7 @@
 
 from carobladder.clock import Clock
 from carobladder.gateway.connections import CallerConnection
-from carobladder.gateway.listeners import BACKLOG, open_listener
+from carobladder.gateway.listeners import BACKLOG, accept_waiting, open_listener
 from carobladder.gateway.loopholds import LoopHolds
 from carobladder.gateway.ports import Handler, HeadHandler, ServerEnd
 from carobladder.gateway.requests import RequestLimits
@@ -157,7 +157,7 @@
         loop = asyncio.get_running_loop()
         await self._stop_accepting()
         while loop.time() < ends_at:
-            waiting = self._accept_waiting()
+            waiting = self._take_waiting()
             await self._add_accepted(waiting)
             if not waiting and not self._state.connections:
                 await self._close_listener()
@@ -185,28 +185,19 @@
         """
         if self._server is None or self._listener is None:
             return False
-        waiting = self._accept_waiting()
+        waiting = self._take_waiting()
         self._server.close()
         self._listener = None
         emit(ListenerClosed(self._taken_over_count))
         await self._add_accepted(waiting)
         return bool(waiting)
 
-    def _accept_waiting(self) -> list[socket.socket]:
+    def _take_waiting(self) -> list[socket.socket]:
+        """Accept and count the connections in the accept queue."""
         assert self._listener is not None
-        accepted: list[socket.socket] = []
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except ConnectionAbortedError:
-                # The first connection of the queue was reset by its caller.
-                continue
-            except OSError:
-                # The queue is empty, or no descriptor is left for the others.
-                return accepted
-            sock.setblocking(False)
-            accepted.append(sock)
-            self._taken_over_count += 1
+        accepted = accept_waiting(self._listener)
+        self._taken_over_count += len(accepted)
+        return accepted
 
     async def _add_accepted(self, accepted: list[socket.socket]) -> None:
         loop = asyncio.get_running_loop()
