Read loads that also state the slowness of a target

Some targets add a fourth figure to their load: how long work takes there now. The codec asked for exactly three figures and dropped the whole header, so no load that such a target stated reached the selection. A field that was no number was passed over, so that 3,x,1,8 was read as three figures.

Three or more figures are read now, further ones are ignored. A malformed load has no effect and is counted by service. The two new tests of the border fail before the change (9 passed, 2 failed) and pass with it (11 passed). The slowness is not used by any decision yet.

--- a/carobladder/fleet/exchanges.py
+++ b/carobladder/fleet/exchanges.py
@@ -46,11 +46,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
-    """Numbers of running and queued requests at a target, and its slots."""
+    """Numbers of running and queued requests at a target, and its slots.
+
+    ``slowness`` is how long work takes there now, relative to the usual time, which is
+    1.0. It is None if the target does not state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
     @property
     def total(self) -> int:
@@ -67,6 +72,7 @@
     shuts down soon. ``pause_seconds`` is the time for which the target asks this
     instance to send no requests. ``rate_limit`` is the number of requests a second that
     the target accepts from all instances together, None if it names none.
+    ``has_malformed_load`` is set if it states a load that cannot be decoded.
     """
 
     request_id: str
@@ -78,6 +84,7 @@
     leaving: bool = False
     pause_seconds: float | None = None
     rate_limit: float | None = None
+    has_malformed_load: bool = False
 
 
 class ExchangeCodec(Protocol):
--- a/carobladder/forwarding/loadmonitor.py
+++ b/carobladder/forwarding/loadmonitor.py
@@ -49,6 +49,10 @@
             self._metrics.count_sent_above_bound(service)
         return expected
 
+    def note_malformed(self, target: FleetTarget) -> None:
+        """Record an answer with a load that cannot be decoded."""
+        self._metrics.count_malformed_load(target.entry.service)
+
     def note_stated(
         self,
         target: FleetTarget,
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -258,6 +258,8 @@
             pause_seconds = round(target.read_pause(now), 3)
             emit(TargetPaused(target.target_id, request_id, pause_seconds))
         self._apply_rate_limit(target, facts, request_id)
+        if facts.has_malformed_load:
+            self.loads.note_malformed(target)
         if facts.load is not None:
             target.health.note_load(facts.load, now)
             self.loads.note_stated(target, expected_load, facts.load, request_id, now)
--- a/carobladder/platform/exchanges.py
+++ b/carobladder/platform/exchanges.py
@@ -37,6 +37,10 @@
 _MS_PER_SECOND = 1000.0
 # A larger number is a lower priority.
 _LOWEST_PRIORITY = 9
+# Figures that each load has; a fourth one is the slowness, further ones are ignored.
+_MIN_LOAD_FIGURES = 3
+# Slowness of a target on which work takes as long as usual.
+_USUAL_SLOWNESS = 100.0
 
 
 class PlatformCodec:
@@ -100,6 +104,7 @@
             not_run=NOT_RUN_HEADER in values or misdirected,
             misdirected=misdirected,
             load=_parse_load(values.get(LOAD_HEADER, "")),
+            has_malformed_load=_is_malformed_load(values.get(LOAD_HEADER)),
             cold_seconds=_parse_milliseconds(values.get(COLD_TIME_HEADER)),
             leaving=values.get(LEAVING_HEADER, "").strip() == "1",
             pause_seconds=_parse_pause(status, values.get(RETRY_AFTER_HEADER)),
@@ -139,10 +144,20 @@
 
 
 def _parse_load(text: str) -> TargetLoad | None:
-    numbers = _parse_integers(text.split(","))
-    if len(numbers) != 3:
+    """Parse running, waiting and slots, with the slowness of the target if stated."""
+    texts = [field.strip() for field in text.split(",")]
+    numbers = _parse_integers(texts)
+    if len(numbers) != len(texts) or len(numbers) < _MIN_LOAD_FIGURES:
         return None
-    return TargetLoad(running=numbers[0], waiting=numbers[1], slots=numbers[2])
+    running, waiting, slots = numbers[:_MIN_LOAD_FIGURES]
+    slowness = None
+    if len(numbers) > _MIN_LOAD_FIGURES:
+        slowness = numbers[_MIN_LOAD_FIGURES] / _USUAL_SLOWNESS
+    return TargetLoad(running, waiting, slots, slowness)
+
+
+def _is_malformed_load(text: str | None) -> bool:
+    return text is not None and _parse_load(text) is None
 
 
 def _parse_prompt(text: str) -> tuple[PromptPart, ...]:
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -61,6 +61,7 @@
         self._found_above_bound = self._build_counter(
             "targets_found_above_load_bound", "service"
         )
+        self._malformed_loads = self._build_counter("malformed_loads", "service")
         self._refusals = self._build_counter("refusals", "reason")
         self._failed_attempts = self._build_counter("failed_attempts", "decision")
         self._broken_streams = self._build_counter("broken_streams", "reason")
@@ -122,6 +123,11 @@
         label = self._service_labels.get_label(service)
         self._found_above_bound.labels(label).inc()
 
+    def count_malformed_load(self, service: str) -> None:
+        """Count an answer with a load that could not be decoded."""
+        label = self._service_labels.get_label(service)
+        self._malformed_loads.labels(label).inc()
+
     def count_refusal(self, reason: str) -> None:
         """Count a request that the instance rejected with a response of its own."""
         self._refusals.labels(reason).inc()
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -90,6 +90,35 @@
         self.assertEqual(metadata.load, TargetLoad(3, 1, 8))
         self.assertEqual(metadata.cold_seconds, 2.5)
 
+    def read_load(self, text):
+        return self.codec.read_answer(200, (("carobladder-server-load", text),))
+
+    def test_load_may_state_the_slowness_of_the_target(self):
+        for text, expected in (
+            ("3,1,8,250", TargetLoad(3, 1, 8, 2.5)),
+            ("3, 1, 8, 100", TargetLoad(3, 1, 8, 1.0)),
+            ("3,1,8,100,7", TargetLoad(3, 1, 8, 1.0)),
+        ):
+            metadata = self.read_load(text)
+            self.assertEqual(metadata.load, expected, text)
+            self.assertFalse(metadata.has_malformed_load, text)
+
+    def test_malformed_load_has_no_effect_and_is_reported(self):
+        for text in (
+            "",
+            "3",
+            "3,1",
+            "3,1,8,x",
+            "3,x,1,8",
+            "3,1,8,",
+            "-3,1,8",
+            "3.5,1,8",
+        ):
+            metadata = self.read_load(text)
+            self.assertIsNone(metadata.load, text)
+            self.assertTrue(metadata.has_malformed_load, text)
+        self.assertFalse(self.codec.read_answer(200, ()).has_malformed_load)
+
     def test_rate_limit_is_a_decimal_number_of_requests_a_second(self):
         for text, expected in (
             ("2.5", 2.5),
