Treat digits that are no integer as malformed in headers

A caller that sent a superscript digit or some thousand digits in its token usage or its prompt parts got no answer, and a target that sent them in its load made the requests there fail: str.isdigit() accepts both, and int() raised ValueError in the codec. Ports and the era of the store were checked already (carobladder/decoding.py).

Only ASCII integers of up to 15 digits count now; others are malformed, as text was. The new test fails before the change (11 passed, 1 failed) and passes with it (12 passed).

--- a/carobladder/platform/exchanges.py
+++ b/carobladder/platform/exchanges.py
@@ -37,6 +37,8 @@
 _MS_PER_SECOND = 1000.0
 # A larger number is a lower priority.
 _LOWEST_PRIORITY = 9
+# Longer integers are malformed; none of the platform's counts comes near to it.
+_MAX_INTEGER_DIGITS = 15
 # Figures that each load has; a fourth one is the slowness, further ones are ignored.
 _MIN_LOAD_FIGURES = 3
 # Slowness of a target on which work takes as long as usual.
@@ -164,11 +166,17 @@
     parts = []
     for entry in text.split(","):
         part_id, separator, tokens = entry.strip().partition(":")
-        if separator and tokens.isdigit():
+        if separator and _is_integer(tokens):
             parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
 
 
 def _parse_integers(texts: Iterable[str]) -> list[int]:
     stripped = [text.strip() for text in texts]
-    return [int(text) for text in stripped if text.isdigit()]
+    return [int(text) for text in stripped if _is_integer(text)]
+
+
+def _is_integer(text: str) -> bool:
+    # Headers can contain digits that are no numbers, such as superscripts, and more
+    # digits than int() accepts.
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_INTEGER_DIGITS
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -119,6 +119,19 @@
             self.assertTrue(metadata.has_malformed_load, text)
         self.assertFalse(self.codec.read_answer(200, ()).has_malformed_load)
 
+    def test_digits_that_are_no_integer_are_malformed(self):
+        """They ended the handling of a request with an error."""
+        for digits in ("\xb2", "9" * 5000):
+            self.assertTrue(self.read_load(f"{digits},1,8").has_malformed_load)
+            metadata = self.codec.read_call(
+                (
+                    ("carobladder-token-usage", f"{digits},80"),
+                    ("carobladder-prompt-prefix", f"5c1e:{digits},91bd:410"),
+                ),
+            )
+            self.assertEqual((metadata.input_tokens, metadata.output_tokens), (0, 0))
+            self.assertEqual(metadata.prompt, (PromptPart("91bd", 410),))
+
     def test_rate_limit_is_a_decimal_number_of_requests_a_second(self):
         for text, expected in (
             ("2.5", 2.5),
