Take null for the default of an optional field of a configuration

Only where the typed decoder rejects a document, its null fields are dropped and it is decoded once more. tenants and apiKeys keep null, which names nobody, as the absence of tenants lets everybody in. Required fields that are null stay invalid. Ruled out: defaults that accept null in each field of the model, as each of its readers would have to handle None.

--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -1,7 +1,7 @@
 """Conversion of the platform's JSON documents from and to the fleet's types."""
 
 from ipaddress import ip_address
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -47,6 +47,9 @@
 _MAX_COLD_MS = 86_400_000
 _MAX_UNIX_MS = 2**53
 
+# For these null names nobody, while the default of the first one lets everybody in.
+_FIELDS_WITH_NULL = frozenset({"tenants", "apiKeys"})
+
 Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 
@@ -191,8 +194,29 @@
         return UnreadableRecord(
             key, "not a known record key, or the configuration was deleted"
         )
-    document = _configuration_decoder.decode(value)
-    return ConfigurationRecord(_build_configuration(document))
+    return ConfigurationRecord(_build_configuration(_decode_configuration(value)))
+
+
+def _decode_configuration(value: bytes) -> _Configuration:
+    """Decode a configuration; null stands for the default of an optional field."""
+    try:
+        return _configuration_decoder.decode(value)
+    except msgspec.ValidationError:
+        document = _drop_nulls(msgspec.json.decode(value))
+        return msgspec.convert(document, _Configuration)
+
+
+def _drop_nulls(value: Any) -> Any:
+    """Return a JSON value without its null fields, unless null has a meaning there."""
+    if isinstance(value, list):
+        return [_drop_nulls(item) for item in value]
+    if not isinstance(value, dict):
+        return value
+    return {
+        name: _drop_nulls(field)
+        for name, field in value.items()
+        if field is not None or name in _FIELDS_WITH_NULL
+    }
 
 
 def _validate_server(server: _Server) -> None:
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -203,6 +203,29 @@
                 (team,) = self.decode_configuration(tenants=tenants).teams
                 self.assertEqual(team.keys, ())
 
+    def test_null_is_the_default_of_an_optional_field(self):
+        """The whole document was ignored, so revoked keys stayed valid."""
+        (service,) = CONFIGURATION["services"]
+        absent = {"name", "host", "pathPrefix", "kind", "timeoutMs"}
+        required = {name: ROUTE[name] for name in absent}
+        nulls = {name: None for name in ROUTE if name not in absent}
+        found = self.decode_configuration(
+            routes=[{**required, **nulls}],
+            services=[{**service, "healthPath": None, "engine": {"slots": None}}],
+            limits={"maxBodyBytes": None},
+        )
+        expected = self.decode_configuration(
+            routes=[required],
+            services=[{**service, "healthPath": "/", "engine": {}}],
+            limits={},
+        )
+        self.assertEqual(found, expected)
+        self.assertFalse(found.routes[0].public)
+
+    def test_null_beside_null_tenants_lets_nobody_in(self):
+        found = self.decode_configuration(routes=None, tenants=None)
+        self.assertEqual((found.routes, found.teams), ((), ()))
+
     def test_invalid_configuration_is_unreadable(self):
         for data in (b"{", b'{"version": "x"}', b'{"routes": []}'):
             record = decode_record("config", data)
