Disconnect callers for whom no file descriptor is left

Cause: asyncio's accept loop gives up for a second on EMFILE and leaves the callers in the queue. Ruled out: a bound on connections below the limit, as connections to targets and the store use the same descriptors.

The gateway accepts connections itself now. It keeps one descriptor in reserve; when accept fails, it accepts the next caller with that one and closes the connection, so that the caller can go elsewhere. Tests wait for GatewayServer.is_listening in place of a private attribute that is gone.

--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -6,8 +6,9 @@
 from contextlib import suppress
 
 from carobladder.clock import Clock
+from carobladder.gateway.acceptance import Acceptor
 from carobladder.gateway.connections import CallerConnection
-from carobladder.gateway.listeners import BACKLOG, accept_waiting, open_listener
+from carobladder.gateway.listeners import accept_waiting, open_listener
 from carobladder.gateway.loopholds import LoopHolds
 from carobladder.gateway.ports import Handler, HeadHandler, ServerEnd
 from carobladder.gateway.requests import RequestLimits
@@ -20,7 +21,7 @@
 # Delay before a drain closes idle connections, so that a caller that has just connected
 # or is sending a request still gets a response.
 _IDLE_GRACE_SECONDS = 0.5
-# Event loop iterations until a connection that the loop has just accepted is added.
+# Event loop iterations until a connection that was just accepted is added.
 _ACCEPT_ITERATIONS = 3
 # Time between two looks at the accept queue at the end of a drain.
 _ACCEPT_INTERVAL_SECONDS = 0.05
@@ -62,16 +63,23 @@
             holds=holds,
         )
         self._state.no_connections.set()
-        self._server: asyncio.Server | None = None
+        self._metrics = metrics
         self._listener: socket.socket | None = None
+        self._acceptor: Acceptor | None = None
+        self._adding: set[asyncio.Task[None]] = set()
         self._closes_idle = False
         self._taken_over_count = 0
 
     @property
     def port(self) -> int:
         """Port that the server listens on."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        assert self._listener is not None
+        return int(self._listener.getsockname()[1])
+
+    @property
+    def is_listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._listener is not None
 
     def set_limits(self, limits: RequestLimits) -> None:
         """Set the limits for future requests."""
@@ -82,13 +90,20 @@
 
         ``listener`` is open at the address already, if there is one.
         """
-        loop = asyncio.get_running_loop()
         if self._state.holds is not None:
             self._state.holds.start()
         self._listener = open_listener(address) if listener is None else listener
-        self._server = await loop.create_server(
-            self._create_connection, sock=self._listener, backlog=BACKLOG
+        self._acceptor = Acceptor(
+            self._listener,
+            self._add_connection,
+            self._metrics.connections.count_refusal,
         )
+        self._acceptor.start()
+
+    def _add_connection(self, sock: socket.socket) -> None:
+        task = asyncio.create_task(self._add_accepted([sock]))
+        self._adding.add(task)
+        task.add_done_callback(self._adding.discard)
 
     def _create_connection(self) -> CallerConnection:
         connection = CallerConnection(self._state)
@@ -149,8 +164,8 @@
     async def _stop_listening(self, ends_at: float) -> bool:
         """Close the listener once nobody waits and no connection is open.
 
-        Returns whether this happened by a time of the event loop. asyncio can't stop to
-        accept and go on later, so that connections are taken over from the queue.
+        Returns whether this happened by a time of the event loop. Connections are taken
+        over from the queue meanwhile.
         """
         if self._listener is None:
             return await self._wait_without_connections(ends_at)
@@ -167,13 +182,9 @@
         return False
 
     async def _stop_accepting(self) -> None:
-        """Leave new connections in the accept queue.
-
-        asyncio drops without a log what it has accepted but not added to a server that
-        is closed meanwhile.
-        """
-        if self._listener is not None:
-            asyncio.get_running_loop().remove_reader(self._listener)
+        """Leave new connections in the accept queue, and add those accepted before."""
+        if self._acceptor is not None:
+            self._acceptor.stop()
         for _ in range(_ACCEPT_ITERATIONS):
             await asyncio.sleep(0)
 
@@ -183,15 +194,21 @@
         Returns whether there were any. The kernel resets what is in the queue of a
         listener that is closed.
         """
-        if self._server is None or self._listener is None:
+        if self._listener is None:
             return False
         waiting = self._take_waiting()
-        self._server.close()
-        self._listener = None
+        self._end_listening()
         emit(ListenerClosed(self._taken_over_count))
         await self._add_accepted(waiting)
         return bool(waiting)
 
+    def _end_listening(self) -> None:
+        if self._acceptor is not None:
+            self._acceptor.stop()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
     def _take_waiting(self) -> list[socket.socket]:
         """Accept and count the connections in the accept queue."""
         assert self._listener is not None
@@ -216,8 +233,7 @@
 
     async def close(self) -> None:
         """Stop listening and abort all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._end_listening()
         for connection in list(self._state.connections):
             connection.abort()
         await self._state.no_connections.wait()
--- a/carobladder/telemetry/metrics.py
+++ b/carobladder/telemetry/metrics.py
@@ -52,6 +52,15 @@
             ["reason", "progress"],
             registry=registry,
         )
+        self._refusals = Counter(
+            "carobladder_refused_connections",
+            "Connections closed on acceptance, as no file descriptor was left",
+            registry=registry,
+        )
+
+    def count_refusal(self) -> None:
+        """Count a connection that was closed as no file descriptor was left."""
+        self._refusals.inc()
 
     def count_end(self, reason: str, progress: str) -> None:
         """Count the end of a connection; ``progress`` is that of its last request."""
--- a/tests/entry/fixtures.py
+++ b/tests/entry/fixtures.py
@@ -140,5 +140,5 @@
 
     async def wait_until_listening(self) -> None:
         async with asyncio.timeout(5.0):
-            while self.instance.parts.server._server is None:
+            while not self.instance.parts.server.is_listening:
                 await asyncio.sleep(0.01)
--- a/tests/entry/test_listening.py
+++ b/tests/entry/test_listening.py
@@ -42,7 +42,7 @@
         began = self.clock.monotonic()
         self.task = asyncio.create_task(self.instance.serve(self.stop))
         async with asyncio.timeout(3.0):
-            while self.instance.parts.server._server is None:
+            while not self.instance.parts.server.is_listening:
                 self.assertFalse(self.instance.ready)
                 await asyncio.sleep(0)
             port = self.instance.parts.server.port
@@ -68,7 +68,7 @@
         self.task = asyncio.create_task(self.instance.serve(self.stop))
         async with asyncio.timeout(3.0):
             await self.task
-        self.assertIsNone(self.instance.parts.server._server)
+        self.assertFalse(self.instance.parts.server.is_listening)
         self.assertFalse(self.instance.ready)
 
     async def test_unavailable_store_does_not_delay_callers(self):
