--- a/benchmarks/move_datacentres.py
+++ b/benchmarks/move_datacentres.py
@@ -7,21 +7,19 @@
 from benchmarks.placement import Policy
 from benchmarks.placement_fleet import Arrival, Fleet
 from benchmarks.placement_workload import Chat, Deployment, generate_chats
+from carobladder.moves.capacity import PoolCapacity, check_remaining_capacity
 from carobladder.moves.datacentres import (
     DataCentreConditions,
     DataCentreMoveSpec,
     DataCentreMoveState,
     DataCentrePhase,
     MaintenanceWindow,
-    PoolCapacity,
     RoutingPreference,
     apply_data_centre_record,
-    check_remaining_capacity,
     decide_data_centre_step,
     find_routing_preference,
-    next_data_centre_record,
 )
-from carobladder.moves.records import MoveRecord
+from carobladder.moves.records import MoveRecord, build_step_record
 from carobladder.placement.policy import Placement, PlacementTuning
 
 __all__ = ["DataCentreResult", "measure_data_centre_move"]
@@ -211,7 +209,7 @@
         if step is not None:
             change = f"change-{self._offset + 1}"
             now = _date(self.now)
-            self._append(next_data_centre_record(self._state, step, change, now))
+            self._append(build_step_record(self._state, step, change, now))
 
     def _plan(self) -> bool:
         if self._state.phase is not DataCentrePhase.DECLARED:
--- a/benchmarks/move_operators.py
+++ b/benchmarks/move_operators.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 
 from carobladder.moves.drivers import Driver, LeaseRecord, LeaseView, Order, OrderTarget
-from carobladder.moves.records import MoveRecord
+from carobladder.moves.records import MoveRecord, build_step_record
 from carobladder.moves.versions import (
     VersionConditions,
     VersionMoveSpec,
@@ -15,7 +15,6 @@
     VersionPhase,
     apply_version_record,
     decide_version_step,
-    next_version_record,
 )
 
 __all__ = ["OperatorResult", "OperatorRun", "SafeDriver"]
@@ -179,7 +178,7 @@
         step = decide_version_step(self.state, READY, date)
         if step is not None:
             change = self._name_change()
-            self._append(run, next_version_record(self.state, step, change, date), now)
+            self._append(run, build_step_record(self.state, step, change, date), now)
 
     def _order(self, run: "OperatorRun", target: Target, now: float) -> None:
         name = target.order_target.target_id
--- a/benchmarks/move_versions.py
+++ b/benchmarks/move_versions.py
@@ -21,7 +21,7 @@
     count_observation,
     sum_requests,
 )
-from carobladder.moves.records import MoveRecord
+from carobladder.moves.records import MoveRecord, build_step_record
 from carobladder.moves.versions import (
     VersionConditions,
     VersionMoveSpec,
@@ -30,7 +30,6 @@
     apply_version_record,
     decide_version_step,
     effective_share,
-    next_version_record,
 )
 from carobladder.placement.keys import compute_key_fraction
 from carobladder.targets import RequestClass
@@ -322,7 +321,7 @@
         if step is not None:
             self._step_base = served
             change = f"change-{self._offset + 1}"
-            self._append(next_version_record(self._state, step, change, now))
+            self._append(build_step_record(self._state, step, change, now))
 
     def _append(self, record: MoveRecord) -> None:
         self._offset += 1
--- a/carobladder/instance/movecapacity.py
+++ b/carobladder/instance/movecapacity.py
@@ -4,7 +4,7 @@
 
 from carobladder.clock import Clock
 from carobladder.instance.movetargets import TargetReader
-from carobladder.moves.datacentres import PoolCapacity, check_remaining_capacity
+from carobladder.moves.capacity import PoolCapacity, check_remaining_capacity
 from carobladder.moves.switches import TargetView
 from carobladder.resources import Catalog, DataCentreSpec, TargetSpec
 from carobladder.resources.directory import is_out_of_service
--- a/carobladder/moves/datacentres.py
+++ b/carobladder/moves/datacentres.py
@@ -1,7 +1,5 @@
 """Data centre moves: take a data centre out of service and return it."""
 
-import math
-from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from enum import StrEnum
@@ -22,7 +20,6 @@
 
 __all__ = [
     "DEFAULT_REFILL_STEPS",
-    "CapacityCheck",
     "DataCentreConditions",
     "DataCentreMoveSpec",
     "DataCentreMoveState",
@@ -30,13 +27,10 @@
     "DataCentreStep",
     "Direction",
     "MaintenanceWindow",
-    "PoolCapacity",
     "RoutingPreference",
     "apply_data_centre_record",
-    "check_remaining_capacity",
     "decide_data_centre_step",
     "find_routing_preference",
-    "next_data_centre_record",
 ]
 
 
@@ -252,15 +246,6 @@
     return step == (state.step if phase is DataCentrePhase.REFILLED else 0)
 
 
-def next_data_centre_record(
-    state: DataCentreMoveState, step: DataCentreStep, change_id: str, at: datetime
-) -> MoveRecord:
-    """Return the record of a decided change."""
-    return MoveRecord(
-        state.move_id, change_id, state.revision, step.phase, at, step.step, step.reason
-    )
-
-
 def decide_data_centre_step(
     state: DataCentreMoveState, conditions: DataCentreConditions, now: datetime
 ) -> DataCentreStep | None:
@@ -380,54 +365,3 @@
     if context_here or compute_key_fraction(prefix_key) < state.served_share:
         return RoutingPreference.PREFERRED
     return RoutingPreference.OVERFLOW
-
-
-@dataclass(frozen=True, slots=True)
-class PoolCapacity:
-    """Slots of one pool in one data centre and its peak load.
-
-    Both are in weighted requests in flight.
-    """
-
-    pool: str
-    data_centre: str
-    slots: int
-    peak_load: float
-
-
-@dataclass(frozen=True, slots=True)
-class CapacityCheck:
-    """Result of checking whether the remaining data centres can serve the load.
-
-    ``shortfalls`` maps each pool with too few slots to the number it lacks.
-    """
-
-    shortfalls: Mapping[str, int]
-
-    @property
-    def feasible(self) -> bool:
-        """Whether every pool has enough slots."""
-        return not self.shortfalls
-
-
-def check_remaining_capacity(
-    capacities: Sequence[PoolCapacity],
-    leaving: frozenset[str],
-    headroom: float = 0.2,
-) -> CapacityCheck:
-    """Check whether the load fits without the leaving data centres.
-
-    ``headroom`` is the fraction of the remaining slots to keep free for an engine
-    failure during the move and for uneven load; raises MoveError outside [0, 1).
-    """
-    if not 0 <= headroom < 1:
-        raise MoveError("headroom must be at least 0 and below 1; use 0.2")
-    shortfalls = {}
-    for pool in sorted({capacity.pool for capacity in capacities}):
-        in_pool = [capacity for capacity in capacities if capacity.pool == pool]
-        load = sum(capacity.peak_load for capacity in in_pool)
-        slots = sum(c.slots for c in in_pool if c.data_centre not in leaving)
-        needed = math.ceil(load / (1 - headroom))
-        if needed > slots:
-            shortfalls[pool] = needed - slots
-    return CapacityCheck(shortfalls)
--- a/carobladder/moves/records.py
+++ b/carobladder/moves/records.py
@@ -11,6 +11,7 @@
 from carobladder.exceptions import CarobladderError
 
 __all__ = [
+    "DecidedStep",
     "HasPhase",
     "HasRevision",
     "Intent",
@@ -19,6 +20,7 @@
     "RecordRejection",
     "advance_phase",
     "apply_move_record",
+    "build_step_record",
 ]
 
 
@@ -99,6 +101,22 @@
         """Time at which the phase or step began."""
 
 
+class DecidedStep(Protocol):
+    """Attributes of a decided change of the phase or step of a move."""
+
+    @property
+    def phase(self) -> StrEnum:
+        """Next phase of the move."""
+
+    @property
+    def step(self) -> int:
+        """Next step within the phase."""
+
+    @property
+    def reason(self) -> str:
+        """Reason of the change, for operators."""
+
+
 State = TypeVar("State", bound=HasRevision)
 PhasedState = TypeVar("PhasedState", bound=HasPhase)
 
@@ -140,6 +158,15 @@
     return Success(changed)
 
 
+def build_step_record(
+    state: HasRevision, step: DecidedStep, change_id: str, at: datetime
+) -> MoveRecord:
+    """Return the record of a decided change."""
+    return MoveRecord(
+        state.move_id, change_id, state.revision, step.phase, at, step.step, step.reason
+    )
+
+
 def advance_phase(
     state: PhasedState, phase: StrEnum, record: MoveRecord, offset: int
 ) -> PhasedState:
--- a/carobladder/moves/versions.py
+++ b/carobladder/moves/versions.py
@@ -32,7 +32,6 @@
     "decide_version_step",
     "effective_share",
     "keeps_old_version",
-    "next_version_record",
     "version_shares",
 ]
 
@@ -220,15 +219,6 @@
     return int(before is after is VersionPhase.STEPPING)
 
 
-def next_version_record(
-    state: VersionMoveState, step: VersionStep, change_id: str, at: datetime
-) -> MoveRecord:
-    """Return the record of a decided change."""
-    return MoveRecord(
-        state.move_id, change_id, state.revision, step.phase, at, step.step, step.reason
-    )
-
-
 def version_shares(state: VersionMoveState) -> dict[str, float]:
     """Return the declared traffic share of each version, the new one first."""
     share = _declared_share(state)
--- a/tests/moves/test_datacentres.py
+++ b/tests/moves/test_datacentres.py
@@ -7,22 +7,20 @@
 from hypothesis import given, seed
 from hypothesis import strategies as st
 
+from carobladder.moves.capacity import PoolCapacity, check_remaining_capacity
 from carobladder.moves.datacentres import (
     DataCentreConditions,
     DataCentreMoveSpec,
     DataCentreMoveState,
     DataCentrePhase,
     MaintenanceWindow,
-    PoolCapacity,
     RoutingPreference,
     apply_data_centre_record,
-    check_remaining_capacity,
     decide_data_centre_step,
     find_routing_preference,
-    next_data_centre_record,
 )
 from carobladder.moves.evidence import Verdict
-from carobladder.moves.records import MoveError, MoveRecord
+from carobladder.moves.records import MoveError, MoveRecord, build_step_record
 
 OPEN = datetime(2026, 1, 1, 8, tzinfo=UTC)
 WINDOW = MaintenanceWindow(OPEN, OPEN + timedelta(hours=2))
@@ -159,7 +157,7 @@
             step = decide_data_centre_step(state, READY, now)
             if step is not None:
                 offset += 1
-                record = next_data_centre_record(state, step, f"c{offset}", now)
+                record = build_step_record(state, step, f"c{offset}", now)
                 state = apply_data_centre_record(state, record, offset).unwrap()
             now += timedelta(seconds=30)
         self.assertIs(state.phase, DataCentrePhase.REFILLED)
--- a/tests/moves/test_versions.py
+++ b/tests/moves/test_versions.py
@@ -10,7 +10,12 @@
 from returns.pipeline import is_successful
 
 from carobladder.moves.evidence import Verdict
-from carobladder.moves.records import MoveError, MoveRecord, RecordRejection
+from carobladder.moves.records import (
+    MoveError,
+    MoveRecord,
+    RecordRejection,
+    build_step_record,
+)
 from carobladder.moves.versions import (
     VersionConditions,
     VersionMoveSpec,
@@ -20,7 +25,6 @@
     decide_version_step,
     effective_share,
     keeps_old_version,
-    next_version_record,
     version_shares,
 )
 
@@ -73,7 +77,7 @@
         step = decide_version_step(state, conditions, now)
         if step is not None:
             offset += 1
-            record = next_version_record(state, step, f"c{offset}", now)
+            record = build_step_record(state, step, f"c{offset}", now)
             state = apply_version_record(state, record, offset).unwrap()
     return state, now
 
