--- a/carobladder/fleet/budgets.py
+++ b/carobladder/fleet/budgets.py
@@ -19,15 +19,22 @@
 
     All instances together may retry a fraction ``ratio`` of the requests, plus
     ``slack`` further requests per window. Each instance uses its share of the slack.
+    ``copy_share`` is the part of its requests of which an instance may send a copy.
     """
 
     def __init__(
-        self, ratio: float, slack: float, ledger: ShareLedger, clock: Clock
+        self,
+        ratio: float,
+        slack: float,
+        ledger: ShareLedger,
+        clock: Clock,
+        copy_share: float = 0.0,
     ) -> None:
         self._ratio = ratio * _SAFETY_FACTOR
         self._slack = slack * _SAFETY_FACTOR
         self._ledger = ledger
         self._clock = clock
+        self._copy_share = copy_share
         self._budgets: dict[str, RetryBudget] = {}
 
     def set_bounds(self, ratio: float, slack: float) -> None:
@@ -37,6 +44,12 @@
             self._ratio, self._slack = limits
             self._budgets.clear()
 
+    def set_copy_share(self, share: float) -> None:
+        """Set the part of the requests of which copies may be sent."""
+        self._copy_share = share
+        for budget in self._budgets.values():
+            budget.set_copy_ratio(share)
+
     def find(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, creating it on first use."""
         budget = self._budgets.get(service)
@@ -48,6 +61,7 @@
                 burst=self._slack * self._ledger.share,
                 minimum_per_second=0.0,
                 min_capacity=_MIN_CAPACITY,
+                copy_ratio=self._copy_share,
             )
             self._budgets[service] = budget
         return budget
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -5,8 +5,10 @@
     calls,
     crashwatch,
     durations,
+    firstbytes,
     handler,
     heads,
+    hedging,
     loadmonitor,
     outcomes,
     partguard,
@@ -17,8 +19,10 @@
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.crashwatch import *  # noqa: F403
 from carobladder.forwarding.durations import *  # noqa: F403
+from carobladder.forwarding.firstbytes import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.heads import *  # noqa: F403
+from carobladder.forwarding.hedging import *  # noqa: F403
 from carobladder.forwarding.loadmonitor import *  # noqa: F403
 from carobladder.forwarding.outcomes import *  # noqa: F403
 from carobladder.forwarding.partguard import *  # noqa: F403
@@ -30,8 +34,10 @@
     *calls.__all__,
     *crashwatch.__all__,
     *durations.__all__,
+    *firstbytes.__all__,
     *handler.__all__,
     *heads.__all__,
+    *hedging.__all__,
     *loadmonitor.__all__,
     *outcomes.__all__,
     *partguard.__all__,
--- a/carobladder/retries/budgets.py
+++ b/carobladder/retries/budgets.py
@@ -7,6 +7,14 @@
 _BURST_RETRIES = 100.0
 # Permits some retries on an instance with little traffic.
 _MINIMUM_PER_SECOND = 0.1
+# Largest part of the income that is set aside for copies of late requests, so that half
+# of it is left to retries after failures.
+_MAX_COPY_PART = 0.5
+# Copies that can be stored, as a fraction of the burst, but at least one copy.
+_COPY_BURST_FRACTION = 0.25
+_MIN_COPY_CAPACITY = 1.0
+# Ten times 0.1 is a little less than 1 in floating-point numbers.
+_ROUNDING_ERROR = 1e-9
 
 
 class RetryBudget:
@@ -17,6 +25,10 @@
     same ratio, so the bound holds for the fleet without messages between instances.
     The bucket starts with ``burst`` tokens. Its capacity is ``burst``, but at least
     ``min_capacity``, so that requests can accumulate a retry even if the burst is less.
+
+    Copies of late requests are part of the budget. A fraction ``copy_ratio`` of each
+    request, at most half of ``ratio``, is set aside for them; what cannot be stored is
+    left to retries. Neither kind uses the tokens of the other.
     """
 
     def __init__(
@@ -27,13 +39,17 @@
         burst: float = _BURST_RETRIES,
         minimum_per_second: float = _MINIMUM_PER_SECOND,
         min_capacity: float = 0.0,
+        copy_ratio: float = 0.0,
     ) -> None:
         self._ratio = ratio
+        self._copy_ratio = 0.0
+        self._copy_tokens = 0.0
         self._min_capacity = min_capacity
         self._capacity = max(burst, min_capacity)
         self._minimum_per_second = minimum_per_second
         self._tokens = burst
         self._refilled_at = now
+        self.set_copy_ratio(copy_ratio)
 
     @property
     def available_retries(self) -> float:
@@ -45,9 +61,35 @@
         self._capacity = max(burst, self._min_capacity)
         self._tokens = min(self._tokens, self._capacity)
 
+    def set_copy_ratio(self, ratio: float) -> None:
+        """Change the number of copies that each request contributes."""
+        self._copy_ratio = min(ratio, self._ratio * _MAX_COPY_PART)
+        if not self._copy_ratio:
+            self._copy_tokens = 0.0
+
     def record_request(self) -> None:
-        """Add the fraction of a retry that each request contributes."""
-        self._tokens = min(self._capacity, self._tokens + self._ratio)
+        """Add the fractions of a retry and of a copy that each request contributes."""
+        set_aside = 0.0
+        if self._copy_ratio:
+            missing = max(0.0, self._copy_capacity - self._copy_tokens)
+            set_aside = min(self._copy_ratio, missing)
+            self._copy_tokens += set_aside
+        self._tokens = min(self._capacity, self._tokens + self._ratio - set_aside)
+
+    def has_copy(self) -> bool:
+        """Return whether a copy of a late request is available."""
+        return self._copy_tokens >= 1.0 - _ROUNDING_ERROR
+
+    def withdraw_copy(self) -> bool:
+        """Withdraw one copy and return True, or return False if none is available."""
+        if not self.has_copy():
+            return False
+        self._copy_tokens = max(0.0, self._copy_tokens - 1.0)
+        return True
+
+    @property
+    def _copy_capacity(self) -> float:
+        return max(_MIN_COPY_CAPACITY, self._capacity * _COPY_BURST_FRACTION)
 
     def withdraw(self, now: float) -> bool:
         """Withdraw one retry and return True, or return False if none is available."""
--- a/tests/fleet/test_budgets.py
+++ b/tests/fleet/test_budgets.py
@@ -97,3 +97,18 @@
             budget.record_request()
         self.assertTrue(budget.withdraw(0.0))
         self.assertFalse(budget.withdraw(0.0))
+
+    def test_copies_of_195_instances_stay_within_their_share(self):
+        requests = 200
+        budgets = self.build_budgets(195, 430.0)
+        copies = retries = 0
+        for item in budgets:
+            item.set_copy_share(0.05)
+            budget = item.find("stock")
+            for _ in range(requests):
+                budget.record_request()
+                copies += budget.withdraw_copy()
+                retries += budget.withdraw(0.0)
+        self.assertLessEqual(copies, 0.05 * 195 * requests)
+        self.assertGreater(copies, 0.04 * 195 * requests)
+        self.assertLessEqual(copies + retries, 0.2 * 195 * requests + 430)
--- a/tests/retries/test_budgets.py
+++ b/tests/retries/test_budgets.py
@@ -47,3 +47,59 @@
         self.assertTrue(budget.withdraw(10.0))
         self.assertFalse(budget.withdraw(5.0))
         self.assertFalse(budget.withdraw(10.0))
+
+
+class CopyBudgetTest(unittest.TestCase):
+    """Guard against copies that take the retries after failures, or add to them."""
+
+    @settings(derandomize=True)
+    @given(st.lists(st.sampled_from(["request", "retry", "copy"]), max_size=300))
+    def test_copies_and_retries_share_one_income(self, steps):
+        budget = RetryBudget(
+            0.2, 0.0, burst=0.0, minimum_per_second=0.0, min_capacity=1.0, copy_ratio=1
+        )
+        requests = retries = copies = 0
+        for step in steps:
+            if step == "request":
+                requests += 1
+                budget.record_request()
+            elif step == "retry":
+                retries += budget.withdraw(0.0)
+            else:
+                copies += budget.withdraw_copy()
+            self.assertLessEqual(retries + copies, 0.2 * requests + 1e-6)
+            self.assertLessEqual(copies, 0.1 * requests + 1e-6)
+
+    def test_copies_leave_half_of_the_income_to_retries(self):
+        budget = RetryBudget(
+            0.2, 0.0, burst=0.0, minimum_per_second=0.0, min_capacity=1.0, copy_ratio=1
+        )
+        retries = copies = 0
+        for _ in range(1000):
+            budget.record_request()
+            copies += budget.withdraw_copy()
+            retries += budget.withdraw(0.0)
+        self.assertAlmostEqual(copies, 100, delta=1)
+        self.assertAlmostEqual(retries, 100, delta=1)
+
+    def test_unused_copies_are_left_to_retries(self):
+        budget = RetryBudget(
+            0.2, 0.0, burst=0.0, minimum_per_second=0.0, min_capacity=1.0, copy_ratio=1
+        )
+        retries = 0
+        for _ in range(1000):
+            budget.record_request()
+            retries += budget.withdraw(0.0)
+        self.assertGreaterEqual(retries, 198)
+
+    def test_budget_without_copies_grants_none(self):
+        budget = RetryBudget(0.2, 0.0)
+        for _ in range(1000):
+            budget.record_request()
+        self.assertFalse(budget.withdraw_copy())
+        budget.set_copy_ratio(0.05)
+        for _ in range(1000):
+            budget.record_request()
+        self.assertTrue(budget.withdraw_copy())
+        budget.set_copy_ratio(0.0)
+        self.assertFalse(budget.withdraw_copy())
