--- a/tests/forwarding/test_attempt_log.py
+++ b/tests/forwarding/test_attempt_log.py
@@ -32,7 +32,7 @@
     async def read_line(self, script) -> AttemptFailed:
         """Return the log line of a stream that this script breaks off."""
         self.instance = await self.start(script)
-        with mock.patch("carobladder.forwarding.calls.emit") as emit:
+        with mock.patch("carobladder.forwarding.attemptlog.emit") as emit:
             await self.instance.call("/stream/x", Carobladder_Prompt_Prefix=PROMPT)
         events = [call.args[0] for call in emit.call_args_list]
         (line,) = [event for event in events if isinstance(event, AttemptFailed)]
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -52,7 +52,7 @@
         ):
             with self.subTest(path=path):
                 instance = await self.start_small(script)
-                with mock.patch("carobladder.forwarding.calls.emit") as emit:
+                with mock.patch("carobladder.forwarding.attemptlog.emit") as emit:
                     status, _, _ = await instance.call(path)
                 self.assertEqual(status, 502)
                 events = [call.args[0] for call in emit.call_args_list]
