Send a copy of a late request to a second target

Cause: one slow target makes the tail of calls that may be repeated, while others would answer at once. Change: a safe call, or a resumable stream up to its first event, that is later than a high quantile of its route is also sent to a second target; the first usable answer wins, and the other send is cancelled without any record about its target. A failed send leaves the other one under way. The setting hedge_share, 0 by default and applied on reload, limits copies; with 0 the path of a plain send is taken. The time of a request counts from its first send, so that copies that win do not shorten the delay.

Ruled out: copies for retries, since their attempts are used; a race up to the head only, as a body may be late; waiting for the cancelled send, since an answer could be lost if the caller leaves meanwhile. A route with two attempts has none left to resume a stream that breaks off after a copy was sent.

--- a/carobladder/clients/answers.py
+++ b/carobladder/clients/answers.py
@@ -60,6 +60,8 @@
         self.on_kept_connection = connection.reused
         self._owner = owner
         self._connection: ClientConnection | None = connection
+        # Bytes that were read and put back.
+        self._returned = b""
         connection.idle_seconds = _read_idle_seconds(self.headers)
 
     @property
@@ -88,6 +90,9 @@
         Raises ConnectionBrokenError if the response is cut off or no bytes arrive
         for ``timeout_seconds`` and what ``extend_deadline`` adds.
         """
+        if self._returned:
+            data, self._returned = self._returned, b""
+            return data
         connection = self._connection
         if connection is None:
             return b""
@@ -99,6 +104,10 @@
         self._release_if_complete(connection)
         return data
 
+    def put_back(self, data: bytes) -> None:
+        """Let the next ``read`` return these bytes, which were read already."""
+        self._returned = data
+
     async def push(
         self,
         sink: Sink,
@@ -112,6 +121,8 @@
         ConnectionBrokenError if the response is cut off or lasts longer than
         ``timeout_seconds`` and what ``extend_deadline`` adds.
         """
+        if self._returned and not sink(await self.read(timeout_seconds)):
+            return False
         connection = self._connection
         if connection is None:
             return True
--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -43,9 +43,11 @@
     VersionMoves,
 )
 from carobladder.forwarding import (
+    CallCurrency,
     CrashWatch,
     Forwarder,
     ForwardHandler,
+    HedgePolicy,
     LoadMonitor,
     TargetSender,
 )
@@ -105,6 +107,7 @@
     targets: TargetTable
     ledger: ShareLedger
     budgets: ServiceBudgets
+    hedging: HedgePolicy
     load_bounds: LoadBounds
     control_state: ControlState
     operator_follower: TopicFollower
@@ -197,7 +200,11 @@
         """Build all components."""
         settings, clock = self._settings, self._clock
         budgets = ServiceBudgets(
-            settings.retry_ratio, settings.retry_slack, self._ledger, clock
+            settings.retry_ratio,
+            settings.retry_slack,
+            self._ledger,
+            clock,
+            settings.hedge_share,
         )
         selector = TargetSelector(
             self._targets,
@@ -250,11 +257,25 @@
             instances_follower,
             (operator_follower, targets_follower, instances_follower),
         )
+        hedging = HedgePolicy(
+            settings.hedge_share,
+            self._targets,
+            budgets.find,
+            CallCurrency(
+                lambda: control_state.table,
+                operator_follower.freshness,
+                build_fence_times(self._revocation_seconds),
+                lambda: server.draining,
+                clock,
+            ).is_current,
+            clock,
+        )
         server = self._build_server(
             control_state,
             operator_follower,
             selector,
             budgets,
+            hedging,
             exchange,
             targets_follower.freshness,
         )
@@ -265,6 +286,7 @@
             targets=self._targets,
             ledger=self._ledger,
             budgets=budgets,
+            hedging=hedging,
             load_bounds=self._load_bounds,
             control_state=control_state,
             operator_follower=operator_follower,
@@ -346,6 +368,7 @@
         operator_follower: TopicFollower,
         selector: TargetSelector,
         budgets: ServiceBudgets,
+        hedging: HedgePolicy,
         exchange: PeerExchange,
         targets_freshness: Freshness,
     ) -> GatewayServer:
@@ -371,6 +394,7 @@
             budgets.find,
             self._metrics,
             CrashWatch(self._quarantine, self._client, self._clock),
+            hedging,
         )
         handler = ForwardHandler(
             forwarder,
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -139,6 +139,8 @@
         changes = compare_entry_settings(self._settings, settings)
         self._settings = changes.in_force
         self.parts.budgets.set_bounds(settings.retry_ratio, settings.retry_slack)
+        self.parts.budgets.set_copy_share(settings.hedge_share)
+        self.parts.hedging.share = settings.hedge_share
         self.parts.load_bounds.load_multiple = settings.load_multiple
         set_log_level(settings.log_level)
         emit(
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -4,6 +4,7 @@
     attempts,
     calls,
     crashwatch,
+    currency,
     durations,
     firstbytes,
     handler,
@@ -18,6 +19,7 @@
 from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.crashwatch import *  # noqa: F403
+from carobladder.forwarding.currency import *  # noqa: F403
 from carobladder.forwarding.durations import *  # noqa: F403
 from carobladder.forwarding.firstbytes import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
@@ -33,6 +35,7 @@
     *attempts.__all__,
     *calls.__all__,
     *crashwatch.__all__,
+    *currency.__all__,
     *durations.__all__,
     *firstbytes.__all__,
     *handler.__all__,
--- a/carobladder/forwarding/attempts.py
+++ b/carobladder/forwarding/attempts.py
@@ -32,7 +32,8 @@
     """Response of one attempt, whose body may still be arriving.
 
     ``sent_at`` and ``last_byte_at``, the time of the last byte that was noted, are in
-    monotonic seconds.
+    monotonic seconds. So is ``begun_at``, the time of the first byte of a response that
+    was read before it was known whether it is used; 0 if it was not.
     """
 
     answer: AnswerStream
@@ -42,6 +43,7 @@
     clock: Clock
     outcome: SendOutcome
     first_byte_seconds: float | None = None
+    begun_at: float = 0.0
     _is_open: bool = field(default=True)
     last_byte_at: float = field(default=0.0)
     _event_count: int = field(default=0)
@@ -51,7 +53,7 @@
         """Record the time that the target took to send its first byte."""
         now = self.clock.monotonic()
         self.last_byte_at = now
-        self.first_byte_seconds = now - self.sent_at
+        self.first_byte_seconds = (self.begun_at or now) - self.sent_at
         self.target.health.note_first_byte(self.first_byte_seconds, now)
         if not self.facts.not_run:
             self.outcome.note_first_byte(
@@ -90,6 +92,13 @@
             trust_target(self.target)
             health.note_answer(self._is_server_error())
 
+    def abandon(self) -> None:
+        """Close a response that lost to another one; it tells nothing of its target."""
+        self.answer.close()
+        if self._is_open:
+            self._is_open = False
+            self.target.health.in_flight -= 1
+
     def _record_end(self, failed: bool) -> None:
         seconds = self.clock.monotonic() - self.sent_at
         if self.facts.not_run:
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from carobladder.clients.connection import DeadlineExtender
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     AnswerOverdueError,
@@ -19,8 +20,11 @@
 from carobladder.forwarding.attempts import AnswerProgress, OpenCall
 from carobladder.forwarding.callerrors import CallerErrors
 from carobladder.forwarding.choices import TargetChoice
+from carobladder.forwarding.copies import CopyStarter
 from carobladder.forwarding.crashwatch import CrashWatch
+from carobladder.forwarding.hedging import HedgePolicy
 from carobladder.forwarding.partguard import PartGuard
+from carobladder.forwarding.race import NOT_RUN_STATUSES, SendRace
 from carobladder.forwarding.ratequeue import RateQueue
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.forwarding.tracking import SendTracker, TrackedSend
@@ -35,10 +39,6 @@
 _MAX_SENDS_NOT_RUN = 3
 # Interval in which a request that waits for a silent target looks for another one.
 _SILENCE_POLL_SECONDS = 0.1
-# Statuses that imply that the request was not run. Unless the target also states this
-# in its own header, the request may have run, and the caller of a request that may run
-# only once must not receive them.
-_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +51,7 @@
     find_budget: Callable[[str], RetryBudget]
     metrics: ForwardMetrics
     crashes: CrashWatch
+    hedging: HedgePolicy | None = None
     rate_queue: RateQueue = field(default_factory=RateQueue)
 
     def start(self, call: ForwardedCall) -> "CallSession":
@@ -79,6 +80,11 @@
         # Whether the retry that leaves a silent target has been withdrawn.
         self._has_retry = False
         self._guard = PartGuard(call, forwarder.crashes, forwarder.clock)
+        self._copies: CopyStarter | None = None
+        if forwarder.hedging is not None:
+            self._copies = CopyStarter(
+                call, forwarder.hedging, self._sends, self._choice, self._guard
+            )
         self._log = AttemptLog(call, self._sends, forwarder.metrics)
         self._errors = CallerErrors(
             call, self._sends, forwarder.selector, forwarder.clock
@@ -106,11 +112,13 @@
             await self._wait_for_rate()
             send = self._sends.current = self._sends.begin(self._choose_target())
             try:
-                opened = await self._send(send, extra_headers)
+                opened = await self._send_or_race(send, extra_headers)
             except TargetError as error:
+                send = self._sends.current
                 self._sends.settle(send, may_have_run=error.request_written)
                 self.handle_failure(send.target, error, resumable=self._is_resumable)
                 continue
+            send = self._sends.current
             self._sends.settle(send, may_have_run=not opened.facts.not_run)
             if opened.facts.not_run:
                 refusal = self._close_refusal(opened)
@@ -170,20 +178,27 @@
     ) -> None:
         """Record a failed attempt; raise CallerError unless the call may be retried."""
         send = self._sends.current
-        self._choice.note_tried(
-            target, may_succeed=isinstance(error, AnswerOverdueError)
-        )
         self._is_resumable = resumable
-        progress = (
-            send.read_progress(self._relayed_from) if send else AnswerProgress.WAITING
-        )
-        self._guard.note_failure(target, error, progress)
+        progress = self._note_failure(target, send, error)
         denial_reason = self._find_denial_reason(error.request_written, resumable)
         self._log.report(target, send, error, progress, denial_reason or "send again")
         if denial_reason is not None:
             reason = f"{error}; not sent again: {denial_reason}"
             raise self._errors.build_final(reason)
 
+    def _note_failure(
+        self, target: FleetTarget, send: TrackedSend | None, error: TargetError
+    ) -> AnswerProgress:
+        """Record a failed attempt; return how much of its answer had come."""
+        self._choice.note_tried(
+            target, may_succeed=isinstance(error, AnswerOverdueError)
+        )
+        progress = AnswerProgress.WAITING
+        if send is not None:
+            progress = send.read_progress(self._relayed_from)
+        self._guard.note_failure(target, error, progress)
+        return progress
+
     def _find_opened(self) -> OpenCall | None:
         send = self._sends.current
         return send.opened if send else None
@@ -205,7 +220,7 @@
         Raises CallerError if neither is possible.
         """
         status = opened.answer.status
-        claims_not_run = status in _NOT_RUN_STATUSES
+        claims_not_run = status in NOT_RUN_STATUSES
         if status < HTTPStatus.INTERNAL_SERVER_ERROR and not claims_not_run:
             return True
         if (
@@ -223,11 +238,34 @@
         status = opened.answer.status
         if opened.facts.not_run and opened.facts.misdirected:
             opened.target.note_misdirected()
-        if not opened.facts.not_run and status not in _NOT_RUN_STATUSES:
+        if opened.facts.not_run and self._forwarder.hedging is not None:
+            self._forwarder.hedging.note_refusal(self._call)
+        if not opened.facts.not_run and status not in NOT_RUN_STATUSES:
             self._choice.note_tried(opened.target, may_succeed=True)
         return TargetRefusedError(status, f"the target answered {status}")
 
-    async def _send(self, send: TrackedSend, extra_headers: Headers) -> OpenCall:
+    async def _send_or_race(
+        self, send: TrackedSend, extra_headers: Headers
+    ) -> OpenCall:
+        """Return the answer of the current send, which may be a copy of this one."""
+        copies = self._copies
+        if copies is None or not copies.may_start():
+            return await self.run_send(
+                send, lambda: self.extend_wait(self._is_resumable), extra_headers
+            )
+        metrics, clock = self._forwarder.metrics, self._forwarder.clock
+        return await SendRace(self._call, self, copies, metrics, clock).run(send)
+
+    async def run_send(
+        self,
+        send: TrackedSend,
+        extend_deadline: DeadlineExtender,
+        extra_headers: Headers = (),
+    ) -> OpenCall:
+        """Send the call to the target of a send; return its response with its headers.
+
+        Raises TargetError if no response arrives.
+        """
         call, sender = self._call, self._forwarder.sender
         timeout_seconds = self.remaining_seconds
         runs = self._sends.count_runs()
@@ -242,9 +280,25 @@
             send.number,
             timeout_seconds,
             lambda: self._mark_write_started(send),
-            lambda: self.extend_wait(self._is_resumable),
+            extend_deadline,
+            lambda: send.is_superseded,
         )
 
+    def follow(self, send: TrackedSend) -> None:
+        """Make this send the one whose answer is awaited or relayed."""
+        self._sends.current = send
+
+    def drop_send(self, send: TrackedSend, result: OpenCall | TargetError) -> None:
+        """Record a send that failed or was refused while another one is under way."""
+        if isinstance(result, TargetError):
+            error: TargetError = result
+            self._sends.settle(send, may_have_run=error.request_written)
+        else:
+            self._sends.settle(send, may_have_run=not result.facts.not_run)
+            error = self._close_refusal(result)
+        progress = self._note_failure(send.target, send, error)
+        self._log.report(send.target, send, error, progress, "await the other send")
+
     def _mark_write_started(self, send: TrackedSend) -> bool:
         """Record that the request is about to be written, unless it must not be.
 
--- a/carobladder/forwarding/choices.py
+++ b/carobladder/forwarding/choices.py
@@ -51,6 +51,10 @@
             target = self._choose_except(self._tried_ids - self._second_choice_ids)
         return target
 
+    def choose_copy(self, unfit: Collection[str]) -> FleetTarget | None:
+        """Return a target for a copy that is not unfit, or None; counts it as sent."""
+        return self._choose_except(self._tried_ids.union(unfit))
+
     def has_alternative(self, target: FleetTarget | None, heard_since: float) -> bool:
         """Return whether another target can be chosen that seems to answer.
 
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -29,6 +29,7 @@
     ConfigurationAgeLimits,
     HeadValidator,
 )
+from carobladder.forwarding.patience import compute_max_pause
 from carobladder.forwarding.refusals import RefusalWriter
 from carobladder.gateway.ports import Answer, Request, Responder
 from carobladder.gateway.relay import (
@@ -69,13 +70,6 @@
         "content-length",
     }
 )
-# Callers leave a stream after the longest of these pauses: a number of seconds, and
-# multiples of the route's latency objective and of its longest gap.
-_CALLER_PATIENCE_SECONDS = 2.0
-_CALLER_PATIENCE_OBJECTIVES = 4.0
-_CALLER_PATIENCE_GAPS = 8.0
-# Part of that time in which another target must send the next event.
-_RESUME_SECONDS = 0.4
 # Statuses of errors that state that the request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Errors that a request gets however long its body takes. Others may be over by then.
@@ -279,7 +273,7 @@
         remaining_seconds = session.remaining_seconds
         timeouts = RelayTimeouts(
             first_byte_seconds=remaining_seconds,
-            stream_gap_seconds=_compute_max_pause(call.route)
+            stream_gap_seconds=compute_max_pause(call.route)
             if resumable
             else remaining_seconds,
         )
@@ -368,20 +362,6 @@
         )
 
 
-def _compute_max_pause(route: Route) -> float:
-    """Return the seconds after which a silent stream goes on at another target.
-
-    A sound target may pause, so it gets all the time that its caller waits, except what
-    the other target needs.
-    """
-    patience = max(
-        _CALLER_PATIENCE_SECONDS,
-        _CALLER_PATIENCE_OBJECTIVES * route.latency_objective_seconds,
-        _CALLER_PATIENCE_GAPS * route.max_event_gap_seconds,
-    )
-    return patience - _RESUME_SECONDS
-
-
 def _clear_cancellation() -> None:
     """Let the task of a request that was cancelled go on to its response."""
     task = asyncio.current_task()
--- a/carobladder/forwarding/partguard.py
+++ b/carobladder/forwarding/partguard.py
@@ -56,6 +56,15 @@
             return False
         return self._crashes.may_repeat(self._tags, self._ended_target)
 
+    def may_copy(self, target: FleetTarget) -> bool:
+        """Return whether the call may run at a second target beside this one.
+
+        A trial runs at one target, and a suspected part could end both of them.
+        """
+        if self._decision.is_trial or not self.may_write():
+            return False
+        return self._crashes.may_repeat(self._tags, target)
+
     def note_whole_answer(self, opened: OpenCall) -> None:
         """Record that the caller got the whole answer of a target."""
         if not self._tags or opened.answer.status >= HTTPStatus.MULTIPLE_CHOICES:
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -128,13 +128,15 @@
         timeout_seconds: float,
         on_write: Callable[[], bool],
         extend_deadline: DeadlineExtender,
+        is_superseded: Callable[[], bool] = lambda: False,
     ) -> OpenCall:
         """Send the call and return the response once its headers have arrived.
 
         ``send_count`` is the number of sends of the call, including this one.
         ``on_write`` is called just before the request is written; the request is
         withheld if it returns False. ``extend_deadline`` is called when no response has
-        come in ``timeout_seconds``. Raises TargetError if no response arrives.
+        come in ``timeout_seconds``. ``is_superseded`` tells of a send that is cancelled
+        whether another one has won. Raises TargetError if no response arrives.
         """
         sent_at = self.clock.monotonic()
         outcome = SendOutcome(call.route, target, self.tallies, self.times, self.clock)
@@ -181,8 +183,9 @@
             raise
         except BaseException:
             target.health.in_flight -= 1
-            self._record_unanswered(call, target, sent_at)
-            outcome.note_silence(self.clock.monotonic() - sent_at)
+            if not is_superseded():
+                self._record_unanswered(call, target, sent_at)
+                outcome.note_silence(self.clock.monotonic() - sent_at)
             raise
         finally:
             if silence_timer is not None:
--- a/carobladder/forwarding/tracking.py
+++ b/carobladder/forwarding/tracking.py
@@ -67,10 +67,9 @@
         self._unsettled.remove(send)
         self.possible_runs += may_have_run
 
-    def count_runs(self, besides: TrackedSend | None = None) -> int:
+    def count_runs(self) -> int:
         """Return the number of sends that a target may have run or may still run."""
-        pending = sum(s.is_pending for s in self._unsettled if s is not besides)
-        return self.possible_runs + pending
+        return self.possible_runs + sum(s.is_pending for s in self._unsettled)
 
     def find_silence_start(self) -> float:
         """Return the time since which nothing has come for the current send."""
--- a/carobladder/gateway/relay.py
+++ b/carobladder/gateway/relay.py
@@ -26,6 +26,7 @@
     "StreamRelay",
     "StreamSession",
     "find_content_type",
+    "is_event_stream",
 ]
 
 # Header with the id of the last event that the caller received; the target resumes
@@ -185,7 +186,7 @@
         return ((LAST_EVENT_HEADER, str(last_index)),)
 
     async def _relay_answer(self, opened: StreamAttempt[_Target]) -> TargetError | None:
-        if _is_event_stream(opened.answer):
+        if is_event_stream(opened.answer):
             return await self._relay_events(opened)
         if self._tracker.relayed:
             return _build_broken_error(
@@ -338,7 +339,7 @@
     return "application/octet-stream"
 
 
-def _is_event_stream(answer: AnswerStream) -> bool:
+def is_event_stream(answer: AnswerStream) -> bool:
     """Return whether events may follow; errors can have the same content type."""
     content_type = find_content_type(answer.headers)
     return answer.status == HTTPStatus.OK and content_type.startswith(EVENT_STREAM)
--- a/carobladder/gateway/server.py
+++ b/carobladder/gateway/server.py
@@ -100,6 +100,11 @@
         loop = asyncio.get_running_loop()
         loop.call_later(_IDLE_GRACE_SECONDS, connection.close_if_idle)
 
+    @property
+    def draining(self) -> bool:
+        """Whether a drain has begun."""
+        return self._state.draining
+
     def begin_drain(self, end: ServerEnd | None = None) -> None:
         """Close connections after their current response, but keep listening.
 
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -40,7 +40,9 @@
     In a window, all instances together may retry at most ``retry_ratio`` times the
     number of requests, plus ``retry_slack``. A faulty version may receive
     at most the fraction ``exposure_share`` of the requests of its service, plus
-    ``exposure_slack``.
+    ``exposure_slack``. ``hedge_share`` is the part of the requests of a service that
+    may also be sent to a second target when their answers are late, within half of the
+    retries; 0 sends none.
     """
 
     instance: Name
@@ -62,6 +64,7 @@
     load_multiple: Annotated[float, msgspec.Meta(gt=1)] = 2.0
     exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
     exposure_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    hedge_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     log_level: LogLevel = "info"
 
 
@@ -72,6 +75,7 @@
         "retry_ratio",
         "retry_slack",
         "load_multiple",
+        "hedge_share",
         "log_level",
     }
 )
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -11,6 +11,8 @@
     "AttemptFailed",
     "CallerLeft",
     "ConnectionCut",
+    "CopyEnded",
+    "CopySent",
     "RequestAnswered",
     "RequestDelayed",
     "RequestPlaced",
@@ -63,6 +65,41 @@
     limited: ClassVar[bool] = True
 
 
+@dataclass(frozen=True, slots=True)
+class CopySent(Event):
+    """A late request is also sent to a second target.
+
+    ``first_target`` has not begun to answer it for ``waited_seconds``;
+    ``delay_seconds`` is the time after which requests of the route are late.
+    """
+
+    request_id: str
+    route: str
+    service: str
+    first_target: str
+    target: str
+    waited_seconds: float
+    delay_seconds: float
+
+    limited: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class CopyEnded(Event):
+    """The copy of a late request has ended.
+
+    ``outcome`` is "won", "lost", "failed", or "cancelled" if the request ended without
+    an answer; ``seconds`` is the time since the copy was sent.
+    """
+
+    request_id: str
+    target: str
+    outcome: str
+    seconds: float
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptFailed(Event):
     """An attempt gave no answer for the caller.
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -67,6 +67,9 @@
         self._broken_streams = self._build_counter("broken_streams", "reason")
         self._broken_answers = self._build_counter("broken_answers", "progress")
         self._given_up_answers = self._build_counter("given_up_answers", "service")
+        self._copies_sent = self._build_counter("copies_sent", "service")
+        self._copies_ended = self._build_counter("copies_ended", "outcome")
+        self._copies_withheld = self._build_counter("copies_withheld", "reason")
 
     @property
     def content_type(self) -> str:
@@ -145,6 +148,18 @@
         label = self._service_labels.get_label(service)
         self._given_up_answers.labels(label).inc()
 
+    def count_sent_copy(self, service: str) -> None:
+        """Count a copy of a late request."""
+        self._copies_sent.labels(self._service_labels.get_label(service)).inc()
+
+    def count_ended_copy(self, outcome: str) -> None:
+        """Count the end of a copy: won, lost, failed or cancelled."""
+        self._copies_ended.labels(outcome).inc()
+
+    def count_withheld_copy(self, reason: str) -> None:
+        """Count a late request that got no copy."""
+        self._copies_withheld.labels(reason).inc()
+
     def count_broken_stream(self, reason: str) -> None:
         """Count a stream that was aborted."""
         self._broken_streams.labels(reason).inc()
--- a/tests/entry/test_runtime.py
+++ b/tests/entry/test_runtime.py
@@ -3,6 +3,8 @@
 import asyncio
 import re
 
+import msgspec
+
 from carobladder.entry.draining import DRAIN_NOTICE_SECONDS
 from tests.entry.fixtures import OPERATOR_TOPIC, SERVERS_TOPIC, PlatformInstanceCase
 from tests.forwarding.fixtures import build_request
@@ -57,6 +59,19 @@
         assert announced is not None
         self.assertLess(int(announced[1]), DRAIN_NOTICE_SECONDS)
 
+    async def test_reload_changes_the_share_of_copies(self):
+        parts = self.instance.parts
+        budget = parts.budgets.find("x")
+        self.assertEqual(parts.hedging.share, 0.0)
+        settings = msgspec.structs.replace(self.instance._settings, hedge_share=0.05)
+        self.instance.reload(settings)
+        self.assertEqual(parts.hedging.share, 0.05)
+        for _ in range(20):
+            budget.record_request()
+        self.assertTrue(budget.has_copy())
+        self.instance.reload(msgspec.structs.replace(settings, hedge_share=0.0))
+        self.assertEqual((parts.hedging.share, budget.has_copy()), (0.0, False))
+
     async def test_malformed_target_entries_are_ignored(self):
         await self.wait_until_listening()
         self.configure(1)
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -20,10 +20,12 @@
     VersionMoves,
 )
 from carobladder.forwarding import (
+    CallCurrency,
     ConfigurationAgeLimits,
     CrashWatch,
     Forwarder,
     ForwardHandler,
+    HedgePolicy,
     LoadMonitor,
     TargetSender,
 )
@@ -138,10 +140,16 @@
 class Instance:
     """Instance that forwards requests to targets at the given addresses.
 
-    ``reported_silent`` lists the targets that were reported as silent.
+    ``reported_silent`` lists the targets that were reported as silent. ``hedge_share``
+    is the part of the requests of which copies may be sent.
     """
 
-    def __init__(self, *addresses: str, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        *addresses: str,
+        clock: Clock | None = None,
+        hedge_share: float = 0.0,
+    ) -> None:
         self.clock = clock or SystemClock()
         self.table: RouteTable | None = RouteTable(
             Configuration(
@@ -158,7 +166,7 @@
         self.freshness = Freshness()
         self.freshness.note_read(self.clock.boottime())
         self.metrics = ForwardMetrics()
-        self.budget = RetryBudget(0.2, 0.0, burst=10.0)
+        self.budget = RetryBudget(0.2, 0.0, burst=10.0, copy_ratio=hedge_share)
         self.client = HttpClient(self.clock, connect_timeout_seconds=0.3)
         self.quarantine = PartQuarantine(lambda key: True)
         codec = PlatformCodec()
@@ -190,6 +198,20 @@
             bounds,
             generator,
         )
+        age_limits = ConfigurationAgeLimits(keys=4.5, refusals=3.0)
+        self.hedging = HedgePolicy(
+            hedge_share,
+            self.targets,
+            lambda service: self.budget,
+            CallCurrency(
+                lambda: self.table,
+                self.freshness,
+                age_limits,
+                lambda: self.server.draining,
+                self.clock,
+            ).is_current,
+            self.clock,
+        )
         forwarder = Forwarder(
             sender,
             self.selector,
@@ -197,6 +219,7 @@
             lambda service: self.budget,
             self.metrics,
             CrashWatch(self.quarantine, self.client, self.clock),
+            self.hedging,
         )
         handler = ForwardHandler(
             forwarder,
@@ -204,7 +227,7 @@
             self.clock,
             lambda: self.table,
             self.freshness,
-            ConfigurationAgeLimits(keys=4.5, refusals=3.0),
+            age_limits,
             generator,
             self.metrics,
             self.client.memory,
--- a/tests/forwarding/streams.py
+++ b/tests/forwarding/streams.py
@@ -51,7 +51,8 @@
 class VirtualInstance:
     """Instance before scripted targets, in the virtual time of its loop."""
 
-    def __init__(self, *scripts) -> None:
+    def __init__(self, *scripts, hedge_share: float = 0.0) -> None:
+        self._hedge_share = hedge_share
         self.targets = [ScriptedTarget(script) for script in scripts]
         self._stack = AsyncExitStack()
 
@@ -61,7 +62,8 @@
         servers = [await enter(target.server) for target in self.targets]
         addresses = [server.address for server in servers]
         clock = LoopClock(asyncio.get_running_loop())
-        return await enter(Instance(*addresses, clock=clock))
+        instance = Instance(*addresses, clock=clock, hedge_share=self._hedge_share)
+        return await enter(instance)
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop the instance and the targets."""
--- a/tests/settings/test_entry.py
+++ b/tests/settings/test_entry.py
@@ -69,6 +69,15 @@
         self.assert_rejected(REQUIRED.replace('instance = "front-1"', ""), "instance")
         self.assert_rejected("listen = \n", "not TOML")
 
+    def test_share_of_copies_is_zero_by_default_and_at_most_one(self):
+        self.assertEqual(self.load(REQUIRED).hedge_share, 0.0)
+        settings = self.load(REQUIRED + "hedge_share = 0.05\n")
+        self.assertEqual(settings.hedge_share, 0.05)
+        changes = compare_entry_settings(self.load(REQUIRED), settings)
+        self.assertEqual(changes.applied, ("hedge_share",))
+        for value in ("-0.1", "1.1", '"x"'):
+            self.assert_rejected(REQUIRED + f"hedge_share = {value}\n", "hedge_share")
+
     def test_missing_file_or_variable_is_rejected(self):
         with self.assertRaises(SettingsError):
             load_entry_settings(self.path)
