--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -4,9 +4,12 @@
     attempts,
     calls,
     crashwatch,
+    currency,
     durations,
+    firstbytes,
     handler,
     heads,
+    hedging,
     loadmonitor,
     outcomes,
     partguard,
@@ -16,9 +19,12 @@
 from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.crashwatch import *  # noqa: F403
+from carobladder.forwarding.currency import *  # noqa: F403
 from carobladder.forwarding.durations import *  # noqa: F403
+from carobladder.forwarding.firstbytes import *  # noqa: F403
 from carobladder.forwarding.handler import *  # noqa: F403
 from carobladder.forwarding.heads import *  # noqa: F403
+from carobladder.forwarding.hedging import *  # noqa: F403
 from carobladder.forwarding.loadmonitor import *  # noqa: F403
 from carobladder.forwarding.outcomes import *  # noqa: F403
 from carobladder.forwarding.partguard import *  # noqa: F403
@@ -29,9 +35,12 @@
     *attempts.__all__,
     *calls.__all__,
     *crashwatch.__all__,
+    *currency.__all__,
     *durations.__all__,
+    *firstbytes.__all__,
     *handler.__all__,
     *heads.__all__,
+    *hedging.__all__,
     *loadmonitor.__all__,
     *outcomes.__all__,
     *partguard.__all__,
