Leave out configurations that newer ones have replaced

Cause: an instance decoded each version of a range, kept 64 whole versions for others, and read every version since from the store; a poll and a second attempt downloaded the same large answer again beside the first.

Ruled out: leaving out superseded records of all keys (a withdrawn order would be unknown to the comparison with a restored copy); cutting a run at the record that does not fit (the offsets of superseded records before it would count as known, and an equal offset would be a false proof, so a run now ends before the first offset without a record); a longer pause for readers alone (polls and second attempts still doubled the reads).

Change: of a range only the valid configuration of the highest version is decoded and applied, and only it is kept for answers. Malformed, withdrawn and lower versions replace nothing, so the outcome is that of all records in order; nothing is left out until a restored store is settled. An instance that lacks several records shortly after a large one reads the newest of each key, unless its configuration is malformed or outdated.

--- a/carobladder/clients/http.py
+++ b/carobladder/clients/http.py
@@ -85,6 +85,7 @@
             may_repeat=may_repeat,
             fresh=fresh,
         )
+        began = loop.time()
         async with stream:
             if self._body_timeout_seconds is None:
                 content = await stream.read_all(max(0.0, deadline - loop.time()))
@@ -92,7 +93,8 @@
                 content = await stream.read_all(
                     self._body_timeout_seconds, _MAX_BODY_GAP_SECONDS
                 )
-        return HttpAnswer(stream.status, stream.headers, content)
+        body_seconds = loop.time() - began
+        return HttpAnswer(stream.status, stream.headers, content, body_seconds)
 
     async def open(
         self,
--- a/carobladder/clients/ports.py
+++ b/carobladder/clients/ports.py
@@ -10,11 +10,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """Whole HTTP response; header names are lower case."""
+    """Whole HTTP response; header names are lower case.
+
+    ``body_seconds`` is the time from the arrival of the headers to the end.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    body_seconds: float = 0.0
 
 
 class HttpFetcher(Protocol):
--- a/carobladder/eras/appliers.py
+++ b/carobladder/eras/appliers.py
@@ -51,6 +51,16 @@
         # What the store has of keys that it has not been told of again.
         self._unconfirmed: dict[str, KeyedRecord] = {}
 
+    @property
+    def is_restoring(self) -> bool:
+        """Whether what a restored store has lost may still be written again."""
+        return self._is_restoring
+
+    def note_superseded(self, record: KeyedRecord) -> None:
+        """Remember a record that is left out, as a newer one of its key follows."""
+        digest = _compute_digest(record.key, record.value)
+        _remember(self._outdated, digest, _MAX_OUTDATED)
+
     def apply(self, record: KeyedRecord) -> bool:
         """Pass a record on unless a newer one of its key is known; return whether."""
         if record.offset <= self._key_offsets.get(record.key, -1):
@@ -61,12 +71,14 @@
         self._accept(record)
         return True
 
-    def apply_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+    def apply_snapshot(self, records: Sequence[KeyedRecord]) -> int:
         """Pass on the newest records of all keys; other keys count as removed.
 
         Before ``settle``, those that no record of the new era names count as lost.
+        Return the number of keys that are missing.
         """
-        for removal in self._list_missing(records):
+        missing = self._list_missing(records)
+        for removal in missing:
             if self._is_restoring and removal.key not in self._key_offsets:
                 self._unconfirmed[removal.key] = removal
                 continue
@@ -75,6 +87,7 @@
             self._accept(removal)
         for record in records:
             self.apply(record)
+        return len(missing)
 
     def restore(self, records: Sequence[KeyedRecord]) -> None:
         """Apply the newest records of all keys after the store was restored."""
--- a/carobladder/fleet/records.py
+++ b/carobladder/fleet/records.py
@@ -31,26 +31,49 @@
     ``end`` is the offset after the last record that the topic had at the time of the
     read; it is higher than ``next_offset`` if the answer was too short for all. ``era``
     rises each time that the store was restored from a copy, which gives offsets out
-    again; it is None if the store has no eras.
+    again; it is None if the store has no eras. ``transfer_seconds`` is the time from
+    the first byte of the answer to the last.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     end: int
     era: int | None = None
+    transfer_seconds: float = 0.0
+
+    @property
+    def size(self) -> int:
+        """Bytes of the values."""
+        return sum(len(record.value or b"") for record in self.records)
 
 
 @dataclass(frozen=True, slots=True)
 class RecordRun:
     """All records of a keyed topic from ``first`` to before ``next_offset``.
 
-    Unreadable records are left out, although the range includes their offsets.
+    Unreadable records, and those that later ones of the run supersede, are left out,
+    although the range includes their offsets.
     """
 
     first: int
     next_offset: int
     records: tuple[KeyedRecord, ...]
 
+    def truncate(self, offset: int) -> "RecordRun | None":
+        """Return the part before an offset, or None if that has no records.
+
+        It ends before the first offset without a record, since that record may have
+        been superseded by one from ``offset`` on.
+        """
+        kept: list[KeyedRecord] = []
+        for record in self.records:
+            if record.offset >= offset or record.offset != self.first + len(kept):
+                break
+            kept.append(record)
+        if not kept:
+            return None
+        return RecordRun(self.first, self.first + len(kept), tuple(kept))
+
 
 @dataclass(frozen=True, slots=True)
 class GroupAssignment:
--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -31,7 +31,12 @@
     TeamKeys,
 )
 
-__all__ = ["decode_operator_record", "decode_target_entry", "encode_move_status"]
+__all__ = [
+    "decode_operator_record",
+    "decode_target_entry",
+    "encode_move_status",
+    "peek_configuration_version",
+]
 
 _MS_PER_SECOND = 1000.0
 _ROUTE_KINDS = {kind.value: kind for kind in RouteKind}
@@ -111,6 +116,10 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+class _ConfigurationVersion(_Document):
+    version: int
+
+
 class _Rollout(_Document):
     service: NonEmptyText
     # Version that the rollout moves the service to; not a server.
@@ -137,6 +146,7 @@
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
+_version_decoder = msgspec.json.Decoder(_ConfigurationVersion)
 _rollout_decoder = msgspec.json.Decoder(_Rollout)
 _server_decoder = msgspec.json.Decoder(_Server)
 
@@ -149,6 +159,19 @@
         return UnreadableRecord(record.key, str(error))
 
 
+def peek_configuration_version(record: KeyedRecord) -> int | None:
+    """Return the version of a configuration, None for any other or malformed record.
+
+    The rest of the document is not checked, which takes a tenth of the time.
+    """
+    if record.key != CONFIGURATION_KEY or record.value is None:
+        return None
+    try:
+        return _version_decoder.decode(record.value).version
+    except DECODE_ERRORS:
+        return None
+
+
 def decode_target_entry(key: str, value: bytes) -> TargetEntry | UnreadableRecord:
     """Decode the entry of a target; an invalid one becomes UnreadableRecord."""
     try:
--- a/carobladder/platform/frames.py
+++ b/carobladder/platform/frames.py
@@ -26,23 +26,28 @@
 class LogPage:
     """Records, the end offset of their partition and the oldest retained offset.
 
-    ``era`` is that of the store, None if it names none.
+    ``era`` is that of the store, None if it names none. ``transfer_seconds`` is the
+    time from the first byte of the answer to the last.
     """
 
     end: int
     oldest: int
     records: list[bytes]
     era: int | None = None
+    transfer_seconds: float = 0.0
 
 
-def decode_page(data: bytes, era: int | None = None) -> LogPage:
+def decode_page(
+    data: bytes, era: int | None = None, transfer_seconds: float = 0.0
+) -> LogPage:
     """Decode the body of a response to a read.
 
     Raises ValueError if the body ends inside the header or a record.
     """
     try:
         end, oldest = _PAGE_HEADER.unpack_from(data)
-        return LogPage(end, oldest, _split_records(data, _PAGE_HEADER.size), era)
+        records = _split_records(data, _PAGE_HEADER.size)
+        return LogPage(end, oldest, records, era, transfer_seconds)
     except struct.error as error:
         raise ValueError(f"response of the store is truncated: {error}") from None
 
--- a/carobladder/platform/store.py
+++ b/carobladder/platform/store.py
@@ -49,6 +49,7 @@
     has_more: bool
     end: int
     era: int | None
+    transfer_seconds: float = 0.0
 
 
 class _NewestItem(msgspec.Struct):
@@ -109,7 +110,7 @@
             raise OffsetDroppedError(dropped.first, _read_era(answer))
         _raise_unless_ok(answer)
         try:
-            return decode_page(answer.body, _read_era(answer))
+            return decode_page(answer.body, _read_era(answer), answer.body_seconds)
         except ValueError as error:
             raise LogUnavailableError(str(error)) from None
 
@@ -125,7 +126,8 @@
             KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
             for item in page.items
         )
-        return _NewestPage(records, page.has_more, page.end, _read_era(answer))
+        era = _read_era(answer)
+        return _NewestPage(records, page.has_more, page.end, era, answer.body_seconds)
 
     async def append(
         self,
@@ -275,7 +277,8 @@
         records = page.records
         decoded = [decode_keyed(first + i, record) for i, record in enumerate(records)]
         valid = tuple(record for record in decoded if record is not None)
-        return KeyedPage(valid, first + len(records), page.end, page.era)
+        next_offset = first + len(records)
+        return KeyedPage(valid, next_offset, page.end, page.era, page.transfer_seconds)
 
     async def write(self, key: str, value: bytes) -> None:
         """Write a value of a key; an empty value deletes the key."""
@@ -300,9 +303,11 @@
         page = await self._store.read_newest(self._topic)
         end, era = page.end, page.era
         records = list(page.records)
+        transfer_seconds = page.transfer_seconds
         while page.has_more and page.records:
             page = await self._store.read_newest(self._topic, page.records[-1].key)
             if page.era != era:
                 raise LogUnavailableError("the store was restored during the read")
             records += page.records
-        return KeyedPage(tuple(records), end, end, era)
+            transfer_seconds += page.transfer_seconds
+        return KeyedPage(tuple(records), end, end, era, transfer_seconds)
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -135,7 +135,8 @@
 
     ``source`` is "store" for an own read and "peer" for what another instance sent.
     ``era`` is that of the store, and ``passed_over`` the number of the records that
-    were not applied, since newer ones of their keys were known.
+    were not applied, since newer ones of their keys were known. ``superseded`` is the
+    number of those that were left out, since later ones of them replace them.
     """
 
     topic: str
@@ -145,6 +146,7 @@
     age_seconds: float
     era: int | None = None
     passed_over: int = 0
+    superseded: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/carobladder/topics/__init__.py
+++ b/carobladder/topics/__init__.py
@@ -13,8 +13,11 @@
     lags,
     outages,
     paces,
+    peerupdates,
+    readpauses,
     roles,
     runs,
+    superseding,
     wakeups,
 )
 from carobladder.topics.backoff import *  # noqa: F403
@@ -29,8 +32,11 @@
 from carobladder.topics.lags import *  # noqa: F403
 from carobladder.topics.outages import *  # noqa: F403
 from carobladder.topics.paces import *  # noqa: F403
+from carobladder.topics.peerupdates import *  # noqa: F403
+from carobladder.topics.readpauses import *  # noqa: F403
 from carobladder.topics.roles import *  # noqa: F403
 from carobladder.topics.runs import *  # noqa: F403
+from carobladder.topics.superseding import *  # noqa: F403
 from carobladder.topics.wakeups import *  # noqa: F403
 
 __all__ = [
@@ -46,7 +52,10 @@
     *lags.__all__,
     *outages.__all__,
     *paces.__all__,
+    *peerupdates.__all__,
+    *readpauses.__all__,
     *roles.__all__,
     *runs.__all__,
+    *superseding.__all__,
     *wakeups.__all__,
 ]
--- a/carobladder/topics/builders.py
+++ b/carobladder/topics/builders.py
@@ -23,6 +23,7 @@
     build_operator_policy,
     build_targets_policy,
 )
+from carobladder.topics.superseding import ConfigurationSelector, RecordSelector
 
 __all__ = ["FollowerBuilder", "apply_configuration_value"]
 
@@ -55,9 +56,10 @@
         on_recovery: Callable[[float], None],
     ) -> TopicFollower:
         """Build the follower of the operators' records."""
+        selector = ConfigurationSelector(lambda: control_state.version)
 
         def apply_record(record: KeyedRecord) -> None:
-            decoded = decode_operator_record(record)
+            decoded = selector.decode(record)
             control_state.apply(decoded)
             if record.value is None or not isinstance(decoded, ConfigurationRecord):
                 return
@@ -74,7 +76,8 @@
             policy,
             apply_record,
             on_recovery,
-            lambda record: control_state.apply_moved(decode_operator_record(record)),
+            lambda record: control_state.apply_moved(selector.decode(record)),
+            selector,
         )
 
     def build_targets(self, control_state: ControlState) -> TopicFollower:
@@ -128,6 +131,7 @@
         apply_record: Callable[[KeyedRecord], None],
         on_recovery: Callable[[float], None],
         on_moved: Callable[[KeyedRecord], None] | None = None,
+        selector: RecordSelector | None = None,
     ) -> TopicFollower:
         return TopicFollower(
             name,
@@ -140,6 +144,7 @@
             self._is_reader,
             self._eras,
             on_moved,
+            selector,
         )
 
 
--- a/carobladder/topics/fetching.py
+++ b/carobladder/topics/fetching.py
@@ -8,6 +8,7 @@
 from carobladder.telemetry import StoreReadRepeated, emit
 from carobladder.topics.backoff import ReadBackoff
 from carobladder.topics.hedging import run_hedged
+from carobladder.topics.readpauses import LARGE_READ_BYTES
 
 __all__ = ["TimedPage", "TopicFetcher"]
 
@@ -24,7 +25,8 @@
     """Fetcher of pages of one topic.
 
     ``repeat_seconds`` is the delay after which a read without an answer is made a
-    second time, 0 for no second attempt.
+    second time, 0 for no second attempt. It is longer by the time that the last large
+    answer took: a second one beside it would only delay both.
     """
 
     def __init__(
@@ -34,11 +36,20 @@
         self._clock = clock
         self._backoff = backoff
         self._repeat_seconds = repeat_seconds
+        self._transfer_seconds = 0.0
+
+    @property
+    def transfer_seconds(self) -> float:
+        """Time that the last large answer took from its first byte to its last."""
+        return self._transfer_seconds
 
     async def fetch(self, read: Callable[[], Awaitable[KeyedPage]]) -> TimedPage:
         """Read once; raises LogUnavailableError or OffsetDroppedError."""
         sent_at = self._clock.boottime()
-        return TimedPage(sent_at, await read())
+        page = await read()
+        if page.size >= LARGE_READ_BYTES:
+            self._transfer_seconds = page.transfer_seconds
+        return TimedPage(sent_at, page)
 
     async def fetch_in_time(
         self, read: Callable[[], Awaitable[KeyedPage]]
@@ -53,7 +64,7 @@
         return await run_hedged(
             self._clock,
             lambda: self.fetch(read),
-            self._repeat_seconds,
+            self._repeat_seconds + self._transfer_seconds,
             self._note_second_attempt,
         )
 
--- a/carobladder/topics/followers.py
+++ b/carobladder/topics/followers.py
@@ -8,26 +8,26 @@
 from carobladder.eras import EraMonitor, KeySettler, RecordApplier, TopicProofs
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
 from carobladder.fleet import (
-    Freshness,
     KeyedPage,
     KeyedRecord,
     RecordRun,
     TopicReader,
-    TopicState,
 )
 from carobladder.telemetry import StoreEraChanged, StoreHistoryDropped, emit
 from carobladder.topics.backoff import ReadBackoff
 from carobladder.topics.failures import ReadFailures
 from carobladder.topics.fetching import TimedPage, TopicFetcher
 from carobladder.topics.histories import read_history
-from carobladder.topics.knownrecords import KnownRecords
+from carobladder.topics.knownrecords import STORE_SOURCE, KnownRecords
 from carobladder.topics.paces import ReadPolicy
+from carobladder.topics.peerupdates import PeerUpdates
+from carobladder.topics.readpauses import LargeReadPause
 from carobladder.topics.roles import ReadRole
+from carobladder.topics.superseding import RecordSelector
 from carobladder.topics.wakeups import WakeUp
 
 __all__ = ["TopicFollower"]
 
-_MS_PER_SECOND = 1000
 # A waiting read can miss records appended this shortly before its answer.
 _MISSED_RECORD_SECONDS = 1.1
 # Instances whose reads are synchronised would all miss the same record.
@@ -36,12 +36,9 @@
 _AGE_JITTER = (0.75, 1.0)
 # Interval in which a change of the reader role is noticed.
 _ROLE_CHECK_SECONDS = 1.0
-# Where records came from, in the log.
-_STORE_SOURCE = "store"
-_PEER_SOURCE = "peer"
 
 
-class TopicFollower:
+class TopicFollower(PeerUpdates):
     """Follower of a topic that passes each change of a key to a callback, in order.
 
     Other instances supply records and proofs that all records up to some time are
@@ -65,11 +62,13 @@
         is_reader: Callable[[], bool] = lambda: True,
         eras: EraMonitor | None = None,
         on_moved: Callable[[KeyedRecord], None] | None = None,
+        selector: RecordSelector | None = None,
     ) -> None:
         self._name = name
         self._reader = reader
         self._clock = clock
-        self._policy = policy
+        self._eras = eras or EraMonitor()
+        self._generator = generator
         applier = RecordApplier(
             name,
             on_record,
@@ -77,41 +76,41 @@
             keeps_lost_keys=policy.keeps_lost_keys,
             keys_expire=policy.keys_expire,
         )
-        self._records = KnownRecords(name, applier, clock)
-        self._eras = eras or EraMonitor()
-        self._proofs = TopicProofs(self._eras, policy.needs_settled_era)
+        proofs = TopicProofs(self._eras, policy.needs_settled_era)
+        backoff = ReadBackoff(generator)
+        super().__init__(
+            policy,
+            KnownRecords(name, applier, clock, selector),
+            proofs,
+            ReadFailures(
+                name,
+                clock,
+                backoff,
+                proofs.freshness,
+                policy.expiry_seconds,
+                on_recovery,
+            ),
+            ReadRole(policy, is_reader, proofs.freshness, clock),
+            WakeUp(clock),
+        )
         self._settler = KeySettler(
             name,
             applier,
-            self._proofs.progress,
+            proofs.progress,
             clock,
-            lambda: self._proofs.settle(self._records.era),
+            lambda: proofs.settle(self._records.era),
         )
         self._eras.add_listener(self._handle_restored_store)
         self._eras.add_settled_listener(lambda: self._wake_up.set())
-        self._is_restored = False
-        self._generator = generator
-        self._role = ReadRole(policy, is_reader, self.freshness, clock)
-        backoff = ReadBackoff(generator)
         self._fetcher = TopicFetcher(name, clock, backoff, policy.repeat_seconds)
-        self._failures = ReadFailures(
-            name, clock, backoff, self.freshness, policy.expiry_seconds, on_recovery
+        self._pause = LargeReadPause(
+            clock, policy.reader_age_seconds or 0.0, policy.passive_age_seconds or 0.0
         )
-        self._wake_up = WakeUp(clock)
+        self._is_restored = False
         self._waiting_read: asyncio.Task[bool] | None = None
         self._first_read_done = asyncio.Event()
         self._first_attempt_done = asyncio.Event()
 
-    @property
-    def next_offset(self) -> int | None:
-        """Offset after the last known record, or None before the first read."""
-        return self._records.next_offset
-
-    @property
-    def freshness(self) -> Freshness:
-        """Time up to which all records of the topic are known."""
-        return self._proofs.freshness
-
     @property
     def is_proof_due(self) -> bool:
         """Whether earlier reads were no proof, and one from now on is."""
@@ -154,65 +153,19 @@
                 await self._back_off(error)
                 continue
             if changed:
-                jitter = self._generator.uniform(*_BATCH_JITTER)
-                await self._clock.sleep(self._policy.batch_seconds * jitter)
-
-    def build_topic_state(self) -> TopicState | None:
-        """Return how far the topic is known now, or None if nothing is proved yet."""
-        return self._records.build_state(self.freshness)
+                await self._pause_after_change()
 
-    def count_peers_to_ask(self) -> int:
-        """Return how many peers to query to avoid an own read."""
-        return self._role.count_peers_to_ask()
-
-    def is_behind(self, end: int) -> bool:
-        """Return whether records before the offset ``end`` are missing here."""
-        return self._records.is_behind(end)
-
-    def handle_peer_end(self, end: int) -> None:
-        """Handle the offset after the last record that another instance knows."""
-        if not self.is_behind(end):
-            return
-        if self._records.note_reported_end(end):
-            self._wake_up.set()
-
-    def handle_peer_state(
-        self, state: TopicState, asked_at: float, *, is_proof: bool
-    ) -> None:
-        """Handle the answer to a query that was sent at ``asked_at``.
-
-        It proves that all records are known up to ``asked_at`` less the reported age,
-        regardless of how long the query and the answer were in transit. ``is_proof`` is
-        false if the peer knows what a restored store has not got back yet.
-        """
-        if self._records.next_offset is None or state.age_ms < 0:
-            return
-        proved_at = asked_at - state.age_ms / _MS_PER_SECOND
-        self._failures.note_served(proved_at, _PEER_SOURCE)
-        if state.next_offset > self._records.next_offset:
-            self.handle_peer_end(state.next_offset)
-            return
-        if is_proof:
-            self._proofs.note_proof(proved_at)
-        if self._failures.precede(proved_at):
-            self._wake_up.set()
-
-    def collect_run(self, first: int) -> RecordRun | None:
-        """Return the records from an offset on, as many as fit in one answer."""
-        return self._records.collect_run(first, self._policy.max_answer_bytes)
-
-    def apply_peer_run(self, run: RecordRun) -> None:
-        """Apply records from another instance.
-
-        They are ignored while removals among them may be due to an outage of the store
-        that this instance does not know to have ended.
-        """
-        known_end = self._records.next_offset
-        if known_end is None or self._failures.may_have_expired():
-            return
-        if run.first <= known_end < run.next_offset:
-            synced_at = self._proofs.progress.synced_at
-            self._records.apply_run(run, _PEER_SOURCE, synced_at)
+    async def _pause_after_change(self) -> None:
+        """Pause after a change; a reader pauses longer after a large read."""
+        jitter = self._generator.uniform(*_BATCH_JITTER)
+        await self._clock.sleep(self._policy.batch_seconds * jitter)
+        while self._role.is_reader() and self._records.next_offset is not None:
+            now = self._clock.boottime()
+            until = self._pause.find_end(self._proofs.progress.synced_at)
+            until = min(until, self._settler.due_at)
+            if now >= until or self.is_proof_due:
+                return
+            await self._wake_up.wait(min(until - now, _ROLE_CHECK_SECONDS))
 
     async def _read(self) -> bool:
         """Read according to the role of this instance; return whether records came."""
@@ -222,6 +175,8 @@
             return False
         passive_age_seconds = self._role.find_passive_age()
         if passive_age_seconds is None:
+            if self._prefers_newest():
+                return await self._read_new_records()
             return await self._read_as_reader(self._records.next_offset)
         if not await self._wait_until_due(passive_age_seconds, as_reader=False):
             return False
@@ -235,7 +190,7 @@
         if self._eras.is_outdated(page.era):
             raise LogUnavailableError("the answer is of an earlier era of the store")
         # Before the records are applied: some may have expired with the store away.
-        self._failures.note_served(timed.sent_at, _STORE_SOURCE)
+        self._failures.note_served(timed.sent_at, STORE_SOURCE)
         await self._apply_snapshot(page)
         self._records.era = self._eras.era
         self._records.next_offset = page.next_offset
@@ -288,10 +243,38 @@
 
     async def _read_new_records(self) -> bool:
         """Read without waiting, unless all keys must be read again."""
+        if self._prefers_newest() and await self._read_newest():
+            return True
         if self._records.next_offset is None:
             return False
         return await self._read_from(self._records.next_offset, 0.0)
 
+    def _prefers_newest(self) -> bool:
+        """Return whether to read the newest of all keys instead of what is missing."""
+        age_seconds = self._proofs.progress.age(self._clock.boottime())
+        limit_seconds = self._policy.reader_age_seconds
+        return self._records.prefers_newest(
+            is_reader=self._role.is_reader(),
+            is_overdue=limit_seconds is not None and age_seconds > limit_seconds,
+        )
+
+    async def _read_newest(self) -> bool:
+        """Read the newest of all keys instead of each missing record.
+
+        Return False, without a change, if they may not replace the missing records.
+        """
+        era, settled_era = self._eras.era, self._eras.settled_era
+        synced_at = self._proofs.progress.synced_at
+        timed = await self._fetcher.fetch_in_time(self._reader.read_newest)
+        self._eras.note(timed.page.era)
+        if self._eras.era != era or self._eras.is_outdated(timed.page.era):
+            return False
+        self._pause.note_page(timed.page)
+        if not self._records.apply_newest(timed.page, STORE_SOURCE, synced_at):
+            return False
+        self._record_success(timed.sent_at, 0.0, settled_era)
+        return True
+
     async def _read_from(self, first: int, wait_seconds: float) -> bool:
         """Read the records from an offset on; return whether there were any.
 
@@ -308,6 +291,7 @@
         self._eras.note(page.era)
         if self._eras.era != era or self._eras.is_outdated(page.era):
             return False
+        self._pause.note_page(page)
         found = page.next_offset > first
         is_complete = page.end <= page.next_offset
         elapsed_seconds = self._clock.boottime() - timed.sent_at
@@ -319,7 +303,7 @@
         known_end = self._records.next_offset
         if known_end is not None and page.next_offset > known_end:
             run = RecordRun(first, page.next_offset, page.records)
-            self._records.apply_run(run, _STORE_SOURCE, synced_at)
+            self._records.apply_run(run, STORE_SOURCE, synced_at)
         if is_complete and not wait_seconds and self.is_behind(reported_end):
             self._records.reject_reported_end(reported_end)
         return found
@@ -363,9 +347,12 @@
         while self._records.next_offset is not None:
             now = self._clock.boottime()
             due_at = self._proofs.progress.synced_at + limit_seconds
+            if as_reader:
+                due_at += self._find_transfer_time()
             due_at = min(due_at, self._settler.due_at)
             delay_seconds = self._policy.catch_up_delay_seconds
-            due_at = min(due_at, self._records.find_catch_up_time(delay_seconds))
+            catch_up_at = self._records.find_catch_up_time(delay_seconds)
+            due_at = min(due_at, self._pause.postpone(catch_up_at))
             if self._role.is_reader() is not as_reader:
                 return False
             if now >= due_at or self.is_proof_due:
@@ -373,9 +360,20 @@
             await self._wake_up.wait(min(due_at - now, _ROLE_CHECK_SECONDS))
         return False
 
+    def _find_transfer_time(self) -> float:
+        """Return the time for a large answer to the waiting read to arrive.
+
+        A second read beside it would delay both.
+        """
+        policy = self._policy
+        if not self._records.expects_large or policy.passive_age_seconds is None:
+            return 0.0
+        longest_seconds = policy.passive_age_seconds - (policy.reader_age_seconds or 0)
+        return min(self._fetcher.transfer_seconds, longest_seconds)
+
     def _record_partial_success(self, timed: TimedPage) -> None:
         """Record a read whose answer was too short to prove that all is known."""
-        self._failures.note_success(timed.sent_at, _STORE_SOURCE)
+        self._failures.note_success(timed.sent_at, STORE_SOURCE)
         self.handle_peer_end(timed.page.end)
 
     def _record_success(
@@ -386,7 +384,7 @@
         A read that waited ``waited_seconds`` without finding records proves that none
         were appended meanwhile. ``settled_era`` was known to be settled as it was sent.
         """
-        self._failures.note_success(sent_at, _STORE_SOURCE)
+        self._failures.note_success(sent_at, STORE_SOURCE)
         proved_seconds = max(0.0, waited_seconds - _MISSED_RECORD_SECONDS)
         self._proofs.note_read(sent_at + proved_seconds, self._records.era, settled_era)
 
--- a/carobladder/topics/knownrecords.py
+++ b/carobladder/topics/knownrecords.py
@@ -1,31 +1,60 @@
 """Records of a topic that an instance knows."""
 
+from collections.abc import Sequence
+
 from carobladder.clock import Clock
 from carobladder.eras import RecordApplier
-from carobladder.fleet import Freshness, RecordRun, TopicState
+from carobladder.fleet import (
+    Freshness,
+    KeyedPage,
+    KeyedRecord,
+    RecordRun,
+    TopicState,
+)
 from carobladder.telemetry import TopicAdvanced, emit
 from carobladder.topics.lags import PeerLag
+from carobladder.topics.readpauses import LARGE_READ_BYTES
 from carobladder.topics.runs import RunHistory
+from carobladder.topics.superseding import RecordSelector
+
+__all__ = ["STORE_SOURCE", "KnownRecords"]
 
-__all__ = ["KnownRecords"]
+# Source of records in the log.
+STORE_SOURCE = "store"
 
 _MS_PER_SECOND = 1000
+# Large records are likely to follow each other for this time. Later, a few missing
+# records are likely to be small, and the newest of all keys take more bytes.
+_STORM_SECONDS = 5.0
+# A single missing record is read as it is, in three quarters of the bytes.
+_MIN_SKIPPED_RECORDS = 2
 
 
 class KnownRecords:
     """Records up to ``next_offset``, and those that other instances know beyond it.
 
     ``next_offset`` is None until all keys have been read, also if they are read again.
-    Offsets are those of ``era``, which is None if the store names none.
+    Offsets are those of ``era``, which is None if the store names none. Records that
+    ``selector`` finds superseded are neither applied nor kept for others.
     """
 
-    def __init__(self, topic: str, applier: RecordApplier, clock: Clock) -> None:
+    def __init__(
+        self,
+        topic: str,
+        applier: RecordApplier,
+        clock: Clock,
+        selector: RecordSelector | None = None,
+    ) -> None:
         self.applier = applier
         self.next_offset: int | None = None
         self.era: int | None = None
         self._topic = topic
         self._clock = clock
-        self._history = RunHistory()
+        self._selector = selector
+        self._large_at = float("-inf")
+        # Records that the last own read has brought; the next one may bring as many.
+        self._last_step = 0
+        self._history = RunHistory(selector)
         self._lag = PeerLag()
 
     @property
@@ -33,6 +62,11 @@
         """Newest end of the topic that another instance has told of."""
         return self._lag.end
 
+    @property
+    def expects_large(self) -> bool:
+        """Whether the next records are likely to be large, as the last ones were."""
+        return self._clock.boottime() - self._large_at < _STORM_SECONDS
+
     def reset(self) -> None:
         """Know no records any more, as all keys are read again."""
         self.next_offset = None
@@ -82,17 +116,92 @@
         first = self.next_offset
         records = tuple(record for record in run.records if record.offset >= first)
         self.next_offset = run.next_offset
-        self._history.append(RecordRun(first, run.next_offset, records))
+        self._last_step = run.next_offset - first if source == STORE_SOURCE else 0
+        self._extend_history(RecordRun(first, run.next_offset, records))
+        superseded = self._find_superseded(records)
+        applied = [self._apply(record, superseded) for record in records]
+        self._log_advance(source, records, age_seconds, applied, superseded)
+
+    def prefers_newest(self, *, is_reader: bool, is_overdue: bool) -> bool:
+        """Return whether the newest of all keys take fewer bytes than what is missing.
+
+        A reader, of which others learn what is missing, expects as many records as its
+        last read has brought, and several if its proof is overdue.
+
+        While lost records may be written again to a restored store, each is needed.
+        """
+        if self._selector is None or self.next_offset is None:
+            return False
+        if not self.expects_large or self.applier.is_restoring:
+            return False
+        missing = self._lag.end - self.next_offset if self._is_lagging() else 0
+        if is_reader and (is_overdue or self._last_step >= _MIN_SKIPPED_RECORDS):
+            return True
+        return missing >= _MIN_SKIPPED_RECORDS
+
+    def apply_newest(self, page: KeyedPage, source: str, synced_at: float) -> bool:
+        """Apply the newest records of all keys in place of all missing ones.
+
+        Return False, without a change, if they may not replace the missing ones.
+        """
+        first = self.next_offset
+        self._last_step = 0
+        if self._selector is None or first is None or page.next_offset <= first:
+            return False
+        if self.applier.is_restoring or not self._selector.may_skip_to(page.records):
+            return False
+        age_seconds = self._clock.boottime() - synced_at
+        missing = (r for r in page.records if first <= r.offset < page.next_offset)
+        records = tuple(sorted(missing, key=lambda record: record.offset))
+        self.next_offset = page.next_offset
+        self._last_step = page.next_offset - first
+        if self.applier.apply_snapshot(page.records):
+            # The offsets of removals are unknown, so others cannot be told of them.
+            self._history.clear()
+        else:
+            self._extend_history(RecordRun(first, page.next_offset, records))
+        self._log_advance(source, records, age_seconds, [True] * len(records))
+        return True
+
+    def _is_lagging(self) -> bool:
+        return self.is_behind(self.reported_end)
+
+    def _extend_history(self, run: RecordRun) -> None:
+        self._history.append(run, keeps_all=self.applier.is_restoring)
         self._lag.update(run.next_offset)
-        applied = [self.applier.apply(record) for record in records]
+        if any(len(r.value or b"") >= LARGE_READ_BYTES for r in run.records):
+            self._large_at = self._clock.boottime()
+
+    def _find_superseded(self, records: Sequence[KeyedRecord]) -> frozenset[int]:
+        if self._selector is None or self.applier.is_restoring or len(records) < 2:
+            return frozenset()
+        return self._selector.find_superseded(records)
+
+    def _apply(self, record: KeyedRecord, superseded: frozenset[int]) -> bool:
+        """Apply a record unless it is superseded; return whether it was news."""
+        if record.offset in superseded:
+            self.applier.note_superseded(record)
+            return True
+        return self.applier.apply(record)
+
+    def _log_advance(
+        self,
+        source: str,
+        records: Sequence[KeyedRecord],
+        age_seconds: float,
+        applied: Sequence[bool],
+        superseded: frozenset[int] = frozenset(),
+    ) -> None:
+        assert self.next_offset is not None
         emit(
             TopicAdvanced(
                 topic=self._topic,
                 source=source,
-                next_offset=run.next_offset,
+                next_offset=self.next_offset,
                 records=len(records),
                 age_seconds=round(age_seconds, 2),
                 era=self.era,
                 passed_over=applied.count(False),
+                superseded=len(superseded),
             )
         )
