--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Target registry, health tracking, target selection and messages between instances."""
 
 from carobladder.fleet import (
+    affinity,
     budgets,
     comparison,
     entries,
@@ -25,6 +26,7 @@
     timeouts,
     versions,
 )
+from carobladder.fleet.affinity import *  # noqa: F403
 from carobladder.fleet.budgets import *  # noqa: F403
 from carobladder.fleet.comparison import *  # noqa: F403
 from carobladder.fleet.entries import *  # noqa: F403
@@ -50,6 +52,7 @@
 from carobladder.fleet.versions import *  # noqa: F403
 
 __all__ = [
+    *affinity.__all__,
     *budgets.__all__,
     *entries.__all__,
     *comparison.__all__,
