Estimate the slowness of targets and predict when a request ends

Loads may state how long work takes on a target now, but nothing kept that figure. TargetSlowness keeps the newest one. Response times correct figures that they contradict. An excess that no response has confirmed for a while fades, so that a target with a false figure is tried again.

predict_seconds(target, route, now) of CompletionPredictor is the interface for admission control and hedging. Load reports carry the slowness as a fourth field, which instances of earlier versions ignore; a load without it clears nothing. No choice uses the prediction yet.

Ruled out: one mean for a service (one target stating 900 raised it to about 3), and taking the ratio to the prediction instead of to the figure in the response itself, which took the ageing of figures for slowness.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -25,6 +25,7 @@
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
+    CompletionPredictor,
     ExposureLimit,
     FailureGossip,
     Freshness,
@@ -161,6 +162,7 @@
         self._targets = TargetTable()
         self._ledger = ShareLedger(count_share_partitions(settings.share_partitions))
         self._load_bounds = LoadBounds(self._targets, settings.load_multiple)
+        self._predictor = CompletionPredictor()
         self._pacer = ColdPacer(self._ledger)
         self._rates = RatePacer(self._ledger, clock, self._generator)
         self._moves = VersionMoves(settings.exposure_share)
@@ -357,6 +359,7 @@
             self._tallies,
             RouteLatencies(),
             LoadMonitor(self._load_bounds, self._metrics),
+            self._predictor,
             self._clock,
             exchange.report_silent_target,
             exchange.report_sent_request,
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -4,6 +4,7 @@
     affinity,
     budgets,
     comparison,
+    completion,
     entries,
     exchanges,
     failures,
@@ -21,6 +22,7 @@
     records,
     selection,
     shares,
+    slowness,
     tallies,
     targets,
     timeouts,
@@ -29,6 +31,7 @@
 from carobladder.fleet.affinity import *  # noqa: F403
 from carobladder.fleet.budgets import *  # noqa: F403
 from carobladder.fleet.comparison import *  # noqa: F403
+from carobladder.fleet.completion import *  # noqa: F403
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
 from carobladder.fleet.failures import *  # noqa: F403
@@ -46,6 +49,7 @@
 from carobladder.fleet.records import *  # noqa: F403
 from carobladder.fleet.selection import *  # noqa: F403
 from carobladder.fleet.shares import *  # noqa: F403
+from carobladder.fleet.slowness import *  # noqa: F403
 from carobladder.fleet.tallies import *  # noqa: F403
 from carobladder.fleet.targets import *  # noqa: F403
 from carobladder.fleet.timeouts import *  # noqa: F403
@@ -56,6 +60,7 @@
     *budgets.__all__,
     *entries.__all__,
     *comparison.__all__,
+    *completion.__all__,
     *exchanges.__all__,
     *failures.__all__,
     *freshness.__all__,
@@ -72,6 +77,7 @@
     *records.__all__,
     *selection.__all__,
     *shares.__all__,
+    *slowness.__all__,
     *tallies.__all__,
     *targets.__all__,
     *versions.__all__,
--- a/carobladder/fleet/loads.py
+++ b/carobladder/fleet/loads.py
@@ -5,25 +5,32 @@
 import msgspec
 
 from carobladder.fleet.exchanges import TargetLoad
-from carobladder.fleet.targets import TargetTable
+from carobladder.fleet.targets import FleetTarget, TargetTable
 
 __all__ = ["LoadGossip", "LoadReport", "is_usable_report"]
 
 _MS_PER_SECOND = 1000
+_USUAL_PERCENT = 100
 # Older reports are not forwarded, as a load changes within about a second.
 _MAX_FORWARD_AGE_SECONDS = 1.5
 _MAX_AGE_MS = 5000
 _MAX_LOAD = 100_000
+_MAX_PERCENT = 100_000
 # Keeps the traffic of an instance below 4 KB/s at the longest message interval.
 _MAX_REPORTS_PER_MESSAGE = 24
 
 
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
-    """Number of requests at a target and the age of this information."""
+    """Number of requests at a target and the age of this information.
+
+    ``slowness_percent`` is the slowness that the target stated with it, where 100 is
+    usual, or None. Instances of earlier versions neither send nor read it.
+    """
 
     target_id: str
     load: int
     age_ms: int
+    slowness_percent: int | None = None
 
 
 class LoadGossip:
@@ -44,7 +51,9 @@
             latest = target.health.read_latest_load(now)
             if latest is not None and latest[1] <= _MAX_FORWARD_AGE_SECONDS:
                 age_ms = round(latest[1] * _MS_PER_SECOND)
-                reports.append(LoadReport(target.target_id, latest[0], age_ms))
+                percent = _read_percent(target, latest[1], now)
+                report = LoadReport(target.target_id, latest[0], age_ms, percent)
+                reports.append(report)
         reports.sort(key=lambda report: report.age_ms)
         return reports[:_MAX_REPORTS_PER_MESSAGE]
 
@@ -53,11 +62,23 @@
         for report in reports:
             target = self._table.find(report.target_id)
             if target is not None:
-                load = TargetLoad(report.load, 0, target.entry.slots)
-                target.health.note_load(load, now - report.age_ms / _MS_PER_SECOND)
+                percent = report.slowness_percent
+                slowness = None if percent is None else percent / _USUAL_PERCENT
+                load = TargetLoad(report.load, 0, target.entry.slots, slowness)
+                target.note_load(load, now - report.age_ms / _MS_PER_SECOND)
+
+
+def _read_percent(target: FleetTarget, load_age: float, now: float) -> int | None:
+    """Return the slowness that the target stated with its newest load, in percent."""
+    slowness = target.slowness
+    if slowness.stated is None or slowness.read_age(now) != load_age:
+        return None
+    return round(slowness.stated * _USUAL_PERCENT)
 
 
 def is_usable_report(report: LoadReport) -> bool:
     """Return whether a report of another instance is plausible and recent."""
     is_recent = 0 <= report.age_ms <= _MAX_AGE_MS
-    return is_recent and 0 <= report.load <= _MAX_LOAD
+    percent = report.slowness_percent
+    is_plausible = percent is None or 0 < percent <= _MAX_PERCENT
+    return is_recent and is_plausible and 0 <= report.load <= _MAX_LOAD
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -6,7 +6,9 @@
 import xxhash
 
 from carobladder.fleet.entries import TargetEntry
+from carobladder.fleet.exchanges import TargetLoad
 from carobladder.fleet.health import TargetHealth
+from carobladder.fleet.slowness import SlownessTrend, TargetSlowness
 
 __all__ = ["FleetTarget", "TargetTable"]
 
@@ -28,12 +30,15 @@
     together, stated at ``rate_stated_at`` in boot time; ``was_limited`` tells whether
     it has ever named one.
     ``tag`` is a short hash of the id for use in messages; collisions are possible but
-    rare.
+    rare. ``trend`` is shared by the targets of a service.
     """
 
-    def __init__(self, entry: TargetEntry, now: float) -> None:
+    def __init__(
+        self, entry: TargetEntry, now: float, trend: SlownessTrend | None = None
+    ) -> None:
         self.entry = entry
         self.health = TargetHealth()
+        self.slowness = TargetSlowness(trend or SlownessTrend())
         self.seen_at = now
         self.cold_until = now + entry.cold_seconds
         self.misdirected = False
@@ -110,6 +115,11 @@
             self.rate_limit = max(_MIN_REQUESTS_PER_SECOND, per_second)
         return was_limited != (per_second is not None)
 
+    def note_load(self, load: TargetLoad, stated_at: float) -> None:
+        """Record the load and the slowness that the target stated at a time."""
+        self.health.note_load(load, stated_at)
+        self.slowness.note_stated(load.slowness, stated_at)
+
     def note_cold(self, seconds: float, now: float) -> None:
         """Set the remaining cold time that the target reported in a response."""
         self.cold_until = now + seconds
@@ -140,6 +150,7 @@
         self._by_tag: dict[int, FleetTarget] = {}
         self._emptied: set[str] = set()
         self._removal_times: dict[str, float] = {}
+        self._trends: dict[str, SlownessTrend] = {}
         self._reregistration_until = 0.0
 
     def __len__(self) -> int:
@@ -168,7 +179,8 @@
         if target is None:
             target = self._removed.pop(run, None)
         if target is None:
-            target = FleetTarget(entry, now)
+            trend = self._trends.setdefault(entry.service, SlownessTrend())
+            target = FleetTarget(entry, now, trend)
         else:
             target.update(entry, now)
         self._targets[entry.target_id] = target
--- a/carobladder/forwarding/outcomes.py
+++ b/carobladder/forwarding/outcomes.py
@@ -3,7 +3,13 @@
 from dataclasses import dataclass
 
 from carobladder.clock import Clock
-from carobladder.fleet import AnswerTallies, FleetTarget, RouteLatencies
+from carobladder.fleet import (
+    AnswerTallies,
+    CompletionPredictor,
+    FleetTarget,
+    Prediction,
+    RouteLatencies,
+)
 from carobladder.routing import Route
 
 __all__ = ["SendOutcome"]
@@ -16,6 +22,7 @@
     A slow stream is known to be slow long before its end, and many of them end with the
     caller's deadline, so nothing waits for the end. ``is_suspect`` tells whether its
     target was suspected, since it sent no byte within the silence timeout.
+    ``prediction`` is that of the time to the first byte.
     """
 
     route: Route
@@ -23,6 +30,8 @@
     tallies: AnswerTallies
     latencies: RouteLatencies
     clock: Clock
+    predictor: CompletionPredictor
+    prediction: Prediction
     is_suspect: bool = False
     _counted: bool = False
     _failed: bool = False
@@ -34,6 +43,14 @@
         ``failed`` marks a failure of the target itself.
         """
         self.latencies.note_answer(self.route.name, seconds)
+        if not failed:
+            self.predictor.note_response(
+                self.target,
+                self.route,
+                seconds,
+                self.prediction,
+                self.clock.monotonic(),
+            )
         self._note_answer(seconds, failed=failed)
 
     def note_pace(self, seconds_per_event: float) -> None:
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -21,6 +21,7 @@
     AnswerMetadata,
     AnswerTallies,
     CallMetadata,
+    CompletionPredictor,
     ExchangeCodec,
     FleetTarget,
     Freshness,
@@ -112,6 +113,7 @@
     tallies: AnswerTallies
     times: RouteLatencies
     loads: LoadMonitor
+    predictor: CompletionPredictor
     clock: Clock
     report_silence: Callable[[FleetTarget, float], None]
     report_sent: Callable[[], None]
@@ -137,7 +139,7 @@
         come in ``timeout_seconds``. Raises TargetError if no response arrives.
         """
         sent_at = self.clock.monotonic()
-        outcome = SendOutcome(call.route, target, self.tallies, self.times, self.clock)
+        outcome = self._build_outcome(call, target, sent_at)
         loop = asyncio.get_running_loop()
         target.health.note_sent(sent_at)
         self.report_sent()
@@ -192,6 +194,22 @@
         self._apply_facts(call, target, facts, expected_load)
         return OpenCall(answer, target, facts, sent_at, self.clock, outcome)
 
+    def _build_outcome(
+        self, call: ForwardedCall, target: FleetTarget, sent_at: float
+    ) -> SendOutcome:
+        """Return the outcome of a send that is not counted at its target yet."""
+        predictor = self.predictor
+        prediction = predictor.predict_seconds(target, call.route, sent_at)
+        return SendOutcome(
+            call.route,
+            target,
+            self.tallies,
+            self.times,
+            self.clock,
+            predictor,
+            prediction,
+        )
+
     def compute_silence_timeout(
         self, call: ForwardedCall, target: FleetTarget
     ) -> float:
@@ -261,7 +279,7 @@
         if facts.has_malformed_load:
             self.loads.note_malformed(target)
         if facts.load is not None:
-            target.health.note_load(facts.load, now)
+            target.note_load(facts.load, now)
             self.loads.note_stated(target, expected_load, facts.load, request_id, now)
         if facts.cold_seconds is not None:
             target.note_cold(facts.cold_seconds, now)
--- a/tests/fleet/test_loads.py
+++ b/tests/fleet/test_loads.py
@@ -3,7 +3,9 @@
 import random
 import unittest
 
-from carobladder.fleet import LoadGossip, LoadReport, TargetLoad
+import msgspec
+
+from carobladder.fleet import LoadGossip, LoadReport, TargetLoad, is_usable_report
 from tests.fleet.builders import fill_table
 
 
@@ -28,6 +30,34 @@
         self.assertEqual([r.target_id for r in gossip.collect(11.0)], ["i-1"])
         self.assertEqual(gossip.collect(11.6), [])
 
+    def test_slowness_travels_with_the_load_that_stated_it(self):
+        table, targets = fill_table(2)
+        other, other_targets = fill_table(2)
+        targets[0].note_load(TargetLoad(3, 1, 8, 2.5), 10.0)
+        targets[1].note_load(TargetLoad(3, 1, 8, 2.5), 10.0)
+        targets[1].note_load(TargetLoad(4, 1, 8), 10.1)
+        LoadGossip(other).take(LoadGossip(table).collect(10.4), 10.5)
+        self.assertEqual(other_targets[0].slowness.stated, 2.5)
+        self.assertAlmostEqual(other_targets[0].slowness.read_age(10.5), 0.4)
+        self.assertIsNone(other_targets[1].slowness.stated)
+
+    def test_instances_of_earlier_versions_exchange_loads(self):
+        """Their reports have three fields, and they ignore a fourth one."""
+        report = msgspec.convert(["i-1", 9, 200], LoadReport)
+        self.assertEqual(report, LoadReport("i-1", 9, 200, None))
+        earlier = msgspec.defstruct(
+            "LoadReport",
+            [("target_id", str), ("load", int), ("age_ms", int)],
+            array_like=True,
+        )
+        data = msgspec.msgpack.encode(LoadReport("i-1", 9, 200, 250))
+        decoded = msgspec.msgpack.decode(data, type=earlier)
+        self.assertEqual(decoded, earlier("i-1", 9, 200))
+
+    def test_implausible_slowness_is_left_out(self):
+        for percent in (-1, 0, 100_001):
+            self.assertFalse(is_usable_report(LoadReport("i-1", 9, 200, percent)))
+
     def test_report_spreads_in_a_fleet_of_75_with_two_datagrams_per_round(self):
         """Each instance sends to two others every 0.3 s; a tenth of this is lost."""
         generator = random.Random(4)
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -8,6 +8,7 @@
 from carobladder.fleet import (
     AnswerTallies,
     ColdPacer,
+    CompletionPredictor,
     FleetTarget,
     Freshness,
     LoadBounds,
@@ -168,6 +169,7 @@
         self.moves = VersionMoves(0.1)
         self.tallies = AnswerTallies(self.moves, self.targets, incarnation=1)
         bounds = LoadBounds(self.targets, 2.0)
+        self.predictor = CompletionPredictor()
         sender = TargetSender(
             self.client,
             codec,
@@ -175,6 +177,7 @@
             self.tallies,
             RouteLatencies(),
             LoadMonitor(bounds, self.metrics),
+            self.predictor,
             self.clock,
             lambda target, sent_at: self.reported_silent.append(target),
             lambda: None,
