--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -1,8 +1,10 @@
 """Target registry, health tracking, target selection and messages between instances."""
 
 from carobladder.fleet import (
+    affinity,
     budgets,
     comparison,
+    completion,
     entries,
     exchanges,
     failures,
@@ -20,13 +22,16 @@
     records,
     selection,
     shares,
+    slowness,
     tallies,
     targets,
     timeouts,
     versions,
 )
+from carobladder.fleet.affinity import *  # noqa: F403
 from carobladder.fleet.budgets import *  # noqa: F403
 from carobladder.fleet.comparison import *  # noqa: F403
+from carobladder.fleet.completion import *  # noqa: F403
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
 from carobladder.fleet.failures import *  # noqa: F403
@@ -44,15 +49,18 @@
 from carobladder.fleet.records import *  # noqa: F403
 from carobladder.fleet.selection import *  # noqa: F403
 from carobladder.fleet.shares import *  # noqa: F403
+from carobladder.fleet.slowness import *  # noqa: F403
 from carobladder.fleet.tallies import *  # noqa: F403
 from carobladder.fleet.targets import *  # noqa: F403
 from carobladder.fleet.timeouts import *  # noqa: F403
 from carobladder.fleet.versions import *  # noqa: F403
 
 __all__ = [
+    *affinity.__all__,
     *budgets.__all__,
     *entries.__all__,
     *comparison.__all__,
+    *completion.__all__,
     *exchanges.__all__,
     *failures.__all__,
     *freshness.__all__,
@@ -69,6 +77,7 @@
     *records.__all__,
     *selection.__all__,
     *shares.__all__,
+    *slowness.__all__,
     *tallies.__all__,
     *targets.__all__,
     *versions.__all__,
