--- /dev/null
+++ b/tests/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the duties of a single instance."""
