--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -16,12 +16,15 @@
 from carobladder.quarantine import HoldReport, QuarantineNews
 
 __all__ = [
+    "DutyNotice",
     "HolderQuery",
     "HolderReply",
     "PeerMessage",
     "PeerReply",
     "PeerStatus",
     "TopicState",
+    "UsageReceipt",
+    "UsageReport",
     "decode_datagram",
     "encode_datagram",
     "pack_run",
@@ -63,6 +66,17 @@
     records: list[_PackedRecord]
 
 
+class DutyNotice(msgspec.Struct, array_like=True, frozen=True):
+    """Holder of the duties, empty if it has released them, and its token.
+
+    ``recorded`` is the newest window whose counts are recorded, or -1.
+    """
+
+    token: int
+    holder: str
+    recorded: int
+
+
 class PeerStatus(msgspec.Struct, array_like=True, frozen=True, tag="news"):
     """Periodic status of an instance: target loads and positions in the topics.
 
@@ -71,7 +85,8 @@
     for a ``PeerReply``, or 0 for none. ``failures`` reports unresponsive targets.
     ``in_flight`` is None in large fleets. ``holds`` are the parts of prompts in
     quarantine, for instances that have just started, and ``rates`` the rate limits that
-    targets have named. ``ends`` are offsets of the ``era`` of the store, None if it is
+    targets have named. ``duty`` is the newest known holder of the duties, None if
+    none is known. ``ends`` are offsets of the ``era`` of the store, None if it is
     not known.
     """
 
@@ -84,6 +99,7 @@
     holds: list[HoldReport] = []
     rates: list[RateReport] = []
     era: int | None = None
+    duty: DutyNotice | None = None
 
 
 class PeerReply(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
@@ -123,8 +139,39 @@
     holder_tags: list[int]
 
 
+class UsageReport(msgspec.Struct, array_like=True, frozen=True, tag="usage"):
+    """Counts by window and team of a run of an instance, for the holder of the duties.
+
+    A report without windows asks whether the holder is alive. ``time_ms`` is the
+    sender's estimate of the Unix time.
+    """
+
+    run: int
+    time_ms: int
+    windows: dict[int, dict[str, int]]
+
+
+class UsageReceipt(msgspec.Struct, array_like=True, frozen=True, tag="received"):
+    """Answer of the holder of the duties to a ``UsageReport`` of a run.
+
+    ``time_ms`` is the median of the instances' estimates of the Unix time.
+    """
+
+    run: int
+    windows: list[int]
+    time_ms: int
+    duty: DutyNotice
+
+
 PeerMessage = (
-    PeerStatus | PeerReply | HolderQuery | HolderReply | InFlightReport | QuarantineNews
+    PeerStatus
+    | PeerReply
+    | HolderQuery
+    | HolderReply
+    | InFlightReport
+    | QuarantineNews
+    | UsageReport
+    | UsageReceipt
 )
 
 
--- a/tests/fleet/test_messages.py
+++ b/tests/fleet/test_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carobladder.fleet import (
+    DutyNotice,
     InFlightReport,
     KeyedRecord,
     LoadReport,
@@ -13,6 +14,8 @@
     PeerStatus,
     RecordRun,
     TopicState,
+    UsageReceipt,
+    UsageReport,
     decode_datagram,
     encode_datagram,
     pack_run,
@@ -39,6 +42,28 @@
             self.assertEqual(decode_datagram(data, KEYS.get), ("a", message))
         self.assertEqual(unpack_run(answer.runs[1]), run)
 
+    def test_round_trip_of_the_messages_of_the_duties(self):
+        """Counts that are misread become a wrong report, which cannot be taken back."""
+        notice = DutyNotice((3 << 32) | 7, "front-1", 353_445_120)
+        counts = {353_445_120: {"team-a": 412, "team-b": 1}, 353_445_121: {}}
+        for message in (
+            UsageReport(2**31, 1_767_225_600_000, counts),
+            UsageReport(5, 0, {}),
+            UsageReceipt(2**31, [353_445_120], 1_767_225_600_000, notice),
+            msgspec.structs.replace(STATUS, duty=notice),
+        ):
+            data = encode_datagram(message, "a", KEYS["a"])
+            self.assertEqual(decode_datagram(data, KEYS.get), ("a", message))
+
+    def test_status_of_an_instance_without_duties_is_accepted(self):
+        """A fleet is restarted one instance after the other."""
+        payload = msgspec.msgpack.encode(STATUS)
+        fields = msgspec.msgpack.decode(payload)[:-1]
+        decoded = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(fields), type=PeerStatus
+        )
+        self.assertIsNone(decoded.duty)
+
     def test_forged_messages_are_rejected(self):
         """A forged topic state would keep a revoked key in use."""
         datagram = encode_datagram(STATUS, "a", KEYS["a"])
