Report usage by one instance at a time

The platform bills requests by team and window, and accepts one count for each window. Instances count a request when a target began to run it, send finished windows to the holder until it acknowledges them, and the holder records the sum in its topic before it reports it. The holder is known by the gossip; three candidates probe it. Nothing changes unless the settings name the API's address.

Ruled out: waiting reads of the topic by each instance, as each record would end all of them.

--- a/carobladder/duties/collection.py
+++ b/carobladder/duties/collection.py
@@ -11,8 +11,6 @@
 _EARLIEST = 0.05
 _FEW_MISSING_AT = 0.5
 _LAST_CHANCE_AT = 0.72
-# Part of the instances whose counts may be missing for a report before the last chance.
-_FEW_MISSING = 0.2
 # With fewer counts, a report would certainly be wrong.
 _MIN_PRESENT = 0.5
 _MAX_WINDOWS = 16
@@ -28,10 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageTimes:
-    """Length of a window and the time after its end in which its report is due."""
+    """Length of a window and the time after its end in which its report is due.
+
+    ``tolerance`` is the part by which reported counts may differ from the true ones. As
+    many instances may be missing for a report well before the due time.
+    """
 
     window_seconds: float
     late_seconds: float
+    tolerance: float = 0.05
 
 
 @dataclass(slots=True)
@@ -103,7 +106,7 @@
         missing = len(expected - self.find(window).list_senders())
         if before and not missing:
             return Completeness.RECORD
-        if age >= _FEW_MISSING_AT and missing <= _FEW_MISSING * len(expected):
+        if age >= _FEW_MISSING_AT and missing <= self._times.tolerance * len(expected):
             return Completeness.RECORD
         if age < _LAST_CHANCE_AT:
             return Completeness.WAIT
--- a/carobladder/duties/lease.py
+++ b/carobladder/duties/lease.py
@@ -77,6 +77,10 @@
         """Return whether the lease of the former holder is over."""
         return self._term is not None and now >= self._ready_at
 
+    def read_wait(self, now: float) -> float:
+        """Return the seconds until the lease of the former holder is over."""
+        return max(0.0, self._ready_at - now)
+
     def may_call(self, now: float, call_seconds: float) -> bool:
         """Return whether a call that takes ``call_seconds`` at most may be sent.
 
--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -6,6 +6,9 @@
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
 from carobladder.entry.draining import KEEP_ALIVE_SECONDS
+from carobladder.entry.duties import DutyKeeper
+from carobladder.entry.dutyassembly import DutySurroundings, build_duties
+from carobladder.entry.dutysharing import DutySharing
 from carobladder.entry.exchange import PeerExchange, SharedState
 from carobladder.entry.fence import FenceMonitor, build_fence_times
 from carobladder.entry.prober import TargetProber
@@ -58,6 +61,7 @@
 )
 from carobladder.platform.exchanges import PlatformCodec
 from carobladder.platform.names import (
+    DUTIES_TOPIC,
     INSTANCES_TOPIC,
     MOVE_EVIDENCE_TOPIC,
     STATUS_TOPIC,
@@ -118,6 +122,7 @@
     era_marks: EraMarkKeeper
     configuration_backup: ConfigurationBackup
     move_controller: VersionMoveController
+    duties: DutyKeeper | None
     fence: FenceMonitor
     metrics: ForwardMetrics
     server_metrics: GatewayMetrics
@@ -192,6 +197,8 @@
         self._server_metrics = GatewayMetrics(
             connection_registry=self._metrics.registry
         )
+        self._duty_sharing = DutySharing()
+        self._duties = self._build_duties()
 
     def build(self) -> InstanceParts:
         """Build all components."""
@@ -278,6 +285,7 @@
             era_marks=self._era_marks,
             configuration_backup=backup,
             move_controller=move_controller,
+            duties=self._duties,
             fence=FenceMonitor(
                 operator_follower.freshness, self._revocation_seconds, clock
             ),
@@ -311,6 +319,22 @@
             self._eras,
         )
 
+    def _build_duties(self) -> DutyKeeper | None:
+        return build_duties(
+            self._settings,
+            DutySurroundings(
+                KeyedTopic(self._store, DUTIES_TOPIC),
+                self._client,
+                self._ledger,
+                self._peers,
+                self._eras,
+                self._duty_sharing,
+                self._metrics,
+                self._clock,
+                self._generator,
+            ),
+        )
+
     def _build_share_membership(self) -> ShareMembership:
         return ShareMembership(
             self._store,
@@ -332,6 +356,7 @@
                 InFlightGossip(self._targets),
                 QuarantineSharing(self._quarantine, self._clock),
                 RateGossip(self._targets, self._clock),
+                self._duty_sharing,
             ),
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._reader_role.is_held,
@@ -363,6 +388,7 @@
             exchange.report_rate_change,
             self._targets,
             targets_freshness,
+            self._duties.count if self._duties else lambda team: None,
         )
         forwarder = Forwarder(
             sender,
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -3,13 +3,14 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import cast
 
 import msgspec
 
 from carobladder.clock import Clock
+from carobladder.entry.dutysharing import DutySharing
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineSharing
 from carobladder.eras import EraMonitor
@@ -30,6 +31,8 @@
     PeerStatus,
     RateGossip,
     TopicWriter,
+    UsageReceipt,
+    UsageReport,
     decode_datagram,
     encode_datagram,
     pack_run,
@@ -74,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SharedState:
-    """Information about targets that instances exchange."""
+    """Information about targets and duties that instances exchange."""
 
     loads: LoadGossip
     prompts: PromptDirectory
@@ -82,6 +85,7 @@
     in_flight: InFlightGossip
     quarantine: QuarantineSharing
     rates: RateGossip
+    duties: DutySharing = field(default_factory=DutySharing)
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -114,6 +118,7 @@
         self._shared = shared
         shared.prompts.set_sender(self._send_to)
         shared.quarantine.set_sender(self._spread_news)
+        shared.duties.set_sender(self._send_to)
         self._topic = topic
         self._is_reader = is_reader
         self._clock = clock
@@ -196,6 +201,7 @@
             self.report_rate_change()
         if message.in_flight is not None:
             self._handle(message.in_flight, peer)
+        self._shared.duties.take_notice(message.duty)
         self._eras.note(message.era)
         if message.question:
             self._send_answer(message, peer)
@@ -234,6 +240,10 @@
     def _(self, message: QuarantineNews, peer: Peer) -> None:
         self._shared.quarantine.take(message)
 
+    @_handle.register
+    def _(self, message: UsageReport | UsageReceipt, peer: Peer) -> None:
+        self._shared.duties.handle_message(message, peer.name)
+
     def _choose_interval(self) -> float:
         interval_seconds = self._directory.count_peers() * _INTERVAL_SECONDS_PER_PEER
         return min(_MAX_INTERVAL_SECONDS, max(_MIN_INTERVAL_SECONDS, interval_seconds))
@@ -348,7 +358,12 @@
     ) -> PeerStatus:
         ends = [follower.next_offset or 0 for follower in self._followers]
         return PeerStatus(
-            query_number, self._is_reader(), list(reports), ends, era=self._eras.era
+            query_number,
+            self._is_reader(),
+            list(reports),
+            ends,
+            era=self._eras.era,
+            duty=self._shared.duties.notice,
         )
 
     def _send_answer(self, message: PeerStatus, peer: Peer) -> None:
--- a/carobladder/entry/runtime.py
+++ b/carobladder/entry/runtime.py
@@ -113,7 +113,7 @@
             else:
                 await self._listen(early_listener)
                 await stop.wait()
-                finished = await self._drain()
+                finished = await self._end_service(group)
             for task in tasks:
                 task.cancel()
         await self.parts.share_membership.leave()
@@ -167,9 +167,21 @@
                 if operator_follower.is_proof_due:
                     await operator_follower.wait_until_proved()
 
+    async def _end_service(self, group: asyncio.TaskGroup) -> bool:
+        """Hand over the duties and drain; return whether all requests finished."""
+        duties = self.parts.duties
+        if duties is None:
+            return await self._drain()
+        group.create_task(duties.release())
+        finished = await self._drain()
+        await duties.flush()
+        return finished
+
     def _build_task_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         parts = self.parts
+        duties = [parts.duties.run()] if parts.duties is not None else []
         return [
+            *duties,
             parts.operator_follower.run(),
             parts.targets_follower.run(),
             parts.instances_follower.run(),
--- a/carobladder/fleet/records.py
+++ b/carobladder/fleet/records.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 __all__ = [
+    "ConditionalAppend",
     "GroupAssignment",
     "GroupStore",
     "KeyedPage",
@@ -40,6 +41,17 @@
     era: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ConditionalAppend:
+    """Outcome of an append to a topic on the condition that it ends at an offset.
+
+    ``era`` is that of the store, None if it has no eras.
+    """
+
+    accepted: bool
+    era: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class RecordRun:
     """All records of a keyed topic from ``first`` to before ``next_offset``.
--- a/carobladder/forwarding/attempts.py
+++ b/carobladder/forwarding/attempts.py
@@ -1,5 +1,6 @@
 """Open responses and their effect on the recorded health of a target."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from http import HTTPStatus
@@ -19,6 +20,10 @@
 _SOUND_SECONDS = 1.0
 
 
+# Statuses that state that the request has not run and never will.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class AnswerProgress(StrEnum):
     """How much of the answer to an attempt has come from the target."""
 
@@ -31,6 +36,8 @@
 class OpenCall:
     """Response of one attempt, whose body may still be arriving.
 
+    ``on_begun`` is called once the target is known to have begun to run the request: at
+    the first byte of the answer to a plain call, or at the first event of a stream.
     ``sent_at`` and ``last_byte_at``, the time of the last byte that was noted, are in
     monotonic seconds.
     """
@@ -41,6 +48,7 @@
     sent_at: float
     clock: Clock
     outcome: SendOutcome
+    on_begun: Callable[[], None] = lambda: None
     first_byte_seconds: float | None = None
     _is_open: bool = field(default=True)
     last_byte_at: float = field(default=0.0)
@@ -51,6 +59,8 @@
         """Record the time that the target took to send its first byte."""
         now = self.clock.monotonic()
         self.last_byte_at = now
+        if self.first_byte_seconds is None and self._has_begun():
+            self.on_begun()
         self.first_byte_seconds = now - self.sent_at
         self.target.health.note_first_byte(self.first_byte_seconds, now)
         if not self.facts.not_run:
@@ -99,6 +109,16 @@
         elif self.first_byte_seconds is None:
             self.outcome.note_silence(seconds)
 
+    def _has_begun(self) -> bool:
+        """Return whether the answer shows that its target ran the request.
+
+        An answer of a streaming route that is no stream has no event.
+        """
+        if self.facts.not_run or self.answer.status in _NOT_RUN_STATUSES:
+            return False
+        is_streaming = self.outcome.route.is_streaming
+        return not is_streaming or self.answer.status == HTTPStatus.OK
+
     def _is_server_error(self) -> bool:
         return self.answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
 
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -103,7 +103,8 @@
     and with the time at which that request was sent. ``report_sent`` is called when a
     request has been counted at its target, and ``report_rate_change`` when a target has
     begun or ended to limit its rate. ``targets_freshness`` is that of the
-    registered ``targets``.
+    registered ``targets``. ``note_begun`` is called with the team of a request that a
+    target has begun to run.
     """
 
     client: HttpClient
@@ -118,6 +119,7 @@
     report_rate_change: Callable[[], None]
     targets: TargetTable
     targets_freshness: Freshness
+    note_begun: Callable[[str], None] = lambda team: None
 
     async def send(
         self,
@@ -190,7 +192,15 @@
         if outcome.is_suspect and not facts.not_run:
             trust_target(target)
         self._apply_facts(call, target, facts, expected_load)
-        return OpenCall(answer, target, facts, sent_at, self.clock, outcome)
+        return OpenCall(
+            answer,
+            target,
+            facts,
+            sent_at,
+            self.clock,
+            outcome,
+            lambda: self.note_begun(call.team),
+        )
 
     def compute_silence_timeout(
         self, call: ForwardedCall, target: FleetTarget
--- a/carobladder/platform/names.py
+++ b/carobladder/platform/names.py
@@ -5,9 +5,12 @@
     "COLD_TIME_HEADER",
     "CONFIGURATION_KEY",
     "DEADLINE_HEADER",
+    "DUTIES_TOPIC",
+    "DUTY_HOLDER_HEADER",
     "END_TO_END_HEADERS",
     "EVACUATION_KEY_PREFIX",
     "EXPECTED_TARGET_HEADER",
+    "FENCING_TOKEN_HEADER",
     "INSTANCES_TOPIC",
     "LEAVING_HEADER",
     "LOAD_HEADER",
@@ -33,9 +36,11 @@
 TARGETS_TOPIC = "keyed.servers"
 STATUS_TOPIC = "keyed.status"
 # Topics that only the fleet uses: the observations of each instance about the versions
-# in a move, and the address at which its peers reach each instance.
+# in a move, the address at which its peers reach each instance, and the holder of the
+# duties with its records.
 MOVE_EVIDENCE_TOPIC = "keyed.evidence"
 INSTANCES_TOPIC = "keyed.instances"
+DUTIES_TOPIC = "keyed.duties"
 CONFIGURATION_KEY = "config"
 EVACUATION_KEY_PREFIX = "evacuate/"
 ROLLOUT_KEY_PREFIX = "rollout/"
@@ -56,6 +61,8 @@
 LEAVING_HEADER = "server-leaving"
 RATE_LIMIT_HEADER = "server-limit"
 RETRY_AFTER_HEADER = "retry-after"
+DUTY_HOLDER_HEADER = "carobladder-duty-holder"
+FENCING_TOKEN_HEADER = "carobladder-fencing-token"
 
 # Only the fleet sets these headers; they are removed from callers' requests.
 RESERVED_HEADERS = frozenset(
--- a/carobladder/platform/store.py
+++ b/carobladder/platform/store.py
@@ -17,7 +17,12 @@
     LogUnavailableError,
     OffsetDroppedError,
 )
-from carobladder.fleet.records import GroupAssignment, KeyedPage, KeyedRecord
+from carobladder.fleet.records import (
+    ConditionalAppend,
+    GroupAssignment,
+    KeyedPage,
+    KeyedRecord,
+)
 from carobladder.platform.frames import (
     LogPage,
     decode_keyed,
@@ -140,14 +145,32 @@
         Return None, without appending, if the partition does not end at
         ``expected_end``.
         """
+        answer = await self._post_records(topic, records, part, expected_end)
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
+            return None
+        return _decode_json(answer.body, _AppendAnswer).offset
+
+    async def append_at(
+        self, topic: str, records: list[bytes], expected_end: int
+    ) -> ConditionalAppend:
+        """Append if the topic ends as expected; return the outcome with the era."""
+        answer = await self._post_records(
+            topic, records, _SINGLE_PARTITION, expected_end
+        )
+        accepted = answer.status != HTTPStatus.PRECONDITION_FAILED
+        return ConditionalAppend(accepted, _read_era(answer))
+
+    async def _post_records(
+        self, topic: str, records: list[bytes], part: int, expected_end: int | None
+    ) -> HttpAnswer:
+        """Return the answer to an append, which is 200 or 412."""
         query: dict[str, str | int] = {"topic": topic, "part": part}
         if expected_end is not None:
             query["at"] = expected_end
         answer = await self._call("POST", _APPEND_PATH, query, frame_records(records))
-        if answer.status == HTTPStatus.PRECONDITION_FAILED:
-            return None
-        _raise_unless_ok(answer)
-        return _decode_json(answer.body, _AppendAnswer).offset
+        if answer.status != HTTPStatus.PRECONDITION_FAILED:
+            _raise_unless_ok(answer)
+        return answer
 
     async def join_group(
         self,
@@ -291,6 +314,13 @@
         )
         return first is not None
 
+    async def append_at(
+        self, expected_end: int, records: Iterable[tuple[str, bytes]]
+    ) -> ConditionalAppend:
+        """Append all records or none; return the outcome and the era of the store."""
+        encoded = [encode_keyed(key, value) for key, value in records]
+        return await self._store.append_at(self._topic, encoded, expected_end)
+
     async def read_newest(self) -> KeyedPage:
         """Return the newest record of each key and the offset to continue from.
 
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -41,6 +41,11 @@
     number of requests, plus ``retry_slack``. A faulty version may receive
     at most the fraction ``exposure_share`` of the requests of its service, plus
     ``exposure_slack``.
+
+    ``api_address`` is that of the platform's API, None if this fleet has no duties
+    there. ``first_duty`` and ``second_duty`` name the duties; without either, all are
+    performed. The counts of a window of ``usage_window_seconds`` are due
+    ``usage_late_seconds`` after its end, and may be wrong by ``usage_tolerance``.
     """
 
     instance: Name
@@ -62,6 +67,14 @@
     load_multiple: Annotated[float, msgspec.Meta(gt=1)] = 2.0
     exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
     exposure_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    api_address: Address | None = None
+    api_calls_per_second: Annotated[float, msgspec.Meta(gt=0)] = 50.0
+    first_duty: str = ""
+    second_duty: str = ""
+    duty_lease_ms: Annotated[float, msgspec.Meta(ge=500)] = 3000.0
+    usage_window_seconds: Annotated[float, msgspec.Meta(gt=0)] = 5.0
+    usage_late_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    usage_tolerance: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
     log_level: LogLevel = "info"
 
 
--- a/checks/boundary.py
+++ b/checks/boundary.py
@@ -17,7 +17,7 @@
 
 _HEADERS = re.compile(
     r"carobladder-(?:request|response|deadline|expect|server|prompt|token|not|cold|"
-    r"instance|tenant|model|hold|pin|kv)|x-api-key|kv-from|kv-fetch",
+    r"instance|tenant|model|hold|pin|kv|duty|fencing)|x-api-key|kv-from|kv-fetch",
     re.IGNORECASE,
 )
 _PATHS = re.compile(r"/-/|keyed\.")
