--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -1,6 +1,7 @@
 """Construction of the components of a platform instance from its settings."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from carobladder.clients.http import HttpClient
@@ -14,6 +15,7 @@
 from carobladder.entry.prober import TargetProber
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
+from carobladder.entry.scaling import ScalingSources
 from carobladder.entry.shares import ShareMembership, count_share_partitions
 from carobladder.entry.versions import VersionMoveController
 from carobladder.eras import (
@@ -68,7 +70,7 @@
 )
 from carobladder.platform.store import KeyedTopic, PlatformStore
 from carobladder.quarantine import PartQuarantine
-from carobladder.routing import CallerLimits
+from carobladder.routing import CallerLimits, Service
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import ForwardMetrics, GatewayMetrics
 from carobladder.topics import (
@@ -198,6 +200,7 @@
             connection_registry=self._metrics.registry
         )
         self._duty_sharing = DutySharing()
+        self._control_state: ControlState | None = None
         self._duties = self._build_duties()
 
     def build(self) -> InstanceParts:
@@ -215,7 +218,7 @@
             self._generator,
         )
         move_controller = self._build_move_controller()
-        control_state = ControlState(
+        self._control_state = control_state = ControlState(
             clock,
             self._targets,
             self._forget_target,
@@ -332,9 +335,20 @@
                 self._metrics,
                 self._clock,
                 self._generator,
+                ScalingSources(
+                    self._targets, self._list_services, self._is_version_moving
+                ),
             ),
         )
 
+    def _list_services(self) -> Sequence[Service]:
+        table = self._control_state.table if self._control_state else None
+        return table.configuration.services if table else ()
+
+    def _is_version_moving(self, service: str) -> bool:
+        move = self._moves.services.get(service)
+        return move is not None and move.active
+
     def _build_share_membership(self) -> ShareMembership:
         return ShareMembership(
             self._store,
--- a/carobladder/entry/dutyassembly.py
+++ b/carobladder/entry/dutyassembly.py
@@ -20,6 +20,7 @@
 )
 from carobladder.entry.dutysharing import DutySharing
 from carobladder.entry.dutyterm import CallTimes, DutyTerm, DutyTopic, TermParts
+from carobladder.entry.scaling import ScalingSources, TargetScaler
 from carobladder.entry.usage import UsageReporter
 from carobladder.eras import EraMonitor
 from carobladder.fleet import PeerDirectory, ShareLedger
@@ -27,9 +28,10 @@
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import DutyMetrics, ForwardMetrics
 
-__all__ = ["USAGE_DUTY", "DutySurroundings", "build_duties", "is_duty_set"]
+__all__ = ["DutySurroundings", "build_duties"]
 
-USAGE_DUTY = "usage_report"
+_USAGE_DUTY = "usage_report"
+_SCALING_DUTY = "autoscale"
 _MS_PER_SECOND = 1000.0
 _RUN_BITS = 32
 # Longest time of a call, as a part of the lease: time is left for a second one.
@@ -50,9 +52,10 @@
     metrics: ForwardMetrics
     clock: Clock
     generator: random.Random
+    scaling: ScalingSources
 
 
-def is_duty_set(settings: EntrySettings, duty: str) -> bool:
+def _is_duty_set(settings: EntrySettings, duty: str) -> bool:
     """Return whether this fleet performs a duty."""
     named = {settings.first_duty, settings.second_duty} - {""}
     return settings.api_address is not None and (not named or duty in named)
@@ -89,8 +92,10 @@
     )
     # Half of the rate that the platform accepts, as a former holder may still send.
     calls = CallTimes(call_seconds, 2.0 / settings.api_calls_per_second)
+    term = DutyTerm(term_parts, settings.instance, calls, clock)
+    api = CloudApi(surroundings.client, settings.api_address, call_seconds)
     parts = DutyParts(
-        term=DutyTerm(term_parts, settings.instance, calls, clock),
+        term=term,
         time=time,
         counter=counter,
         collection=UsageCollection(times),
@@ -98,7 +103,7 @@
             counter, time, sharing, settings.instance, run, clock, generator
         ),
         sharing=sharing,
-        api=CloudApi(surroundings.client, settings.api_address, call_seconds),
+        api=api,
         peers=surroundings.peers,
         metrics=metrics,
     )
@@ -108,8 +113,11 @@
         run,
         times,
         clock,
-        reports_usage=is_duty_set(settings, USAGE_DUTY),
+        reports_usage=_is_duty_set(settings, _USAGE_DUTY),
     )
+    if _is_duty_set(settings, _SCALING_DUTY):
+        scaler = TargetScaler(term, api, surroundings.scaling, clock)
+        keeper.extra_duty = scaler.run_due
     surroundings.metrics.add_gauge(
         "duty_token",
         "Fencing token of this instance as the holder of the duties, or 0",
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -218,6 +218,11 @@
         else:
             self._emptied.discard(data_centre)
 
+    @property
+    def emptied(self) -> frozenset[str]:
+        """Data centres whose targets get no requests."""
+        return frozenset(self._emptied)
+
     def accepts(self, target: FleetTarget, now: float) -> bool:
         """Return whether a target that was chosen earlier may still get a request."""
         return (
--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -27,6 +27,7 @@
     Route,
     RouteKind,
     Service,
+    ServiceScaling,
     ServiceWeight,
     TeamKeys,
 )
@@ -81,12 +82,19 @@
     kv_capacity: int = 0
 
 
+class _Scaling(_Document):
+    min_replicas: Annotated[int, msgspec.Meta(ge=0)]
+    max_replicas: Annotated[int, msgspec.Meta(ge=0)]
+    boot_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
 class _Service(_Document):
     name: NonEmptyText
     health_path: str = "/"
     max_connections: int = 0
     cold_per_s: float | None = None
     engine: _Engine | None = None
+    scaling: _Scaling | None = None
 
 
 class _Tenant(_Document):
@@ -261,4 +269,10 @@
         cold_per_second=service.cold_per_s,
         batch_slots=engine.slots,
         kv_cache_tokens=engine.kv_capacity,
+        scaling=_build_scaling(service.scaling) if service.scaling else None,
     )
+
+
+def _build_scaling(scaling: _Scaling) -> ServiceScaling:
+    low, high = scaling.min_replicas, scaling.max_replicas
+    return ServiceScaling(low, max(low, high), scaling.boot_s)
--- a/carobladder/routing/configuration.py
+++ b/carobladder/routing/configuration.py
@@ -9,6 +9,7 @@
     "Route",
     "RouteKind",
     "Service",
+    "ServiceScaling",
     "ServiceWeight",
     "TeamKeys",
 ]
@@ -63,6 +64,15 @@
         return self.kind is RouteKind.SAFE or (self.is_streaming and self.resumable)
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceScaling:
+    """Limits on the number of targets in each data centre, and their time to boot."""
+
+    min_count: int
+    max_count: int
+    boot_seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """Properties of the targets of a service.
@@ -71,6 +81,7 @@
     is not limited.
     ``batch_slots`` is the number of requests that an engine runs at once, or 0.
     ``kv_cache_tokens`` is the capacity of an engine's KV cache in tokens, or 0.
+    ``scaling`` is None if the number of targets is not the fleet's to choose.
     """
 
     name: str
@@ -79,6 +90,7 @@
     cold_per_second: float | None = None
     batch_slots: int = 0
     kv_cache_tokens: int = 0
+    scaling: ServiceScaling | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/entry/test_duties.py
+++ b/tests/entry/test_duties.py
@@ -73,7 +73,14 @@
         self.client = HttpClient(self.clock)
         self.addCleanup(self.client.close)
         tenants = [{"name": "t", "apiKeys": [KEY]}]
-        document = {**CONFIGURATION, "routes": [SAFE_ROUTE], "tenants": tenants}
+        scaling = {"minReplicas": 2, "maxReplicas": 5, "bootS": 0.2}
+        services = [{**CONFIGURATION["services"][0], "scaling": scaling}]
+        document = {
+            **CONFIGURATION,
+            "routes": [SAFE_ROUTE],
+            "tenants": tenants,
+            "services": services,
+        }
         self.state.put_document(OPERATOR_TOPIC, "config", {**document, "version": 1})
         entry = {**SERVER, "service": "x", "address": self.target.address}
         self.state.put_document(SERVERS_TOPIC, "i-0", {**entry, "coldRemainingMs": 0})
@@ -145,7 +152,7 @@
     def count_reported(self) -> int:
         return sum(sum(counts.values()) for counts in self.cloud.usage.values())
 
-    async def test_usage_is_reported_also_when_the_holder_stops(self):
+    async def test_duties_are_performed_also_when_the_holder_stops(self):
         await self.wait_for(lambda: self.cloud.usage)
         sent = 0
         for index in (0, 1, 0, 1, 1):
@@ -162,6 +169,8 @@
         self.assertEqual(await self.call(other), 200)
         sent += 1
         await self.wait_for(lambda: self.count_reported() == sent)
+        await self.wait_for(lambda: self.cloud.desired)
+        self.assertEqual(self.cloud.desired, {("x", "dc-1"): 2})
         self.assertEqual({c.holder for c in self.cloud.calls}, {"front-0", "front-1"})
         windows = sorted(self.cloud.usage)
         self.assertEqual(windows, list(range(windows[0], windows[-1] + 1)))
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -18,7 +18,7 @@
     decode_target_entry,
     encode_move_status,
 )
-from carobladder.routing import RouteKind, ServiceWeight
+from carobladder.routing import RouteKind, ServiceScaling, ServiceWeight
 
 SERVER = {
     "service": "engine",
@@ -187,6 +187,14 @@
         self.assertEqual((team.name, team.keys, team.priority), ("t", ("k1", "k2"), 1))
         self.assertEqual(configuration.limits.idle_seconds, 15.0)
 
+    def test_scaling_of_a_service_is_decoded(self):
+        (before,) = CONFIGURATION["services"]
+        scaling = {"minReplicas": 20, "maxReplicas": 47, "bootS": 8.0}
+        services = [{**before, "scaling": scaling}, before, {**before, "scaling": None}]
+        decoded = self.decode_configuration(services=services).services
+        limits = ServiceScaling(20, 47, 8.0)
+        self.assertEqual([s.scaling for s in decoded], [limits, None, None])
+
     def test_empty_list_of_tenants_is_not_an_absent_one(self):
         absent = {key: value for key, value in CONFIGURATION.items()}
         del absent["tenants"]
