--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -1,16 +1,21 @@
 """Construction of the components of a platform instance from its settings."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
 from carobladder.entry.draining import KEEP_ALIVE_SECONDS
+from carobladder.entry.duties import DutyKeeper
+from carobladder.entry.dutyassembly import DutySurroundings, build_duties
+from carobladder.entry.dutysharing import DutySharing
 from carobladder.entry.exchange import PeerExchange, SharedState
 from carobladder.entry.fence import FenceMonitor, build_fence_times
 from carobladder.entry.prober import TargetProber
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineKeeper, QuarantineSharing
+from carobladder.entry.scaling import ScalingSources
 from carobladder.entry.shares import ShareMembership, count_share_partitions
 from carobladder.entry.versions import VersionMoveController
 from carobladder.eras import (
@@ -61,13 +66,14 @@
 )
 from carobladder.platform.exchanges import PlatformCodec
 from carobladder.platform.names import (
+    DUTIES_TOPIC,
     INSTANCES_TOPIC,
     MOVE_EVIDENCE_TOPIC,
     STATUS_TOPIC,
 )
 from carobladder.platform.store import KeyedTopic, PlatformStore
 from carobladder.quarantine import PartQuarantine
-from carobladder.routing import CallerLimits
+from carobladder.routing import CallerLimits, Service
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import ForwardMetrics, GatewayMetrics
 from carobladder.topics import (
@@ -122,6 +128,7 @@
     era_marks: EraMarkKeeper
     configuration_backup: ConfigurationBackup
     move_controller: VersionMoveController
+    duties: DutyKeeper | None
     fence: FenceMonitor
     metrics: ForwardMetrics
     server_metrics: GatewayMetrics
@@ -197,6 +204,9 @@
         self._server_metrics = GatewayMetrics(
             connection_registry=self._metrics.registry
         )
+        self._duty_sharing = DutySharing()
+        self._control_state: ControlState | None = None
+        self._duties = self._build_duties()
 
     def build(self) -> InstanceParts:
         """Build all components."""
@@ -217,7 +227,7 @@
             self._generator,
         )
         move_controller = self._build_move_controller()
-        control_state = ControlState(
+        self._control_state = control_state = ControlState(
             clock,
             self._targets,
             self._forget_target,
@@ -302,6 +312,7 @@
             era_marks=self._era_marks,
             configuration_backup=backup,
             move_controller=move_controller,
+            duties=self._duties,
             fence=FenceMonitor(
                 operator_follower.freshness, self._revocation_seconds, clock
             ),
@@ -335,6 +346,33 @@
             self._eras,
         )
 
+    def _build_duties(self) -> DutyKeeper | None:
+        return build_duties(
+            self._settings,
+            DutySurroundings(
+                KeyedTopic(self._store, DUTIES_TOPIC),
+                self._client,
+                self._ledger,
+                self._peers,
+                self._eras,
+                self._duty_sharing,
+                self._metrics,
+                self._clock,
+                self._generator,
+                ScalingSources(
+                    self._targets, self._list_services, self._is_version_moving
+                ),
+            ),
+        )
+
+    def _list_services(self) -> Sequence[Service]:
+        table = self._control_state.table if self._control_state else None
+        return table.configuration.services if table else ()
+
+    def _is_version_moving(self, service: str) -> bool:
+        move = self._moves.services.get(service)
+        return move is not None and move.active
+
     def _build_share_membership(self) -> ShareMembership:
         return ShareMembership(
             self._store,
@@ -356,6 +394,7 @@
                 InFlightGossip(self._targets),
                 QuarantineSharing(self._quarantine, self._clock),
                 RateGossip(self._targets, self._clock),
+                self._duty_sharing,
             ),
             KeyedTopic(self._store, INSTANCES_TOPIC),
             self._reader_role.is_held,
@@ -389,6 +428,7 @@
             exchange.report_rate_change,
             self._targets,
             targets_freshness,
+            self._duties.count if self._duties else lambda team: None,
         )
         forwarder = Forwarder(
             sender,
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -43,6 +43,11 @@
     ``exposure_slack``. ``hedge_share`` is the part of the requests of a service that
     may also be sent to a second target when their answers are late, within half of the
     retries; 0 sends none.
+
+    ``api_address`` is that of the platform's API, None if this fleet has no duties
+    there. ``first_duty`` and ``second_duty`` name the duties; without either, all are
+    performed. The counts of a window of ``usage_window_seconds`` are due
+    ``usage_late_seconds`` after its end, and may be wrong by ``usage_tolerance``.
     """
 
     instance: Name
@@ -65,6 +70,14 @@
     exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
     exposure_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     hedge_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    api_address: Address | None = None
+    api_calls_per_second: Annotated[float, msgspec.Meta(gt=0)] = 50.0
+    first_duty: str = ""
+    second_duty: str = ""
+    duty_lease_ms: Annotated[float, msgspec.Meta(ge=500)] = 3000.0
+    usage_window_seconds: Annotated[float, msgspec.Meta(gt=0)] = 5.0
+    usage_late_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    usage_tolerance: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.05
     log_level: LogLevel = "info"
 
 
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -141,8 +141,9 @@
 class Instance:
     """Instance that forwards requests to targets at the given addresses.
 
-    ``reported_silent`` lists the targets that were reported as silent. ``hedge_share``
-    is the part of the requests of which copies may be sent.
+    ``reported_silent`` lists the targets that were reported as silent, and ``begun``
+    the teams of the requests that targets began to run. ``hedge_share`` is the part of
+    the requests of which copies may be sent.
     """
 
     def __init__(
@@ -164,6 +165,7 @@
         for index, address in enumerate(addresses):
             self.targets.apply(build_target(f"i-{index}", address), 0.0)
         self.reported_silent: list[FleetTarget] = []
+        self.begun: list[str] = []
         self.freshness = Freshness()
         self.freshness.note_read(self.clock.boottime())
         self.metrics = ForwardMetrics()
@@ -192,6 +194,7 @@
             lambda: None,
             self.targets,
             self.freshness,
+            self.begun.append,
         )
         self.selector = TargetSelector(
             self.targets,
