Order waiting requests of both programs by one queue

Cause: the platform's program ordered requests that wait for a rate limit by priority and arrival alone (forwarding/ratequeue.py), beside the fair queue of carobladder serve. Ruled out: one order for both; serve puts team shares before classes, while the platform's operators configure priorities that hold for all teams. The package no longer imports all of its modules, as both programs use it.

--- a/benchmarks/slopes_peers.py
+++ b/benchmarks/slopes_peers.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 
 from benchmarks.capacity_size import SIZE
-from carobladder.limits import Demand, TargetDeclaration, TargetLoadReport
+from carobladder.limits.admission import Demand
+from carobladder.limits.declarations import TargetDeclaration, TargetLoadReport
 from carobladder.membership import ListedInstance, OwnerMap
 from carobladder.peers import (
     AllowanceItem,
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -28,10 +28,10 @@
 from carobladder.forwarding.choices import TargetChoice
 from carobladder.forwarding.crashwatch import CrashWatch
 from carobladder.forwarding.partguard import PartGuard
-from carobladder.forwarding.ratequeue import RateQueue
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.forwarding.waits import RateWaitTooLongError, TargetWait
 from carobladder.headers import Headers
+from carobladder.limits.lines import WaitingLines
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import (
     AnswerGivenUp,
@@ -68,7 +68,7 @@
     find_budget: Callable[[str], RetryBudget]
     metrics: ForwardMetrics
     crashes: CrashWatch
-    rate_queue: RateQueue = field(default_factory=RateQueue)
+    lines: WaitingLines = field(default_factory=WaitingLines)
 
     def start(self, call: ForwardedCall) -> "CallSession":
         """Return the session of a new call without sending anything yet."""
@@ -94,9 +94,7 @@
         self._relayed_from: FleetTarget | None = None
         self._opened: OpenCall | None = None
         self._choice = TargetChoice(forwarder.selector, call, forwarder.clock)
-        self._wait = TargetWait(
-            call, self._choice, forwarder.rate_queue, forwarder.clock
-        )
+        self._wait = TargetWait(call, self._choice, forwarder.lines, forwarder.clock)
         # Whether another target can go on with what the caller has of the stream.
         self._is_resumable = False
         # Whether the retry that leaves a silent target has been withdrawn.
--- a/carobladder/forwarding/waits.py
+++ b/carobladder/forwarding/waits.py
@@ -2,8 +2,8 @@
 
 from carobladder.clock import Clock
 from carobladder.forwarding.choices import TargetChoice
-from carobladder.forwarding.ratequeue import RateQueue
 from carobladder.forwarding.sends import ForwardedCall
+from carobladder.limits.lines import WaitingLines
 from carobladder.telemetry import RequestDelayed, emit
 
 __all__ = ["RateWaitTooLongError", "TargetWait"]
@@ -32,12 +32,12 @@
         self,
         call: ForwardedCall,
         choice: TargetChoice,
-        queue: RateQueue,
+        lines: WaitingLines,
         clock: Clock,
     ) -> None:
         self._call = call
         self._choice = choice
-        self._queue = queue
+        self._lines = lines
         self._clock = clock
 
     async def wait_for_load(self) -> None:
@@ -52,16 +52,18 @@
     async def wait_for_rate(self) -> None:
         """Wait shortly while the rate limits of all targets admit no request.
 
-        Requests of higher priority go first. Raises RateWaitTooLongError at once if the
+        ``WaitingLines`` gives the order. Raises RateWaitTooLongError at once if the
         wait would be too long.
         """
-        queue, service = self._queue, self._call.service.name
-        if self._choice.find_rate_wait(0) == 0.0 and not queue.has_waiting(service):
+        call, lines, service = self._call, self._lines, self._call.service.name
+        if self._choice.find_rate_wait(0) == 0.0 and not lines.has_waiting(service):
             return
         start, end = self._find_times()
-        with queue.join(service, self._call.priority) as request:
+        with lines.join(
+            service, call.priority, call.team, call.deadline, start
+        ) as request:
             while True:
-                before = queue.count_before(service, request)
+                before = lines.count_before(service, request, self._clock.monotonic())
                 wait = self._choice.find_rate_wait(before)
                 if wait == 0.0:
                     break
--- a/carobladder/gateway/ports.py
+++ b/carobladder/gateway/ports.py
@@ -6,7 +6,12 @@
 
 from carobladder.exceptions import CallerError
 from carobladder.headers import Headers
-from carobladder.targets import RequestClass, TargetState
+from carobladder.targets import (
+    CLASS_PRIORITY,
+    CLASS_WEIGHT,
+    RequestClass,
+    TargetState,
+)
 
 __all__ = [
     "Admission",
@@ -99,6 +104,16 @@
     near_count: int = 1
     near_seconds: float = 0.0
 
+    @property
+    def priority(self) -> int:
+        """Priority of the request's class; smaller numbers are served first."""
+        return CLASS_PRIORITY[self.request_class]
+
+    @property
+    def weight(self) -> int:
+        """Slots that the request needs."""
+        return CLASS_WEIGHT[self.request_class]
+
 
 class Permit(Protocol):
     """Slots of one target, reserved until they are released."""
--- a/carobladder/instance/assembly.py
+++ b/carobladder/instance/assembly.py
@@ -26,7 +26,9 @@
 from carobladder.instance.movetargets import TargetReader
 from carobladder.instance.placement import FleetPlacement
 from carobladder.instance.snapshots import SnapshotExchange
-from carobladder.limits import AdmissionController, Demand, FairQueue, RefusalPolicy
+from carobladder.limits.admission import AdmissionController, Demand
+from carobladder.limits.queues import FairQueue
+from carobladder.limits.refusals import RefusalPolicy
 from carobladder.peers import (
     Coordinator,
     Exchange,
--- a/carobladder/instance/declarations.py
+++ b/carobladder/instance/declarations.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from carobladder.limits import TargetDeclaration
+from carobladder.limits.declarations import TargetDeclaration
 from carobladder.resources import Catalog, ConfiguredDirectory, TargetSpec
 
 __all__ = ["declare_targets"]
--- a/carobladder/limits/admission.py
+++ b/carobladder/limits/admission.py
@@ -75,7 +75,7 @@
         *,
         clock: Clock,
         book: AllowanceBook,
-        queue: FairQueue,
+        queue: FairQueue[SlotRequest],
         refusals: RefusalPolicy,
         find_target: Callable[[str], TargetState | None],
         ask: Callable[[Iterable[str]], None],
@@ -88,7 +88,9 @@
         self._find_target = find_target
         self._ask = ask
         self._load_multiple = load_multiple
-        self._futures: dict[QueuedRequest, asyncio.Future[AdmissionPermit]] = {}
+        self._futures: dict[
+            QueuedRequest[SlotRequest], asyncio.Future[AdmissionPermit]
+        ] = {}
         self._wake = asyncio.Event()
         self.admitted = 0
         self.queued = 0
@@ -144,7 +146,9 @@
             elif not self._queue.is_above_share(queued_request.request):
                 reserved.update(self._reserve(queued_request, now, reserved))
 
-    def _grant(self, queued_request: QueuedRequest, permit: AdmissionPermit) -> None:
+    def _grant(
+        self, queued_request: QueuedRequest[SlotRequest], permit: AdmissionPermit
+    ) -> None:
         future = self._futures.pop(queued_request)
         if future.done():
             permit.release()
@@ -160,7 +164,7 @@
                 )
 
     def _reserve(
-        self, queued_request: QueuedRequest, now: float, reserved: set[str]
+        self, queued_request: QueuedRequest[SlotRequest], now: float, reserved: set[str]
     ) -> tuple[str, ...]:
         """Return the target to reserve for a request: the one with the most free slots.
 
@@ -210,7 +214,9 @@
         if allowance is not None and allowance.contended:
             self._ask((permit.target_id,))
 
-    async def _wait(self, queued_request: QueuedRequest, now: float) -> AdmissionPermit:
+    async def _wait(
+        self, queued_request: QueuedRequest[SlotRequest], now: float
+    ) -> AdmissionPermit:
         self._ensure_queue_space(queued_request.request, now)
         future = asyncio.get_running_loop().create_future()
         self._queue.push(queued_request)
@@ -228,7 +234,9 @@
             raise
 
     def _abandon(
-        self, queued_request: QueuedRequest, future: "asyncio.Future[AdmissionPermit]"
+        self,
+        queued_request: QueuedRequest[SlotRequest],
+        future: "asyncio.Future[AdmissionPermit]",
     ) -> None:
         if queued_request in self._futures:
             del self._futures[queued_request]
@@ -246,7 +254,7 @@
             raise self._refusals.build_refusal("the queue is full", wait)
         self._fail(displaced, "the queue is full")
 
-    def _fail(self, queued_request: QueuedRequest, message: str) -> None:
+    def _fail(self, queued_request: QueuedRequest[SlotRequest], message: str) -> None:
         self._queue.remove(queued_request)
         future = self._futures.pop(queued_request)
         self.refused += 1
@@ -273,7 +281,10 @@
         return target is not None and not target.leaving
 
     def _try_targets(
-        self, queued_request: QueuedRequest, now: float, reserved: Container[str] = ()
+        self,
+        queued_request: QueuedRequest[SlotRequest],
+        now: float,
+        reserved: Container[str] = (),
     ) -> AdmissionPermit | None:
         for target_id in self._list_candidates(queued_request, now):
             target = self._find_target(target_id)
@@ -287,7 +298,7 @@
         return None
 
     def _list_candidates(
-        self, queued_request: QueuedRequest, now: float
+        self, queued_request: QueuedRequest[SlotRequest], now: float
     ) -> tuple[str, ...]:
         """Return the targets that the request may use now, best first.
 
@@ -304,7 +315,9 @@
                 return near
         return ranked
 
-    def _waits_for_first(self, queued_request: QueuedRequest, now: float) -> bool:
+    def _waits_for_first(
+        self, queued_request: QueuedRequest[SlotRequest], now: float
+    ) -> bool:
         ranked = queued_request.request.ranked
         if not ranked or not self._could_serve(ranked[0], now):
             return False
@@ -329,7 +342,7 @@
         return allowance is None or allowance.ready
 
     def _list_targets_to_ask(
-        self, queued_request: QueuedRequest, now: float
+        self, queued_request: QueuedRequest[SlotRequest], now: float
     ) -> tuple[str, ...]:
         """Return the targets to request slots of: one, then twice as many each step.
 
--- a/carobladder/limits/queues.py
+++ b/carobladder/limits/queues.py
@@ -1,14 +1,22 @@
-"""Queue of waiting requests: class priority with fairness between teams."""
+"""Queue of waiting requests: priority with fairness between teams."""
 
 import itertools
+from bisect import insort
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import Generic, Protocol, TypeVar
 
-from carobladder.gateway.ports import SlotRequest
-from carobladder.targets import CLASS_PRIORITY, CLASS_WEIGHT, RequestClass
+from carobladder.gateway.ports import Team
 
-__all__ = ["FairQueue", "QueuedRequest"]
+__all__ = [
+    "PRIORITY_FIRST",
+    "SHARES_FIRST",
+    "FairQueue",
+    "QueueOrder",
+    "QueueableRequest",
+    "QueuedRequest",
+]
 
 RATE_WINDOW_SECONDS = 10.0
 # A request that has waited for this long goes first if its team is within its share.
@@ -19,17 +27,72 @@
 _arrivals = itertools.count()
 
 
+class QueueableRequest(Protocol):
+    """Properties of a request that its place in the order depends on.
+
+    ``pool`` names the targets that it may use, ``weight`` is the number of slots that
+    it needs, and ``deadline`` is in monotonic seconds. A lower priority goes first.
+    """
+
+    @property
+    def team(self) -> Team:
+        """Team of the caller."""
+
+    @property
+    def pool(self) -> str:
+        """Targets that the request may use."""
+
+    @property
+    def priority(self) -> int:
+        """Priority; smaller numbers are served first."""
+
+    @property
+    def weight(self) -> int:
+        """Slots that the request needs."""
+
+    @property
+    def deadline(self) -> float:
+        """Time by which the request must be answered."""
+
+
+R = TypeVar("R", bound=QueueableRequest)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueOrder:
+    """Order of service.
+
+    With ``shares_first``, teams within their share of the pool go before all others
+    whatever their priority. ``aged_seconds`` is the wait after which a request of such
+    a team goes first. With ``by_deadline``, the requests of a team go by their
+    deadlines instead of by their arrival.
+    """
+
+    shares_first: bool
+    aged_seconds: float
+    by_deadline: bool
+
+
+SHARES_FIRST = QueueOrder(
+    shares_first=True, aged_seconds=AGED_SECONDS, by_deadline=False
+)
+# Priorities that operators configure hold for all teams. Waits are too short for ages.
+PRIORITY_FIRST = QueueOrder(
+    shares_first=False, aged_seconds=float("inf"), by_deadline=True
+)
+
+
 @dataclass(eq=False, slots=True)
-class QueuedRequest:
+class QueuedRequest(Generic[R]):
     """Request in the queue.
 
     ``queued_at``, ``first_target_until`` (the end of its wait for the first target) and
     ``next_ask_at`` are in monotonic seconds.
     """
 
-    request: SlotRequest
+    request: R
     queued_at: float
-    first_target_until: float
+    first_target_until: float = 0.0
     next_ask_at: float = 0.0
     ask_pause_seconds: float = FIRST_ASK_PAUSE_SECONDS
     arrival: int = field(default_factory=lambda: next(_arrivals))
@@ -37,7 +100,7 @@
     @property
     def weight(self) -> int:
         """Return the slots that the request needs."""
-        return CLASS_WEIGHT[self.request.request_class]
+        return self.request.weight
 
     def check_ask_due(self, now: float) -> bool:
         """Return whether owners are to be asked now; if so, schedule the next time."""
@@ -48,20 +111,32 @@
         return True
 
 
-class FairQueue:
+class FairQueue(Generic[R]):
     """Bounded queue that orders waiting requests and estimates their wait.
 
-    Weights and shares are in slots.
+    Weights and shares are in slots. ``is_starved`` tells which priorities go before all
+    others, as they are served too little. ``measure_use`` returns what the team of a
+    request has used lately over its weight, where requests in flight do not show it;
+    its second argument is the number of the team's requests that go before.
     """
 
-    def __init__(self, max_waiting: int) -> None:
+    def __init__(
+        self,
+        max_waiting: int,
+        order: QueueOrder = SHARES_FIRST,
+        is_starved: Callable[[int, float], bool] = lambda priority, now: False,
+        measure_use: Callable[[R, int], float] = lambda request, before: 0.0,
+    ) -> None:
         self._max_waiting = max_waiting
-        self._lanes: dict[RequestClass, dict[str, deque[QueuedRequest]]] = {}
+        self._order = order
+        self._is_starved = is_starved
+        self._measure_use = measure_use
+        self._lanes: dict[int, dict[str, list[QueuedRequest[R]]]] = {}
         self._size = 0
         self._in_flight: dict[str, dict[str, int]] = {}
         self._team_weights: dict[str, float] = {}
         self._released: dict[str, deque[tuple[float, int]]] = {}
-        self._queued_weight: dict[tuple[str, RequestClass, str], int] = {}
+        self._queued_weight: dict[tuple[str, int, str], int] = {}
 
     def __len__(self) -> int:
         return self._size
@@ -71,18 +146,18 @@
         """Return whether no further request may wait."""
         return self._size >= self._max_waiting
 
-    def push(self, queued: QueuedRequest) -> None:
-        """Add a request behind its team's other requests of the same class."""
+    def push(self, queued: QueuedRequest[R]) -> None:
+        """Add a request to its team's other requests of the same priority."""
         request = queued.request
-        lane = self._lanes.setdefault(request.request_class, {})
-        lane.setdefault(request.team.name, deque()).append(queued)
+        lane = self._lanes.setdefault(request.priority, {})
+        insort(lane.setdefault(request.team.name, []), queued, key=self._rank_in_team)
         self._size += 1
         self._add_weight(queued, queued.weight)
 
-    def remove(self, queued: QueuedRequest) -> None:
+    def remove(self, queued: QueuedRequest[R]) -> None:
         """Remove a request that was served, refused or cancelled."""
         request = queued.request
-        lane = self._lanes[request.request_class]
+        lane = self._lanes[request.priority]
         team_queue = lane[request.team.name]
         team_queue.remove(queued)
         if not team_queue:
@@ -106,28 +181,34 @@
         if aged is not None:
             seen.add(aged)
             yield aged
-        for above in (False, True):
-            for request_class in sorted(self._lanes, key=CLASS_PRIORITY.__getitem__):
-                for queued in self._iterate_class(request_class, above):
+        for above in (False, True) if self._order.shares_first else (True,):
+            for priority in self._sort_priorities(now):
+                for queued in self._iterate_priority(priority, above):
                     if queued not in seen:
                         seen.add(queued)
                         yield queued
 
-    def _find_aged(self, now: float) -> QueuedRequest | None:
+    def _sort_priorities(self, now: float) -> list[int]:
+        """Return the waiting priorities; starved ones first, then by their number."""
+        return sorted(
+            self._lanes, key=lambda value: (not self._is_starved(value, now), value)
+        )
+
+    def _find_aged(self, now: float) -> QueuedRequest[R] | None:
         """Return the oldest aged request of the teams within their share, or None."""
         heads = [
             queue[0]
             for lane in self._lanes.values()
             for queue in lane.values()
-            if now - queue[0].queued_at >= AGED_SECONDS
+            if now - queue[0].queued_at >= self._order.aged_seconds
             and not self.is_above_share(queue[0].request)
         ]
         return min(heads, key=lambda queued: queued.arrival, default=None)
 
-    def _iterate_class(
-        self, request_class: RequestClass, above: bool
-    ) -> Iterator[QueuedRequest]:
-        lane = self._lanes[request_class]
+    def _iterate_priority(
+        self, priority: int, above: bool
+    ) -> Iterator[QueuedRequest[R]]:
+        lane = self._lanes[priority]
         pending = {team: list(queue) for team, queue in lane.items()}
         position = dict.fromkeys(pending, 0)
         while True:
@@ -137,7 +218,11 @@
                 if position[team] < len(queue)
             }
             ranked = [
-                (*self._rank(queued), team)
+                (
+                    self._measure_use(queued.request, position[team]),
+                    *self._rank(queued),
+                    team,
+                )
                 for team, queued in heads.items()
                 if above or not self.is_above_share(queued.request)
             ]
@@ -147,7 +232,7 @@
             position[team] += 1
             yield heads[team]
 
-    def is_above_share(self, request: SlotRequest) -> bool:
+    def is_above_share(self, request: R) -> bool:
         """Return whether the team has more in flight than its share of the pool.
 
         An excess of up to the weight of the request is tolerated.
@@ -157,12 +242,12 @@
         names = {*in_flight, request.team.name}
         total_weight = sum(self._team_weights.get(name, 1.0) for name in names)
         share = sum(in_flight.values()) * request.team.weight / total_weight
-        return own > share + CLASS_WEIGHT[request.request_class]
+        return own > share + request.weight
 
-    def choose_displaced(self, request: SlotRequest) -> QueuedRequest | None:
+    def choose_displaced(self, request: R) -> QueuedRequest[R] | None:
         """Return the request to drop from a full queue in favour of the given one.
 
-        This is the newest request, in the lowest class, of the team with the greatest
+        This is the last request, in the lowest priority, of the team with the greatest
         waiting weight over team weight. None if that is the given request's own team,
         so that a team's surge displaces only its own requests.
         """
@@ -179,19 +264,19 @@
         )
         if largest == own or load_by_team[largest] <= load_by_team.get(own, 0.0):
             return None
-        for request_class in sorted(self._lanes, key=lambda c: -CLASS_PRIORITY[c]):
-            if largest in self._lanes[request_class]:
-                return self._lanes[request_class][largest][-1]
+        for priority in sorted(self._lanes, reverse=True):
+            if largest in self._lanes[priority]:
+                return self._lanes[priority][largest][-1]
         return None
 
-    def start(self, request: SlotRequest, weight: int) -> None:
+    def start(self, request: R, weight: int) -> None:
         """Count a request as in flight for its team."""
         name = request.team.name
         self._team_weights[name] = request.team.weight
         in_flight = self._in_flight.setdefault(request.pool, {})
         in_flight[name] = in_flight.get(name, 0) + weight
 
-    def finish(self, request: SlotRequest, weight: int, now: float) -> None:
+    def finish(self, request: R, weight: int, now: float) -> None:
         """Count a request as finished."""
         name = request.team.name
         in_flight = self._in_flight[request.pool]
@@ -203,7 +288,7 @@
         while released[0][0] < now - RATE_WINDOW_SECONDS:
             released.popleft()
 
-    def estimate_wait(self, request: SlotRequest, now: float) -> float:
+    def estimate_wait(self, request: R, now: float) -> float:
         """Return the seconds until the request would be served, 0 if unknown.
 
         Based on the slots that the pool released within ``RATE_WINDOW_SECONDS``.
@@ -219,39 +304,40 @@
         elapsed = max(1.0, min(RATE_WINDOW_SECONDS, now - released[0][0]))
         return self._count_ahead(request) * elapsed / total
 
-    def _count_ahead(self, request: SlotRequest) -> float:
+    def _count_ahead(self, request: R) -> float:
         """Return the queued slots served before a new request, including its own."""
-        priority = CLASS_PRIORITY[request.request_class]
         ahead = 0.0
-        own = self._queued_weight.get(_weight_key(request), 0)
-        own += CLASS_WEIGHT[request.request_class]
+        own = self._queued_weight.get(_weight_key(request), 0) + request.weight
         for key, (weight, team_weight) in self._sum_weights(request.pool).items():
-            other_class, team = key
-            if CLASS_PRIORITY[other_class] < priority:
+            priority, team = key
+            if priority < request.priority:
                 ahead += weight
-            elif other_class == request.request_class and team != request.team.name:
+            elif priority == request.priority and team != request.team.name:
                 ahead += min(weight, own * team_weight / request.team.weight)
         return ahead + own
 
-    def _sum_weights(
-        self, pool: str
-    ) -> dict[tuple[RequestClass, str], tuple[int, float]]:
-        """Return the queued weight and the team weight by class and team."""
+    def _sum_weights(self, pool: str) -> dict[tuple[int, str], tuple[int, float]]:
+        """Return the queued weight and the team weight by priority and team."""
         sums = {}
-        for request_class, lane in self._lanes.items():
+        for priority, lane in self._lanes.items():
             for team, queue in lane.items():
-                weight = self._queued_weight.get((pool, request_class, team), 0)
+                weight = self._queued_weight.get((pool, priority, team), 0)
                 if weight:
                     team_weight = queue[0].request.team.weight
-                    sums[request_class, team] = (weight, team_weight)
+                    sums[priority, team] = (weight, team_weight)
         return sums
 
-    def _rank(self, queued: QueuedRequest) -> tuple[float, int]:
+    def _rank(self, queued: QueuedRequest[R]) -> tuple[float, float, int]:
         team = queued.request.team
         in_flight = self._in_flight.get(queued.request.pool, {})
-        return in_flight.get(team.name, 0) / team.weight, queued.arrival
+        return in_flight.get(team.name, 0) / team.weight, *self._rank_in_team(queued)
+
+    def _rank_in_team(self, queued: QueuedRequest[R]) -> tuple[float, int]:
+        if self._order.by_deadline:
+            return queued.request.deadline, queued.arrival
+        return 0.0, queued.arrival
 
-    def _add_weight(self, queued: QueuedRequest, weight: int) -> None:
+    def _add_weight(self, queued: QueuedRequest[R], weight: int) -> None:
         key = _weight_key(queued.request)
         total = self._queued_weight.get(key, 0) + weight
         if total:
@@ -260,5 +346,5 @@
             self._queued_weight.pop(key, None)
 
 
-def _weight_key(request: SlotRequest) -> tuple[str, RequestClass, str]:
-    return request.pool, request.request_class, request.team.name
+def _weight_key(request: QueueableRequest) -> tuple[str, int, str]:
+    return request.pool, request.priority, request.team.name
--- a/carobladder/replay/recorder.py
+++ b/carobladder/replay/recorder.py
@@ -11,8 +11,7 @@
 from carobladder.clock import Clock
 from carobladder.gateway.ports import ChatRequest, SlotRequest
 from carobladder.instance.placement import FleetPlacement
-from carobladder.limits import AdmissionController
-from carobladder.limits.admission import Demand
+from carobladder.limits.admission import AdmissionController, Demand
 from carobladder.limits.allowances import SlotPermit
 from carobladder.peers import Coordinator
 from carobladder.peers.messages import encode_message
