--- a/carobladder/limits/lines.py
+++ b/carobladder/limits/lines.py
@@ -79,8 +79,8 @@
     def _build_queue(self, service: str) -> FairQueue[WaitingRequest]:
         record = self.find_record(service)
 
-        def measure_use(request: WaitingRequest, before: int) -> float:
-            used = record.read_team_use(request.priority, request.team.name)
+        def measure_use(request: WaitingRequest, before: int, now: float) -> float:
+            used = record.read_team_use(request.priority, request.team.name, now)
             return (used + before) / request.team.weight
 
         return FairQueue(_MAX_WAITING, PRIORITY_FIRST, record.is_starved, measure_use)
--- a/carobladder/limits/queues.py
+++ b/carobladder/limits/queues.py
@@ -117,7 +117,7 @@
     Weights and shares are in slots. ``is_starved`` tells which priorities go before all
     others, as they are served too little. ``measure_use`` returns what the team of a
     request has used lately over its weight, where requests in flight do not show it;
-    its second argument is the number of the team's requests that go before.
+    it gets the number of the team's requests that go before, and the time.
     """
 
     def __init__(
@@ -125,7 +125,7 @@
         max_waiting: int,
         order: QueueOrder = SHARES_FIRST,
         is_starved: Callable[[int, float], bool] = lambda priority, now: False,
-        measure_use: Callable[[R, int], float] = lambda request, before: 0.0,
+        measure_use: Callable[[R, int, float], float] = lambda r, before, now: 0.0,
     ) -> None:
         self._max_waiting = max_waiting
         self._order = order
@@ -183,7 +183,7 @@
             yield aged
         for above in (False, True) if self._order.shares_first else (True,):
             for priority in self._sort_priorities(now):
-                for queued in self._iterate_priority(priority, above):
+                for queued in self._iterate_priority(priority, above, now):
                     if queued not in seen:
                         seen.add(queued)
                         yield queued
@@ -206,7 +206,7 @@
         return min(heads, key=lambda queued: queued.arrival, default=None)
 
     def _iterate_priority(
-        self, priority: int, above: bool
+        self, priority: int, above: bool, now: float
     ) -> Iterator[QueuedRequest[R]]:
         lane = self._lanes[priority]
         pending = {team: list(queue) for team, queue in lane.items()}
@@ -219,7 +219,7 @@
             }
             ranked = [
                 (
-                    self._measure_use(queued.request, position[team]),
+                    self._measure_use(queued.request, position[team], now),
                     *self._rank(queued),
                     team,
                 )
--- a/carobladder/limits/usage.py
+++ b/carobladder/limits/usage.py
@@ -1,5 +1,6 @@
 """Recent requests of an instance by priority and team, offered and admitted."""
 
+from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 __all__ = ["AdmissionRecord", "DecayedCounts"]
@@ -22,37 +23,59 @@
 # with few requests does not count as an overload.
 _ASSUMED_REQUESTS = 3.0
 
-K = TypeVar("K", bound=int | str | tuple[int, str])
+# Beyond this age all counts are 0; the limit keeps the powers finite.
+_MAX_HALF_LIVES = 100.0
+
+K = TypeVar("K", bound=int | str)
 
 
 class DecayedCounts(Generic[K]):
-    """Counts by key that halve with time; ``now`` is in monotonic seconds."""
+    """Counts by key that halve with time; ``now`` is in monotonic seconds.
+
+    They are kept in units that grow instead, so that an addition takes constant time
+    whatever the number of keys.
+    """
+
+    def __init__(self) -> None:
+        self._scaled: dict[K, float] = {}
+        self._scaled_sum = 0.0
+        self._started_at = 0.0
+        self._pruned_at = 0.0
+
+    def __len__(self) -> int:
+        return len(self._scaled)
 
-    def __init__(self, half_life_seconds: float = _HALF_LIFE_SECONDS) -> None:
-        self._half_life_seconds = half_life_seconds
-        self._counts: dict[K, float] = {}
-        self._decayed_at = float("-inf")
+    def __iter__(self) -> Iterator[K]:
+        return iter(self._scaled)
 
     def add(self, key: K, now: float) -> None:
         """Add one to the count of a key."""
-        counts = self.read_all(now)
-        counts[key] = counts.get(key, 0.0) + 1.0
-
-    def read(self, key: K) -> float:
-        """Return the count of a key as of the last time, 0 for an unknown one."""
-        return self._counts.get(key, 0.0)
-
-    def read_all(self, now: float) -> dict[K, float]:
-        """Return the counts by key."""
-        if now > self._decayed_at:
-            factor = 0.5 ** ((now - self._decayed_at) / self._half_life_seconds)
-            self._decayed_at = now
-            self._counts = {
-                key: count * factor
-                for key, count in self._counts.items()
-                if count * factor >= _MIN_COUNT
-            }
-        return self._counts
+        self._prune(now)
+        unit = self._unit(now)
+        self._scaled[key] = self._scaled.get(key, 0.0) + unit
+        self._scaled_sum += unit
+
+    def read(self, key: K, now: float) -> float:
+        """Return the count of a key, 0 for an unknown one."""
+        return self._scaled.get(key, 0.0) / self._unit(now)
+
+    def read_sum(self, now: float) -> float:
+        """Return the sum of all counts."""
+        return self._scaled_sum / self._unit(now)
+
+    def _unit(self, now: float) -> float:
+        half_lives = (now - self._started_at) / _HALF_LIFE_SECONDS
+        return 2.0 ** min(half_lives, _MAX_HALF_LIVES)
+
+    def _prune(self, now: float) -> None:
+        """Drop small counts once in a half-life, and start again with the unit 1."""
+        if now - self._pruned_at < _HALF_LIFE_SECONDS:
+            return
+        unit = self._unit(now)
+        counts = {key: value / unit for key, value in self._scaled.items()}
+        self._scaled = {key: v for key, v in counts.items() if v >= _MIN_COUNT}
+        self._scaled_sum = sum(self._scaled.values())
+        self._started_at = self._pruned_at = now
 
 
 class AdmissionRecord:
@@ -62,18 +85,19 @@
         self._offered: DecayedCounts[int] = DecayedCounts()
         self._admitted: DecayedCounts[int] = DecayedCounts()
         self._refused: DecayedCounts[int] = DecayedCounts()
-        self._teams_offered: DecayedCounts[tuple[int, str]] = DecayedCounts()
-        self._teams_admitted: DecayedCounts[tuple[int, str]] = DecayedCounts()
+        # By priority, then by team.
+        self._teams_offered: dict[int, DecayedCounts[str]] = {}
+        self._teams_admitted: dict[int, DecayedCounts[str]] = {}
 
     def note_offered(self, priority: int, team: str, now: float) -> None:
         """Count a request that has arrived."""
         self._offered.add(priority, now)
-        self._teams_offered.add((priority, team), now)
+        self._teams_offered.setdefault(priority, DecayedCounts()).add(team, now)
 
     def note_admitted(self, priority: int, team: str, now: float) -> None:
         """Count a request that is sent to a target."""
         self._admitted.add(priority, now)
-        self._teams_admitted.add((priority, team), now)
+        self._teams_admitted.setdefault(priority, DecayedCounts()).add(team, now)
 
     def note_refused(self, priority: int, now: float) -> None:
         """Count a request that was refused, by the instance or by its targets."""
@@ -81,9 +105,8 @@
 
     def compute_refused_share(self, now: float) -> float:
         """Return the recent share of refused requests."""
-        offered = sum(self._offered.read_all(now).values())
-        refused = sum(self._refused.read_all(now).values())
-        return refused / (offered + _ASSUMED_REQUESTS)
+        offered = self._offered.read_sum(now)
+        return self._refused.read_sum(now) / (offered + _ASSUMED_REQUESTS)
 
     def compute_urgency(self, priority: int, team: str, now: float) -> float:
         """Return the position of a request among the recent ones, 0 for the first.
@@ -91,30 +114,29 @@
         The priorities divide the range up to 1 evenly; a team above its share is in the
         second half of its priority.
         """
-        priorities = sorted({*self._offered.read_all(now), priority})
-        position = priorities.index(priority) + 0.5 * self.is_above_share(
-            priority, team, now
-        )
+        priorities = sorted({*self._offered, priority})
+        position = float(priorities.index(priority))
+        if self.is_above_share(priority, team, now):
+            position += 0.5
         return position / len(priorities)
 
     def is_above_share(self, priority: int, team: str, now: float) -> bool:
         """Return whether a team sends more of a priority than teams do on average."""
-        teams = self._teams_offered.read_all(now)
-        counts = [count for key, count in teams.items() if key[0] == priority]
-        mean = sum(counts) / len(counts) if counts else 0.0
-        own = teams.get((priority, team), 0.0)
-        return own > _SHARE_MULTIPLE * mean + _SHARE_SLACK_REQUESTS
+        teams = self._teams_offered.get(priority)
+        if not teams:
+            return False
+        mean = teams.read_sum(now) / len(teams)
+        return teams.read(team, now) > _SHARE_MULTIPLE * mean + _SHARE_SLACK_REQUESTS
 
-    def read_team_use(self, priority: int, team: str) -> float:
+    def read_team_use(self, priority: int, team: str, now: float) -> float:
         """Return the recently admitted requests of a team in a priority."""
-        return self._teams_admitted.read((priority, team))
+        teams = self._teams_admitted.get(priority)
+        return teams.read(team, now) if teams else 0.0
 
     def is_starved(self, priority: int, now: float) -> bool:
         """Return whether a priority gets less than its least share of admissions."""
-        offered = self._offered.read_all(now)
-        own = offered.get(priority, 0.0)
+        own = self._offered.read(priority, now)
         if own < _MIN_OFFERED:
             return False
-        admitted = self._admitted.read_all(now)
-        mean = sum(admitted.values()) / sum(offered.values())
-        return admitted.get(priority, 0.0) / own < _MIN_SHARE_OF_MEAN * mean
+        mean = self._admitted.read_sum(now) / self._offered.read_sum(now)
+        return self._admitted.read(priority, now) / own < _MIN_SHARE_OF_MEAN * mean
