--- a/carobladder/forwarding/callerrors.py
+++ b/carobladder/forwarding/callerrors.py
@@ -1,5 +1,7 @@
 """Errors that a caller gets once its call is sent to no further target."""
 
+from collections.abc import Callable
+
 from carobladder.clock import Clock
 from carobladder.exceptions import (
     AnswerTimeoutError,
@@ -23,7 +25,10 @@
 
 
 class CallerErrors:
-    """Builder of the final errors of one call."""
+    """Builder of the final errors of one call.
+
+    ``on_busy`` is called when the call is refused as targets have refused it.
+    """
 
     def __init__(
         self,
@@ -31,7 +36,9 @@
         sends: SendTracker,
         selector: TargetSelector,
         clock: Clock,
+        on_busy: Callable[[], None],
     ) -> None:
+        self._on_busy = on_busy
         self._call = call
         self._sends = sends
         self._selector = selector
@@ -50,6 +57,7 @@
         if pause is not None:
             return TargetsPausedError(message, pause)
         if self._sends.count:
+            self._on_busy()
             return TargetsBusyError(message, _BUSY_RETRY_SECONDS)
         return NoTargetError(message, _NO_TARGET_RETRY_SECONDS)
 
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -16,6 +16,7 @@
     FleetTarget,
     TargetSelector,
 )
+from carobladder.forwarding.admission import AdmissionControl
 from carobladder.forwarding.attemptlog import AttemptLog
 from carobladder.forwarding.attempts import AnswerProgress, OpenCall
 from carobladder.forwarding.callerrors import CallerErrors
@@ -25,7 +26,6 @@
 from carobladder.forwarding.hedging import HedgePolicy
 from carobladder.forwarding.partguard import PartGuard
 from carobladder.forwarding.race import NOT_RUN_STATUSES, SendRace
-from carobladder.forwarding.ratequeue import RateQueue
 from carobladder.forwarding.sends import ForwardedCall, TargetSender
 from carobladder.forwarding.tracking import SendTracker, TrackedSend
 from carobladder.forwarding.waits import RateWaitTooLongError, TargetWait
@@ -52,7 +52,7 @@
     metrics: ForwardMetrics
     crashes: CrashWatch
     hedging: HedgePolicy | None = None
-    rate_queue: RateQueue = field(default_factory=RateQueue)
+    admission: AdmissionControl = field(default_factory=AdmissionControl)
 
     def start(self, call: ForwardedCall) -> "CallSession":
         """Return the session of a new call without sending anything yet."""
@@ -73,7 +73,7 @@
         self._relayed_from: FleetTarget | None = None
         self._choice = TargetChoice(forwarder.selector, call, forwarder.clock)
         self._wait = TargetWait(
-            call, self._choice, forwarder.rate_queue, forwarder.clock
+            call, self._choice, forwarder.admission, forwarder.clock
         )
         # Whether another target can go on with what the caller has of the stream.
         self._is_resumable = False
@@ -87,7 +87,11 @@
             )
         self._log = AttemptLog(call, self._sends, forwarder.metrics)
         self._errors = CallerErrors(
-            call, self._sends, forwarder.selector, forwarder.clock
+            call,
+            self._sends,
+            forwarder.selector,
+            forwarder.clock,
+            self._wait.note_busy,
         )
 
     @property
@@ -106,7 +110,7 @@
         Raises CallerError when no further attempt is allowed.
         """
         if not self._sends.count:
-            await self._wait.wait_for_load()
+            await self._wait.wait_for_admission()
         while True:
             self._check_quarantine()
             await self._wait_for_rate()
@@ -122,6 +126,7 @@
             self._sends.settle(send, may_have_run=not opened.facts.not_run)
             if opened.facts.not_run:
                 refusal = self._close_refusal(opened)
+                self._wait.note_refusal(opened)
                 self.handle_failure(send.target, refusal, resumable=self._is_resumable)
             elif self._accept_response(opened):
                 send.opened = opened
@@ -146,6 +151,7 @@
         """Record that the caller got the whole answer of a target."""
         if opened := self._find_opened():
             self._guard.note_whole_answer(opened)
+            self._wait.note_answer(opened)
 
     def note_relayed(self, target: FleetTarget) -> None:
         """Record that the caller received a part of the response from this target."""
@@ -326,7 +332,8 @@
             return "the stream cannot be resumed"
         if runs >= call.route.attempts:
             return "its attempts are used up"
-        if self._sends.count - runs > _MAX_SENDS_NOT_RUN:
+        is_refused = self._sends.count - runs > _MAX_SENDS_NOT_RUN
+        if is_refused or not self._wait.has_place:
             return "too many targets refused it"
         if not self._guard.may_repeat():
             return "a part of its prompt may crash targets"
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -227,6 +227,7 @@
             CrashWatch(self.quarantine, self.client, self.clock),
             self.hedging,
         )
+        self.admission = forwarder.admission
         handler = ForwardHandler(
             forwarder,
             codec,
