Send large configurations between instances as deltas

Cause: an answer between instances carries at most 131,072 bytes of records, so a configuration of 1,640 routes was read from the store by each instance, once for each change.

Ruled out: preset dictionaries of zlib (32 KB of 550 KB); a chain of deltas from version to version (each answer would pass all versions); several datagrams for a value (repeats and reassembly, while the regular example fits in one).

Change: a question names the bytes of long values that it accepts and digests of the last two versions that the asker has had in force. The answer carries a long value as a delta from one of them, or compressed, within 56,000 bytes, and an answerer sends 64 KB/s of them at most. The value is restored only if the digests of base and result match, else the whole run is dropped. Instances of an earlier release name no bytes and get no long value. Long values are asked of one instance at a time. Missing records are read from the store after 0.15 of the configuration time instead of 0.25 s, in which a large datagram arrives on a narrow link and a lost one is asked for again.

Measured in tests: a change of one route of 1,640 takes a datagram of less than 600 bytes, with the whole configuration less than 40,000. Tests of deltas, packing, messages, exchange, topics, fleet reads, restored store and runtime: 134 passed.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -70,6 +70,7 @@
 from carobladder.topics import (
     ControlState,
     FollowerBuilder,
+    RecentValues,
     TopicFollower,
     apply_configuration_value,
     compute_expiry_seconds,
@@ -158,6 +159,7 @@
             store_client, settings.store_address, _STORE_ANSWER_SECONDS
         )
         self._eras = EraMonitor()
+        self._values = RecentValues()
         self._targets = TargetTable()
         self._ledger = ShareLedger(count_share_partitions(settings.share_partitions))
         self._load_bounds = LoadBounds(self._targets, settings.load_multiple)
@@ -243,6 +245,7 @@
             control_state,
             backup,
             lambda outage_seconds: targets_follower.abort_waiting_read(),
+            self._values,
         )
         exchange = self._build_exchange()
         exchange.find_version = lambda: control_state.version
@@ -338,6 +341,7 @@
             self._clock,
             self._generator,
             self._eras,
+            self._values,
         )
 
     def _build_server(
--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -12,6 +12,7 @@
 from carobladder.clock import Clock
 from carobladder.entry.prompts import PromptDirectory
 from carobladder.entry.quarantine import QuarantineSharing
+from carobladder.entry.runpacking import RunPacker
 from carobladder.eras import EraMonitor
 from carobladder.exceptions import LogUnavailableError
 from carobladder.fleet import (
@@ -32,13 +33,11 @@
     TopicWriter,
     decode_datagram,
     encode_datagram,
-    pack_run,
-    unpack_run,
 )
 from carobladder.quarantine import QuarantineNews
 from carobladder.retries import RetryBudget
 from carobladder.telemetry import InstanceNotAnnounced, emit
-from carobladder.topics import TopicFollower
+from carobladder.topics import RecentValues, TopicFollower
 
 __all__ = ["PeerExchange", "SharedState"]
 
@@ -59,7 +58,8 @@
 # The oldest queries are dropped beyond this; answers to them are ignored.
 _MAX_PENDING_QUERIES = 64
 _QUERY_NUMBER_BITS = 30
-_MAX_DATAGRAM_BYTES = 16_384
+# Largest answer, in a datagram of IP with room for its headers.
+_MAX_DATAGRAM_BYTES = 61_440
 # Below this number of peers, readers also have the bandwidth to send loads, and each
 # instance reports the requests that it sends to all others.
 _SMALL_FLEET_PEERS = 20
@@ -102,8 +102,10 @@
         clock: Clock,
         generator: random.Random,
         eras: EraMonitor | None = None,
+        values: RecentValues | None = None,
     ) -> None:
         self.dropped = 0
+        self._packer = RunPacker(values or RecentValues(), clock)
         # Reads the version of the configuration in force.
         self.find_version: Callable[[], int] = lambda: 0
         self._eras = eras or EraMonitor()
@@ -211,12 +213,14 @@
     def _(self, message: PeerReply, peer: Peer) -> None:
         self._directory.set_reader(peer.name, message.is_reader)
         self._eras.note(message.era)
+        self._packer.note_answer(message.question)
         asked_at = self._pending_queries.pop(message.question, None)
         if asked_at is None or message.era != self._eras.era:
             return
-        for follower, run in zip(self._followers, message.runs, strict=False):
+        for follower, packed in zip(self._followers, message.runs, strict=False):
+            run = None if packed is None else self._packer.unpack(packed)
             if run is not None:
-                follower.apply_peer_run(unpack_run(run))
+                follower.apply_peer_run(run)
         is_proof = message.version <= self.find_version()
         for follower, state in zip(self._followers, message.states, strict=False):
             if state is not None:
@@ -347,16 +351,30 @@
         self, query_number: int = 0, reports: Sequence[LoadReport] = ()
     ) -> PeerStatus:
         ends = [follower.next_offset or 0 for follower in self._followers]
+        accepted_bytes, bases = (
+            self._packer.describe_question(query_number) if query_number else (0, [])
+        )
         return PeerStatus(
-            query_number, self._is_reader(), list(reports), ends, era=self._eras.era
+            query_number,
+            self._is_reader(),
+            list(reports),
+            ends,
+            era=self._eras.era,
+            accepted_bytes=accepted_bytes,
+            bases=bases,
         )
 
     def _send_answer(self, message: PeerStatus, peer: Peer) -> None:
         peer_ends = list(zip(self._followers, message.ends, strict=False))
-        runs = [pack_run(follower.collect_run(end)) for follower, end in peer_ends]
-        if message.era != self._eras.era:
-            # The sender's offsets are those of another era.
-            runs = []
+        runs = []
+        # Otherwise the sender's offsets are those of another era.
+        if message.era == self._eras.era:
+            runs = [
+                self._packer.pack(
+                    follower.collect_run(end), message.accepted_bytes, message.bases
+                )
+                for follower, end in peer_ends
+            ]
         states = [follower.build_topic_state() for follower, _ in peer_ends]
         answer = PeerReply(
             message.question,
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -3,6 +3,7 @@
 from carobladder.fleet import (
     budgets,
     comparison,
+    deltas,
     entries,
     exchanges,
     failures,
@@ -27,6 +28,7 @@
 )
 from carobladder.fleet.budgets import *  # noqa: F403
 from carobladder.fleet.comparison import *  # noqa: F403
+from carobladder.fleet.deltas import *  # noqa: F403
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
 from carobladder.fleet.failures import *  # noqa: F403
@@ -53,6 +55,7 @@
     *budgets.__all__,
     *entries.__all__,
     *comparison.__all__,
+    *deltas.__all__,
     *exchanges.__all__,
     *failures.__all__,
     *freshness.__all__,
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -3,11 +3,12 @@
 import hashlib
 import hmac
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
 from carobladder.decoding import DECODE_ERRORS
+from carobladder.fleet.deltas import Delta
 from carobladder.fleet.failures import FailureReport
 from carobladder.fleet.inflight import InFlightReport
 from carobladder.fleet.loads import LoadReport, is_usable_report
@@ -18,6 +19,7 @@
 __all__ = [
     "HolderQuery",
     "HolderReply",
+    "PackedRun",
     "PeerMessage",
     "PeerReply",
     "PeerStatus",
@@ -50,9 +52,16 @@
 
 
 class _PackedRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Record in wire form; ``delta`` replaces a long value.
+
+    It is sent only to instances that name the bytes of long values that they accept.
+    Others would take the record for a removal.
+    """
+
     offset: int
     key: str
     value: bytes | None
+    delta: Delta | None = None
 
 
 class PackedRun(msgspec.Struct, array_like=True, frozen=True):
@@ -72,7 +81,8 @@
     ``in_flight`` is None in large fleets. ``holds`` are the parts of prompts in
     quarantine, for instances that have just started, and ``rates`` the rate limits that
     targets have named. ``ends`` are offsets of the ``era`` of the store, None if it is
-    not known.
+    not known. The answer may carry long values as deltas of ``accepted_bytes`` in sum,
+    from one of ``bases``, the digests of values that the sender has.
     """
 
     question: int
@@ -84,6 +94,8 @@
     holds: list[HoldReport] = []
     rates: list[RateReport] = []
     era: int | None = None
+    accepted_bytes: int = 0
+    bases: list[bytes] = []
 
 
 class PeerReply(msgspec.Struct, array_like=True, frozen=True, tag="answer"):
@@ -177,20 +189,45 @@
     return envelope.sender, _decode_payload(payload)
 
 
-def pack_run(run: RecordRun | None) -> PackedRun | None:
-    """Return the wire form of a run of records."""
+def pack_run(
+    run: RecordRun | None, deltas: Mapping[int, Delta] | None = None
+) -> PackedRun | None:
+    """Return the wire form of a run, in which deltas replace values at some offsets."""
     if run is None:
         return None
-    records = [_PackedRecord(r.offset, r.key, r.value) for r in run.records]
+    records = [_pack_record(record, deltas or {}) for record in run.records]
     return PackedRun(run.first, run.next_offset, records)
 
 
-def unpack_run(packed: PackedRun) -> RecordRun:
-    """Return a run of records from its wire form."""
-    records = tuple(KeyedRecord(r.offset, r.key, r.value) for r in packed.records)
+def unpack_run(
+    packed: PackedRun, apply_delta: Callable[[Delta], bytes] | None = None
+) -> RecordRun:
+    """Return a run of records from its wire form.
+
+    ``apply_delta`` returns the value of a delta. Raises ValueError if a value cannot be
+    restored.
+    """
+    records = tuple(_unpack_record(record, apply_delta) for record in packed.records)
     return RecordRun(packed.first, packed.next_offset, records)
 
 
+def _pack_record(record: KeyedRecord, deltas: Mapping[int, Delta]) -> _PackedRecord:
+    delta = deltas.get(record.offset)
+    value = record.value if delta is None else None
+    return _PackedRecord(record.offset, record.key, value, delta)
+
+
+def _unpack_record(
+    packed: _PackedRecord, apply_delta: Callable[[Delta], bytes] | None
+) -> KeyedRecord:
+    value = packed.value
+    if packed.delta is not None:
+        if apply_delta is None:
+            raise ValueError("the run has deltas")
+        value = apply_delta(packed.delta)
+    return KeyedRecord(packed.offset, packed.key, value)
+
+
 def _decompress(payload: bytes) -> bytes:
     try:
         return zlib.decompressobj().decompress(payload, _MAX_PAYLOAD_BYTES)
--- a/carobladder/topics/__init__.py
+++ b/carobladder/topics/__init__.py
@@ -15,6 +15,7 @@
     paces,
     peerupdates,
     readpauses,
+    recentvalues,
     roles,
     runs,
     superseding,
@@ -34,6 +35,7 @@
 from carobladder.topics.paces import *  # noqa: F403
 from carobladder.topics.peerupdates import *  # noqa: F403
 from carobladder.topics.readpauses import *  # noqa: F403
+from carobladder.topics.recentvalues import *  # noqa: F403
 from carobladder.topics.roles import *  # noqa: F403
 from carobladder.topics.runs import *  # noqa: F403
 from carobladder.topics.superseding import *  # noqa: F403
@@ -54,6 +56,7 @@
     *paces.__all__,
     *peerupdates.__all__,
     *readpauses.__all__,
+    *recentvalues.__all__,
     *roles.__all__,
     *runs.__all__,
     *superseding.__all__,
--- a/carobladder/topics/builders.py
+++ b/carobladder/topics/builders.py
@@ -23,6 +23,7 @@
     build_operator_policy,
     build_targets_policy,
 )
+from carobladder.topics.recentvalues import RecentValues
 from carobladder.topics.superseding import ConfigurationSelector, RecordSelector
 
 __all__ = ["FollowerBuilder", "apply_configuration_value"]
@@ -54,8 +55,12 @@
         control_state: ControlState,
         backup: ConfigurationBackup,
         on_recovery: Callable[[float], None],
+        values: RecentValues,
     ) -> TopicFollower:
-        """Build the follower of the operators' records."""
+        """Build the follower of the operators' records.
+
+        ``values`` gets each configuration that is put in force.
+        """
         selector = ConfigurationSelector(lambda: control_state.version)
 
         def apply_record(record: KeyedRecord) -> None:
@@ -65,6 +70,7 @@
                 return
             if decoded.configuration.version == control_state.version:
                 backup.note_applied(record.value)
+                values.note(record.value)
 
         policy = build_operator_policy(
             self._settings.key_revocation_ms / _MS_PER_SECOND,
--- a/carobladder/topics/paces.py
+++ b/carobladder/topics/paces.py
@@ -21,9 +21,9 @@
 _CONFIGURATION_READER_FRACTION = 0.5
 _CONFIGURATION_PASSIVE_FRACTION = 0.7
 _OPERATOR_BATCH_SECONDS = 0.2
-# Enough for a configuration of a few hundred routes, which is compressed to fit in a
-# datagram. Larger ones are read by each instance.
-_OPERATOR_ANSWER_BYTES = 131_072
+# Long values are sent as deltas or compressed; what does not fit in a datagram then is
+# read by each instance.
+_OPERATOR_ANSWER_BYTES = 16_777_216
 # The same and the batch interval, of the time in which requests to a draining target
 # must end.
 _TARGETS_READER_FRACTION = 0.5
@@ -38,6 +38,8 @@
 _SECOND_READ_FRACTION = 0.15
 # Time for a record to arrive from a peer once its offset is known, before it is read.
 _CATCH_UP_DELAY_SECONDS = 0.25
+# The same for large records, of the time in which they must be in force.
+_CATCH_UP_FRACTION = 0.15
 _INSTANCES_BATCH_SECONDS = 8.0
 # No decision depends on these records, so peers have time to send them.
 _INSTANCES_PASSIVE_SECONDS = 30.0
@@ -106,7 +108,11 @@
             revocation_seconds * _REVOCATION_PASSIVE_FRACTION,
             configuration_seconds * _CONFIGURATION_PASSIVE_FRACTION,
         ),
-        catch_up_delay_seconds=_CATCH_UP_DELAY_SECONDS,
+        # A large datagram may be lost, and takes time on a narrow link.
+        catch_up_delay_seconds=max(
+            _CATCH_UP_DELAY_SECONDS,
+            _CATCH_UP_FRACTION * min(revocation_seconds, configuration_seconds),
+        ),
         max_answer_bytes=_OPERATOR_ANSWER_BYTES,
         needs_settled_era=True,
         repeat_seconds=_SECOND_READ_FRACTION
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -19,6 +19,7 @@
 )
 from carobladder.topics import (
     ReadPolicy,
+    RecentValues,
     TopicFollower,
     build_operator_policy,
     build_targets_policy,
@@ -167,6 +168,7 @@
         self.received: dict[str, dict[str, tuple[bytes | None, float]]] = {
             topic: {} for topic in TOPICS
         }
+        self.values = RecentValues()
         self.ledger = ShareLedger(PARTITIONS)
         self.directory = PeerDirectory(name, f"{name}:1", fleet.clock)
         self.role = ReaderRole(self.ledger, self.directory.count_peers)
@@ -179,6 +181,7 @@
             self.role.is_held,
             fleet.clock,
             fleet.generator,
+            values=self.values,
         )
         self.exchange._followers = tuple(self.followers.values())
         self.exchange.attach(fleet.network, name)
@@ -187,6 +190,8 @@
         def record_receipt(record: KeyedRecord) -> None:
             now = fleet.clock.monotonic()
             self.received[topic][record.key] = (record.value, now)
+            if record.value is not None:
+                self.values.note(record.value)
 
         return TopicFollower(
             topic,
--- a/tests/topics/test_superseding.py
+++ b/tests/topics/test_superseding.py
@@ -143,9 +143,10 @@
         large = KeyedRecord(22, CONFIGURATION_KEY, build_document(21, 2000))
         records = (closing, *versions, opening, large)
         instance.follower.apply_peer_run(RecordRun(0, 23, records))
-        answer = instance.follower.collect_run(0)
+        history = instance.follower._records._history
+        answer = history.collect(0, 23, 131_072)
         self.assertEqual(answer, RecordRun(0, 1, (closing,)))
-        self.assertIsNone(instance.follower.collect_run(1))
+        self.assertIsNone(history.collect(1, 23, 131_072))
 
     # Guards against a copy of the store whose outdated values are taken for news.
     async def test_nothing_is_left_out_while_a_restored_store_is_settled(self):
