Choose plain targets that state their slowness by predicted completion

The choice for plain services follows an instance's own smoothed first-byte latency.

If a usable target states its slowness, up to 8 random targets are compared by predicted seconds, own occupied slots and failed answers. The program itself was not measured under load.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -208,6 +208,7 @@
             self._moves,
             self._load_bounds,
             self._generator,
+            self._predictor,
         )
         move_controller = self._build_move_controller()
         control_state = ControlState(
--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -5,6 +5,7 @@
     budgets,
     comparison,
     completion,
+    completionchoice,
     entries,
     exchanges,
     failures,
@@ -32,6 +33,7 @@
 from carobladder.fleet.budgets import *  # noqa: F403
 from carobladder.fleet.comparison import *  # noqa: F403
 from carobladder.fleet.completion import *  # noqa: F403
+from carobladder.fleet.completionchoice import *  # noqa: F403
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
 from carobladder.fleet.failures import *  # noqa: F403
@@ -61,6 +63,7 @@
     *entries.__all__,
     *comparison.__all__,
     *completion.__all__,
+    *completionchoice.__all__,
     *exchanges.__all__,
     *failures.__all__,
     *freshness.__all__,
--- /dev/null
+++ b/carobladder/fleet/completionchoice.py
@@ -0,0 +1,53 @@
+"""Choice of a target by the predicted completion of the request."""
+
+import random
+from collections.abc import Sequence
+
+from carobladder.fleet.completion import CompletionPredictor
+from carobladder.fleet.targets import FleetTarget
+from carobladder.routing import Route
+
+__all__ = ["CompletionChoice", "has_stated_slowness"]
+
+# Targets compared for one request. More cost time, and make instances that know the
+# same loads choose the same target.
+_MAX_COMPARED = 8
+# Weight of the slots that requests of this instance occupy. They are known without
+# delay, and requests that arrive together must not all go to the same target.
+_OCCUPANCY_WEIGHT = 3.0
+# Random spread of the predictions, so that instances with equal data choose
+# differently.
+_JITTER = 0.2
+# Weight of a target's rate of failed answers relative to its predicted time.
+_ERROR_WEIGHT = 20.0
+
+
+class CompletionChoice:
+    """Choice of the target at which a request would probably end first."""
+
+    def __init__(self, predictor: CompletionPredictor, generator: random.Random):
+        self._predictor = predictor
+        self._generator = generator
+
+    def choose(
+        self, usable: Sequence[FleetTarget], route: Route, now: float
+    ) -> FleetTarget:
+        """Return the best of some random targets; ``usable`` must not be empty."""
+        compared = usable
+        if len(usable) > _MAX_COMPARED:
+            compared = self._generator.sample(usable, _MAX_COMPARED)
+        return min(compared, key=lambda target: self._score(target, route, now))
+
+    def _score(self, target: FleetTarget, route: Route, now: float) -> float:
+        health = target.health
+        seconds = self._predictor.predict_seconds(target, route, now).seconds
+        occupancy = health.in_flight / max(1, target.entry.slots)
+        occupancy_factor = 1.0 + _OCCUPANCY_WEIGHT * occupancy
+        error_factor = 1.0 + _ERROR_WEIGHT * health.error_share
+        jitter = 1.0 + _JITTER * self._generator.random()
+        return seconds * occupancy_factor * error_factor * jitter
+
+
+def has_stated_slowness(targets: Sequence[FleetTarget]) -> bool:
+    """Return whether any of the targets has stated its slowness."""
+    return any(target.slowness.stated is not None for target in targets)
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -5,12 +5,17 @@
 from dataclasses import dataclass
 
 from carobladder.fleet.affinity import AffinityChoice
+from carobladder.fleet.completion import CompletionPredictor
+from carobladder.fleet.completionchoice import (
+    CompletionChoice,
+    has_stated_slowness,
+)
 from carobladder.fleet.health import Condition
 from carobladder.fleet.loadbounds import LoadBounds
 from carobladder.fleet.pacing import ColdPacer, RatePacer
 from carobladder.fleet.targets import FleetTarget, TargetTable
 from carobladder.fleet.versions import VersionMoves
-from carobladder.routing import Service
+from carobladder.routing import Route, Service
 
 __all__ = ["SelectionCriteria", "TargetSelector"]
 
@@ -30,13 +35,15 @@
     """Requirements of a request on its target.
 
     ``affinity`` is the key of the prompt that it shares with other requests, or None.
-    ``excluded`` are the ids of targets that must not be chosen.
+    ``excluded`` are the ids of targets that must not be chosen. ``route`` is that of
+    the request; without it no completion is predicted.
     """
 
     service: Service
     affinity: int | None
     may_repeat: bool
     excluded: Collection[str] = ()
+    route: Route | None = None
 
 
 class TargetSelector:
@@ -50,6 +57,7 @@
         moves: VersionMoves,
         bounds: LoadBounds,
         generator: random.Random,
+        predictor: CompletionPredictor | None = None,
     ) -> None:
         self._table = table
         self._pacer = pacer
@@ -57,6 +65,9 @@
         self._moves = moves
         self._bounds = bounds
         self._generator = generator
+        self._completion = CompletionChoice(
+            predictor or CompletionPredictor(), generator
+        )
         self._affinity = AffinityChoice(table, bounds, generator)
 
     def choose(self, criteria: SelectionCriteria, now: float) -> FleetTarget | None:
@@ -66,7 +77,7 @@
             return None
         usable = self._prefer_limited(usable, criteria.service.name, now)
         if criteria.affinity is None:
-            chosen = min(usable, key=lambda target: self._score(target))
+            chosen = self._choose_plain(usable, criteria.route, now)
         else:
             chosen = self._choose_affine(usable, criteria, criteria.affinity, now)
         self._moves.note_sent(chosen)
@@ -234,6 +245,13 @@
             return health.reachable and criteria.may_repeat and health.in_flight == 0
         return condition is Condition.SOUND
 
+    def _choose_plain(
+        self, usable: list[FleetTarget], route: Route | None, now: float
+    ) -> FleetTarget:
+        if route is not None and has_stated_slowness(usable):
+            return self._completion.choose(usable, route, now)
+        return min(usable, key=lambda target: self._score(target))
+
     def _choose_affine(
         self,
         usable: list[FleetTarget],
--- a/carobladder/forwarding/choices.py
+++ b/carobladder/forwarding/choices.py
@@ -88,4 +88,5 @@
             affinity=call.affinity,
             may_repeat=call.route.may_repeat,
             excluded=excluded,
+            route=call.route,
         )
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -192,6 +192,7 @@
             self.moves,
             bounds,
             generator,
+            self.predictor,
         )
         forwarder = Forwarder(
             sender,
