Show the slowness of targets and the error of predictions

A choice by predicted completion could not be explained afterwards: neither the log nor the metrics named what it was made from. request_placed names the predicted seconds, the slowness and the ages of the stated slowness and load. target_slowness is a gauge of the 50 slowest targets, read at the scrape, so that targets that are gone leave no label. prediction_ratio is a histogram of the time to the first byte relative to the predicted one.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -162,7 +162,6 @@
         self._targets = TargetTable()
         self._ledger = ShareLedger(count_share_partitions(settings.share_partitions))
         self._load_bounds = LoadBounds(self._targets, settings.load_multiple)
-        self._predictor = CompletionPredictor()
         self._pacer = ColdPacer(self._ledger)
         self._rates = RatePacer(self._ledger, clock, self._generator)
         self._moves = VersionMoves(settings.exposure_share)
@@ -186,6 +185,7 @@
         )
         self._reader_role = ReaderRole(self._ledger, self._peers.count_peers)
         self._metrics = ForwardMetrics()
+        self._predictor = CompletionPredictor(self._metrics.observe_prediction)
         self._metrics.add_gauge(
             "answer_memory_bytes",
             "Bytes of the answers of targets that are kept",
--- a/carobladder/entry/status.py
+++ b/carobladder/entry/status.py
@@ -5,12 +5,15 @@
 from carobladder.clock import Clock
 from carobladder.entry.assembly import InstanceParts
 from carobladder.exceptions import NotReadyError
+from carobladder.fleet import find_slowest
 from carobladder.gateway.ports import Answer, Request, Responder
 from carobladder.telemetry import ForwardMetrics
 
 __all__ = ["METRICS_PATH", "StatusHandler", "add_gauges"]
 
 METRICS_PATH = "/metrics"
+# Targets whose slowness is shown, the slowest first.
+_MAX_SHOWN_TARGETS = 50
 _TEXT_HEADERS = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
@@ -76,6 +79,12 @@
         "Parts of prompts whose requests are refused, since they crash targets",
         parts.quarantine.count_held,
     )
+    parts.metrics.add_target_gauge(
+        "target_slowness",
+        lambda: find_slowest(
+            parts.targets.list_all(), _MAX_SHOWN_TARGETS, clock.monotonic()
+        ),
+    )
     add("fleet_share", "Held part of sums", lambda: parts.ledger.share)
     add("ready", "Whether callers may be sent here", lambda: float(is_ready()))
 
--- a/carobladder/fleet/completion.py
+++ b/carobladder/fleet/completion.py
@@ -1,11 +1,13 @@
 """Prediction of the time that a request will take at a target."""
 
+import heapq
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from carobladder.fleet.targets import FleetTarget
 from carobladder.routing import Route
 
-__all__ = ["CompletionPredictor", "Prediction"]
+__all__ = ["CompletionPredictor", "Prediction", "find_slowest"]
 
 _SMOOTHING_FACTOR = 0.05
 # Assumed until the first response.
@@ -30,10 +32,14 @@
     """Prediction from the load and slowness of a target and the usual time of a route.
 
     The usual time is that of a target of usual speed with a free slot, and for a stream
-    the time to its first byte.
+    the time to its first byte. ``observe`` is called with the service and with the time
+    that a request took relative to the predicted one.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, observe: Callable[[str, float], None] = lambda service, ratio: None
+    ) -> None:
+        self._observe = observe
         self._routes = _UsualTimes()
         self._services = _UsualTimes()
 
@@ -66,6 +72,7 @@
         service = target.entry.service
         known = self._routes.find(route.name, 0.0)
         if known:
+            self._observe(service, seconds / prediction.seconds)
             # Without a usual time a response says nothing about the target.
             target.slowness.note_response(seconds, usual_seconds, now)
         known = known or self._services.find(service, _INITIAL_SECONDS)
@@ -75,6 +82,19 @@
         self._services.note(service, sample)
 
 
+def find_slowest(
+    targets: Iterable[FleetTarget], count: int, now: float
+) -> dict[str, float]:
+    """Return the estimated slowness of the slowest targets that state theirs, by id."""
+    estimates = {
+        target.target_id: target.slowness.estimate(now).value
+        for target in targets
+        if target.slowness.stated is not None
+    }
+    slowest = heapq.nlargest(count, estimates.items(), key=lambda item: item[1])
+    return dict(slowest)
+
+
 class _UsualTimes:
     """Running averages of seconds by name."""
 
--- a/carobladder/forwarding/sends.py
+++ b/carobladder/forwarding/sends.py
@@ -153,7 +153,9 @@
         try:
             source = await self._find_prompt_source(call, target)
             expected_load = self.loads.note_sent(target, self.clock.monotonic())
-            self._log_placement(call, target, source, send_count, expected_load)
+            self._log_placement(
+                call, outcome, source, send_count, expected_load, sent_at
+            )
             answer = await self.client.open(
                 call.method,
                 target.entry.address,
@@ -335,11 +337,14 @@
     def _log_placement(
         self,
         call: ForwardedCall,
-        target: FleetTarget,
+        outcome: SendOutcome,
         source: str,
         send_count: int,
         expected_load: ExpectedLoad,
+        sent_at: float,
     ) -> None:
+        target, prediction = outcome.target, outcome.prediction
+        latest_load = target.health.read_latest_load(sent_at)
         now = self.clock.monotonic()
         targets_age = self.targets_freshness.age(self.clock.boottime())
         emit(
@@ -359,6 +364,10 @@
                 records_age_seconds=round(call.configuration_age_seconds, 2),
                 targets_age_seconds=round(targets_age, 2),
                 rate_limit=target.rate_limit,
+                predicted_seconds=round(prediction.seconds, 3),
+                slowness=round(prediction.seconds / prediction.usual_seconds, 2),
+                slowness_age_seconds=_round_age(target.slowness.read_age(sent_at)),
+                load_age_seconds=_round_age(latest_load and latest_load[1]),
             )
         )
 
@@ -375,5 +384,9 @@
         return max(0.0, call.deadline - self.clock.monotonic())
 
 
+def _round_age(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 2)
+
+
 def _round_load(load: float | None) -> float | None:
     return None if load is None else round(load, 1)
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -28,6 +28,9 @@
     of what the operator is known to want, ``targets_age_seconds`` that of what is known
     of the targets' entries. ``rate_limit`` is the number of requests a second that the
     target accepts from all instances, ``None`` if it has named no limit.
+    ``predicted_seconds`` is the expected time to the first byte, and ``slowness`` what
+    it assumes of the target, where 1 is usual. ``slowness_age_seconds`` and
+    ``load_age_seconds`` are the ages of what the target has stated, if it has.
     """
 
     request_id: str
@@ -45,6 +48,10 @@
     records_age_seconds: float
     targets_age_seconds: float
     rate_limit: float | None = None
+    predicted_seconds: float | None = None
+    slowness: float | None = None
+    slowness_age_seconds: float | None = None
+    load_age_seconds: float | None = None
 
     limited: ClassVar[bool] = True
 
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -1,11 +1,11 @@
 """Metrics of requests forwarded to declared routes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
-from carobladder.telemetry.builders import build_counter, build_histogram
+from carobladder.telemetry.builders import LabelledGauge, build_counter, build_histogram
 
 __all__ = ["ForwardMetrics"]
 
@@ -13,6 +13,8 @@
 _OTHER_LABEL = "other"
 # Loads of targets, as fractions of the operators' bound.
 _LOAD_BUCKETS = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0)
+# Times that requests took, as multiples of the predicted ones.
+_PREDICTION_BUCKETS = (0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 8.0)
 _BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
@@ -55,6 +57,9 @@
         self._target_loads = build_histogram(
             self.registry, "target_load_fraction", "service", _LOAD_BUCKETS
         )
+        self._prediction_ratios = build_histogram(
+            self.registry, "prediction_ratio", "service", _PREDICTION_BUCKETS
+        )
         self._sent_above_bound = self._build_counter(
             "requests_sent_above_load_bound", "service"
         )
@@ -113,6 +118,11 @@
         label = self._service_labels.get_label(service)
         self._target_loads.labels(label).observe(fraction)
 
+    def observe_prediction(self, service: str, ratio: float) -> None:
+        """Record the time that a request took relative to the predicted one."""
+        label = self._service_labels.get_label(service)
+        self._prediction_ratios.labels(label).observe(ratio)
+
     def count_sent_above_bound(self, service: str) -> None:
         """Count a request to a target that was known to be above its load bound."""
         label = self._service_labels.get_label(service)
@@ -154,6 +164,15 @@
         gauge = Gauge(f"carobladder_{name}", help_text, registry=self.registry)
         gauge.set_function(read)
 
+    def add_target_gauge(
+        self, name: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register a gauge by target, whose values are read at each scrape.
+
+        ``read`` must return a bounded number of targets.
+        """
+        self.registry.register(LabelledGauge(name, "target", read))
+
     def _build_histogram(self, name: str, label: str) -> Histogram:
         return build_histogram(self.registry, name, label, _BUCKETS_SECONDS)
 
--- a/tests/fleet/test_completion.py
+++ b/tests/fleet/test_completion.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from carobladder.fleet import CompletionPredictor, TargetLoad
+from carobladder.fleet import CompletionPredictor, TargetLoad, find_slowest
 from carobladder.routing import Route, RouteKind, ServiceWeight
 from tests.fleet.builders import fill_table
 
@@ -54,6 +54,16 @@
                 )
         self.assertAlmostEqual(self.predict(self.other).usual_seconds, 0.07, delta=0.01)
 
+    def test_only_the_slowest_targets_that_state_it_are_shown(self):
+        table, targets = fill_table(60)
+        for index, target in enumerate(targets[:55]):
+            target.note_load(TargetLoad(1, 0, 6, 1.0 + index / 10), NOW)
+        shown = find_slowest(table.list_all(), 50, NOW)
+        self.assertEqual(len(shown), 50)
+        self.assertIn("i-55", shown)
+        self.assertNotIn("i-1", shown)
+        self.assertNotIn("i-60", shown)
+
     def test_response_without_a_duration_is_ignored(self):
         before = self.predict(self.target)
         self.predictor.note_response(self.target, ROUTE, 0.0, before, NOW)
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -169,7 +169,7 @@
         self.moves = VersionMoves(0.1)
         self.tallies = AnswerTallies(self.moves, self.targets, incarnation=1)
         bounds = LoadBounds(self.targets, 2.0)
-        self.predictor = CompletionPredictor()
+        self.predictor = CompletionPredictor(self.metrics.observe_prediction)
         sender = TargetSender(
             self.client,
             codec,
--- a/tests/telemetry/test_forwarding.py
+++ b/tests/telemetry/test_forwarding.py
@@ -50,3 +50,16 @@
             self.read_sample("team_event_pause_seconds_count", team="t"), 2.0
         )
         self.assertIn(b"carobladder_targets 3.0", self.metrics.render())
+
+    def test_gauge_by_target_forgets_targets_that_are_gone(self):
+        slowness = {"i-1": 2.5, "i-2": 1.0}
+        self.metrics.add_target_gauge("target_slowness", lambda: slowness)
+        self.assertEqual(self.read_sample("target_slowness", target="i-1"), 2.5)
+        del slowness["i-1"]
+        self.assertIsNone(self.read_sample("target_slowness", target="i-1"))
+        self.assertEqual(self.read_sample("target_slowness", target="i-2"), 1.0)
+
+    def test_prediction_is_recorded_by_service(self):
+        self.metrics.observe_prediction("plain", 1.1)
+        name = "prediction_ratio_count"
+        self.assertEqual(self.read_sample(name, service="plain"), 1.0)
