--- a/carobladder/fleet/__init__.py
+++ b/carobladder/fleet/__init__.py
@@ -5,6 +5,7 @@
     budgets,
     comparison,
     completion,
+    completionchoice,
     deltas,
     entries,
     exchanges,
@@ -33,6 +34,7 @@
 from carobladder.fleet.budgets import *  # noqa: F403
 from carobladder.fleet.comparison import *  # noqa: F403
 from carobladder.fleet.completion import *  # noqa: F403
+from carobladder.fleet.completionchoice import *  # noqa: F403
 from carobladder.fleet.deltas import *  # noqa: F403
 from carobladder.fleet.entries import *  # noqa: F403
 from carobladder.fleet.exchanges import *  # noqa: F403
@@ -64,6 +66,7 @@
     *comparison.__all__,
     *completion.__all__,
     *deltas.__all__,
+    *completionchoice.__all__,
     *exchanges.__all__,
     *failures.__all__,
     *freshness.__all__,
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -179,7 +179,7 @@
         self.moves = VersionMoves(0.1)
         self.tallies = AnswerTallies(self.moves, self.targets, incarnation=1)
         bounds = LoadBounds(self.targets, 2.0)
-        self.predictor = CompletionPredictor()
+        self.predictor = CompletionPredictor(self.metrics.observe_prediction)
         sender = TargetSender(
             self.client,
             codec,
@@ -203,6 +203,7 @@
             self.moves,
             bounds,
             generator,
+            self.predictor,
         )
         age_limits = ConfigurationAgeLimits(keys=4.5, refusals=3.0)
         self.hedging = HedgePolicy(
