--- a/carobladder/forwarding/hedging.py
+++ b/carobladder/forwarding/hedging.py
@@ -10,7 +10,7 @@
 from carobladder.forwarding.sends import ForwardedCall
 from carobladder.retries import RetryBudget
 
-__all__ = ["HedgePolicy", "WithholdReason", "list_unfit"]
+__all__ = ["LASTING_REASONS", "HedgePolicy", "WithholdReason", "list_unfit"]
 
 # The quantile after which a request is late follows from the share of copies, within
 # these limits: a lower one finds requests that are not late, a higher one is not known
@@ -25,8 +25,9 @@
 _BLOCKED_SECONDS = 0.03
 _BLOCK_EFFECT_SECONDS = 0.1
 # Weight of a request in the share of late ones, and the share above which the targets
-# as a whole are slow. About 0.05 are late in steady operation.
-_LATE_WEIGHT = 1.0 / 16.0
+# as a whole are slow. About 0.05 are late in steady operation; two or three late ones
+# in a row exceed the limit.
+_LATE_WEIGHT = 1.0 / 8.0
 _MAX_LATE_SHARE = 0.25
 # Time after a refusal by a target in which its service is short of capacity.
 _REFUSAL_EFFECT_SECONDS = 1.0
@@ -49,6 +50,17 @@
     BUDGET = "budget"
 
 
+# Reasons that hold until the end of a request.
+LASTING_REASONS = frozenset(
+    {
+        WithholdReason.ANSWERING,
+        WithholdReason.CONFIGURATION,
+        WithholdReason.DEADLINE,
+        WithholdReason.PROMPT_PART,
+    }
+)
+
+
 @dataclass(slots=True)
 class _ServiceState:
     """Share of the late requests of a service, and the time of its newest refusal."""
--- a/carobladder/forwarding/race.py
+++ b/carobladder/forwarding/race.py
@@ -11,7 +11,7 @@
 from carobladder.exceptions import TargetError
 from carobladder.forwarding.attempts import OpenCall
 from carobladder.forwarding.copies import CopyStarter
-from carobladder.forwarding.hedging import WithholdReason
+from carobladder.forwarding.hedging import LASTING_REASONS, WithholdReason
 from carobladder.forwarding.preload import load_beginning
 from carobladder.forwarding.sends import ForwardedCall
 from carobladder.forwarding.tracking import TrackedSend
@@ -25,6 +25,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Interval in which a send looks whether it is the only one left.
 _POLL_SECONDS = 0.1
+# Time after which a withheld copy is considered again, as a fraction of the delay.
+_RECHECK_FRACTION = 0.25
 # Iterations of the event loop in which an answer that has come in time is read.
 _READ_ITERATIONS = 4
 
@@ -160,13 +162,27 @@
             raise
 
     async def _copy_if_late(self, first: TrackedSend) -> None:
+        """Send a copy once the first send is late and nothing speaks against it."""
         delay = self._policy.find_delay(self._call)
-        if delay is None or not await self._wait_until_late(first, delay):
-            return
-        copy = self._copies.start(first)
-        if isinstance(copy, WithholdReason):
-            self._metrics.count_withheld_copy(copy)
+        if delay is None:
             return
+        is_late = await self._wait_until(first.sent_at + delay, delay)
+        self._policy.note_lateness(self._call, is_late=is_late)
+        reason = None
+        while is_late:
+            copy = self._copies.start(first)
+            if isinstance(copy, TrackedSend):
+                self._start_copy(first, copy, delay)
+                return
+            if copy is not reason:
+                reason = copy
+                self._metrics.count_withheld_copy(reason)
+            if reason in LASTING_REASONS:
+                return
+            pause = delay * _RECHECK_FRACTION
+            is_late = await self._wait_until(self._clock.monotonic() + pause, pause)
+
+    def _start_copy(self, first: TrackedSend, copy: TrackedSend, delay: float) -> None:
         self._copy = copy
         self._metrics.count_sent_copy(self._call.service.name)
         emit(
@@ -182,10 +198,12 @@
         )
         self._start(copy)
 
-    async def _wait_until_late(self, first: TrackedSend, delay: float) -> bool:
-        """Return whether no answer has come within the delay."""
+    async def _wait_until(self, due: float, pause: float) -> bool:
+        """Return whether the first send has not ended by a monotonic time.
+
+        The wait goes on for a pause as long as the event loop was blocked just before.
+        """
         task = self._racers[0].task
-        due = first.sent_at + delay
         while True:
             seconds = max(0.0, due - self._clock.monotonic())
             await asyncio.wait({task}, timeout=seconds)
@@ -194,13 +212,11 @@
                 if not task.done():
                     await asyncio.sleep(0)
             if task.done():
-                self._policy.note_lateness(self._call, is_late=False)
                 return False
             if not self._policy.is_blocked(overrun):
-                self._policy.note_lateness(self._call, is_late=True)
                 return True
             self._metrics.count_withheld_copy(WithholdReason.BLOCKED)
-            due = self._clock.monotonic() + delay
+            due = self._clock.monotonic() + pause
 
     async def _find_winner(self) -> _Racer:
         """Return the first racer with a usable answer, or the last one that failed."""
--- a/carobladder/retries/budgets.py
+++ b/carobladder/retries/budgets.py
@@ -10,9 +10,14 @@
 # Largest part of the income that is set aside for copies of late requests, so that half
 # of it is left to retries after failures.
 _MAX_COPY_PART = 0.5
-# Copies that can be stored, as a fraction of the burst, but at least one copy.
+# Copies that can be stored, as a fraction of the burst, but at least two. With one, a
+# simulated instance that earned as many copies as it had late requests sent half of
+# them; with three, 76 instances whose targets are all slow at once could exceed the
+# budget of a small service.
 _COPY_BURST_FRACTION = 0.25
-_MIN_COPY_CAPACITY = 1.0
+_MIN_COPY_CAPACITY = 2.0
+# No copy is granted while retries have used more than this part of their tokens.
+_MIN_RETRY_FRACTION = 0.5
 # Ten times 0.1 is a little less than 1 in floating-point numbers.
 _ROUNDING_ERROR = 1e-9
 
@@ -28,7 +33,8 @@
 
     Copies of late requests are part of the budget. A fraction ``copy_ratio`` of each
     request, at most half of ``ratio``, is set aside for them; what cannot be stored is
-    left to retries. Neither kind uses the tokens of the other.
+    left to retries. Neither kind uses the tokens of the other, and no copy is granted
+    while fewer than half of the possible retries are stored, as in a storm of failures.
     """
 
     def __init__(
@@ -78,7 +84,8 @@
 
     def has_copy(self) -> bool:
         """Return whether a copy of a late request is available."""
-        return self._copy_tokens >= 1.0 - _ROUNDING_ERROR
+        has_retries = self._tokens >= self._capacity * _MIN_RETRY_FRACTION
+        return has_retries and self._copy_tokens >= 1.0 - _ROUNDING_ERROR
 
     def withdraw_copy(self) -> bool:
         """Withdraw one copy and return True, or return False if none is available."""
--- a/tests/forwarding/test_hedged_calls.py
+++ b/tests/forwarding/test_hedged_calls.py
@@ -424,6 +424,21 @@
 
         await self.check_no_copy(self.build(), spend, "budget")
 
+    @in_virtual_time
+    async def test_copy_is_sent_once_the_reason_against_it_has_passed(self):
+        fleet = HedgedInstance(LateTarget(1.0), LateTarget(0.0, b"fast"))
+        async with fleet as instance:
+            while instance.budget.withdraw_copy():
+                pass
+            call = asyncio.create_task(instance.call("/safe/x", b"a"))
+            await asyncio.sleep(0.3)
+            self.assertEqual(fleet.sent, [])
+            for _ in range(20):
+                instance.budget.record_request()
+            _, _, body = await call
+            self.assertEqual((body, fleet.outcomes), (b"fast", ["won"]))
+            self.assertLess(fleet.sent[0].waited_seconds, 0.4)
+
     @in_virtual_time
     async def test_blocked_event_loop_withholds_the_copy(self):
         fleet = HedgedInstance(LateTarget(0.25), LateTarget(0.0))
