Show who is refused under overload, and why

Cause: operators could see neither how full the queues of targets are nor why a request was refused before it was sent, and could not turn this off. Ruled out: a name for the setting in deploy/settings.template, as the platform states no value for it; a line for each request that is sent, as request_placed exists.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -43,6 +43,7 @@
     VersionMoves,
 )
 from carobladder.forwarding import (
+    AdmissionControl,
     CrashWatch,
     Forwarder,
     ForwardHandler,
@@ -189,6 +190,14 @@
             "Bytes of the answers of targets that are kept",
             lambda: float(self._target_memory.used_bytes),
         )
+        self._admission = AdmissionControl(
+            self._metrics, is_enabled=settings.admission_control
+        )
+        self._metrics.add_gauge(
+            "waiting_requests",
+            "Requests that wait for the rate limits of targets",
+            lambda: float(self._admission.lines.count_waiting()),
+        )
         self._server_metrics = GatewayMetrics(
             connection_registry=self._metrics.registry
         )
@@ -371,6 +380,7 @@
             budgets.find,
             self._metrics,
             CrashWatch(self._quarantine, self._client, self._clock),
+            self._admission,
         )
         handler = ForwardHandler(
             forwarder,
--- a/carobladder/forwarding/__init__.py
+++ b/carobladder/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Forwarding of callers' requests to the targets of the configured routes."""
 
 from carobladder.forwarding import (
+    admission,
     attempts,
     calls,
     crashwatch,
@@ -13,6 +14,7 @@
     refusals,
     sends,
 )
+from carobladder.forwarding.admission import *  # noqa: F403
 from carobladder.forwarding.attempts import *  # noqa: F403
 from carobladder.forwarding.calls import *  # noqa: F403
 from carobladder.forwarding.crashwatch import *  # noqa: F403
@@ -26,6 +28,7 @@
 from carobladder.forwarding.sends import *  # noqa: F403
 
 __all__ = [
+    *admission.__all__,
     *attempts.__all__,
     *calls.__all__,
     *crashwatch.__all__,
--- a/carobladder/forwarding/admission.py
+++ b/carobladder/forwarding/admission.py
@@ -10,9 +10,12 @@
 from carobladder.limits.lines import WaitingLines
 from carobladder.limits.shedding import (
     AdmissionRequest,
+    RefusalReason,
     ServiceAdmission,
     TargetPlaces,
+    count_free_slots,
 )
+from carobladder.telemetry import ForwardMetrics, RequestShed, emit
 
 __all__ = ["AdmissionControl"]
 
@@ -28,8 +31,9 @@
     Without ``is_enabled`` all calls are sent. ``now`` is in monotonic seconds.
     """
 
-    def __init__(self, *, is_enabled: bool = True) -> None:
+    def __init__(self, metrics: ForwardMetrics, *, is_enabled: bool = True) -> None:
         self.lines = WaitingLines()
+        self._metrics = metrics
         self.is_enabled = is_enabled
         self._services: dict[str, ServiceAdmission] = {}
 
@@ -47,7 +51,14 @@
             places = _list_places(choice.list_candidates(), now)
         request = AdmissionRequest(call.priority, call.team, call.deadline - now)
         reason = admission.decide(request, places, now)
+        if places:
+            self._metrics.observe_pressure(
+                call.service.name,
+                admission.compute_fill(places, now),
+                count_free_slots(places),
+            )
         if reason is not None:
+            self._report_shed(call, reason, places, now)
             raise OverloadedError(
                 f"the call was not run: {call.service.name} is overloaded ({reason})",
                 _RETRY_SECONDS,
@@ -100,6 +111,29 @@
             self._services[service] = admission
         return admission
 
+    def _report_shed(
+        self,
+        call: ForwardedCall,
+        reason: RefusalReason,
+        places: list[TargetPlaces],
+        now: float,
+    ) -> None:
+        self._metrics.count_shed_request(reason)
+        admission = self.find(call.service.name)
+        emit(
+            RequestShed(
+                request_id=call.facts.request_id,
+                service=call.service.name,
+                team=call.team,
+                priority=call.priority,
+                reason=reason,
+                fill=round(admission.compute_fill(places, now), 2),
+                free_slots=round(count_free_slots(places), 1),
+                refused_share=round(admission.compute_refused_share(now), 2),
+                left_seconds=round(call.deadline - now, 3),
+            )
+        )
+
 
 def _list_places(candidates: Iterable[FleetTarget], now: float) -> list[TargetPlaces]:
     """Return the targets that have stated their load lately."""
--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from carobladder.clock import Clock
@@ -68,7 +68,7 @@
     find_budget: Callable[[str], RetryBudget]
     metrics: ForwardMetrics
     crashes: CrashWatch
-    admission: AdmissionControl = field(default_factory=AdmissionControl)
+    admission: AdmissionControl
 
     def start(self, call: ForwardedCall) -> "CallSession":
         """Return the session of a new call without sending anything yet."""
--- a/carobladder/forwarding/handler.py
+++ b/carobladder/forwarding/handler.py
@@ -337,6 +337,7 @@
         """
         self._metrics.count_refusal(error.code)
         elapsed_seconds = self._clock.monotonic() - request.received
+        self._metrics.observe_refusal_time(error.code, elapsed_seconds)
         fields = self._codec.write_answer(facts.request_id)
         refusal = self._refusals.write(error, facts, elapsed_seconds, fields)
         table = self._find_table()
--- a/carobladder/limits/lines.py
+++ b/carobladder/limits/lines.py
@@ -63,6 +63,10 @@
             if not len(queue) and self._queues.get(service) is queue:
                 del self._queues[service]
 
+    def count_waiting(self) -> int:
+        """Return the number of waiting requests of all services."""
+        return sum(len(queue) for queue in self._queues.values())
+
     def has_waiting(self, service: str) -> bool:
         """Return whether requests of the service wait."""
         return service in self._queues
--- a/carobladder/limits/shedding.py
+++ b/carobladder/limits/shedding.py
@@ -6,7 +6,13 @@
 
 from carobladder.limits.usage import AdmissionRecord
 
-__all__ = ["AdmissionRequest", "RefusalReason", "ServiceAdmission", "TargetPlaces"]
+__all__ = [
+    "AdmissionRequest",
+    "RefusalReason",
+    "ServiceAdmission",
+    "TargetPlaces",
+    "count_free_slots",
+]
 
 # A service is under pressure for this time after one of its targets has refused.
 _PRESSURE_SECONDS = 2.0
@@ -88,6 +94,10 @@
             self._seconds_per_slot = sample
         self._seconds_per_slot += _SMOOTHING_FACTOR * (sample - self._seconds_per_slot)
 
+    def compute_refused_share(self, now: float) -> float:
+        """Return the share of the recent requests that were refused."""
+        return self._record.compute_refused_share(now)
+
     def note_refused(self, priority: int, now: float) -> None:
         """Count a request that targets or this instance refused."""
         self._record.note_refused(priority, now)
@@ -191,7 +201,12 @@
     return (place.load - place.slots) / max(1.0, limit - place.slots)
 
 
+def count_free_slots(places: Sequence[TargetPlaces]) -> float:
+    """Return the free slots of targets by their estimated loads."""
+    return sum(max(0.0, place.slots - place.load) for place in places)
+
+
 def _has_free_slots(places: Sequence[TargetPlaces]) -> bool:
     """Return whether half of the slots are free, whatever single targets queue."""
-    free = sum(max(0.0, place.slots - place.load) for place in places)
-    return free >= _FREE_FRACTION * sum(place.slots for place in places)
+    slots = sum(place.slots for place in places)
+    return count_free_slots(places) >= _FREE_FRACTION * slots
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -40,7 +40,8 @@
     In a window, all instances together may retry at most ``retry_ratio`` times the
     number of requests, plus ``retry_slack``. A faulty version may receive
     at most the fraction ``exposure_share`` of the requests of its service, plus
-    ``exposure_slack``.
+    ``exposure_slack``. With ``admission_control``, less urgent requests are refused
+    first while targets of a service refuse requests or have no free slot.
     """
 
     instance: Name
@@ -62,6 +63,7 @@
     load_multiple: Annotated[float, msgspec.Meta(gt=1)] = 2.0
     exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
     exposure_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    admission_control: bool = True
     log_level: LogLevel = "info"
 
 
--- a/carobladder/telemetry/builders.py
+++ b/carobladder/telemetry/builders.py
@@ -1,8 +1,8 @@
 """Construction of Prometheus metrics with one label."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
-__all__ = ["build_counter", "build_histogram"]
+__all__ = ["build_counter", "build_gauge", "build_histogram"]
 
 
 def build_histogram(
@@ -25,5 +25,12 @@
     )
 
 
+def build_gauge(registry: CollectorRegistry, name: str, label: str) -> Gauge:
+    """Return a gauge with one label, registered in ``registry``."""
+    return Gauge(
+        f"carobladder_{name}", _build_help_text(name, label), [label], registry=registry
+    )
+
+
 def _build_help_text(name: str, label: str) -> str:
     return f"{name.replace('_', ' ').capitalize()} by {label}"
--- a/carobladder/telemetry/events/requests.py
+++ b/carobladder/telemetry/events/requests.py
@@ -15,6 +15,7 @@
     "RequestDelayed",
     "RequestPlaced",
     "RequestRefused",
+    "RequestShed",
     "StreamBroken",
 ]
 
@@ -63,6 +64,28 @@
     limited: ClassVar[bool] = True
 
 
+@dataclass(frozen=True, slots=True)
+class RequestShed(Event):
+    """A request to an overloaded service was refused before it was sent.
+
+    ``fill`` is the used fraction of the targets' queues, ``free_slots`` the sum of
+    their free slots by the known loads, and ``refused_share`` the share of the
+    service's recent requests that were refused.
+    """
+
+    request_id: str
+    service: str
+    team: str
+    priority: int
+    reason: str
+    fill: float
+    free_slots: float
+    refused_share: float
+    left_seconds: float
+
+    limited: ClassVar[bool] = True
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptFailed(Event):
     """An attempt gave no answer for the caller.
--- a/carobladder/telemetry/forwarding.py
+++ b/carobladder/telemetry/forwarding.py
@@ -5,7 +5,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
-from carobladder.telemetry.builders import build_counter, build_histogram
+from carobladder.telemetry.builders import build_counter, build_gauge, build_histogram
 
 __all__ = ["ForwardMetrics"]
 
@@ -13,6 +13,8 @@
 _OTHER_LABEL = "other"
 # Loads of targets, as fractions of the operators' bound.
 _LOAD_BUCKETS = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 2.0)
+# Used fractions of the targets' queues; below 0.0 not all slots are in use.
+_FILL_BUCKETS = (0.0, 0.25, 0.5, 0.75, 0.9, 1.0)
 _BUCKETS_SECONDS = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
@@ -63,6 +65,12 @@
         )
         self._malformed_loads = self._build_counter("malformed_loads", "service")
         self._refusals = self._build_counter("refusals", "reason")
+        self._refusal_seconds = self._build_histogram("refusal_seconds", "reason")
+        self._shed_requests = self._build_counter("shed_requests", "reason")
+        self._queue_fill = build_histogram(
+            self.registry, "target_queue_fill", "service", _FILL_BUCKETS
+        )
+        self._free_slots = build_gauge(self.registry, "free_slots", "service")
         self._failed_attempts = self._build_counter("failed_attempts", "decision")
         self._broken_streams = self._build_counter("broken_streams", "reason")
         self._broken_answers = self._build_counter("broken_answers", "progress")
@@ -132,6 +140,20 @@
         """Count a request that the instance rejected with a response of its own."""
         self._refusals.labels(reason).inc()
 
+    def observe_refusal_time(self, reason: str, seconds: float) -> None:
+        """Record the seconds from a request's arrival to its rejection."""
+        self._refusal_seconds.labels(reason).observe(seconds)
+
+    def count_shed_request(self, reason: str) -> None:
+        """Count a request that was refused because its service is overloaded."""
+        self._shed_requests.labels(reason).inc()
+
+    def observe_pressure(self, service: str, fill: float, free_slots: float) -> None:
+        """Record the use of targets' queues and their free slots at a decision."""
+        label = self._service_labels.get_label(service)
+        self._queue_fill.labels(label).observe(fill)
+        self._free_slots.labels(label).set(free_slots)
+
     def count_failed_attempt(self, decision: str) -> None:
         """Count a failed attempt by the retry decision that followed."""
         self._failed_attempts.labels(decision).inc()
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -20,6 +20,7 @@
     VersionMoves,
 )
 from carobladder.forwarding import (
+    AdmissionControl,
     ConfigurationAgeLimits,
     CrashWatch,
     Forwarder,
@@ -190,6 +191,7 @@
             bounds,
             generator,
         )
+        self.admission = AdmissionControl(self.metrics)
         forwarder = Forwarder(
             sender,
             self.selector,
@@ -197,8 +199,8 @@
             lambda service: self.budget,
             self.metrics,
             CrashWatch(self.quarantine, self.client, self.clock),
+            self.admission,
         )
-        self.admission = forwarder.admission
         handler = ForwardHandler(
             forwarder,
             codec,
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -72,6 +72,10 @@
         self.assertEqual((status, self.count_requests()), (503, before))
         self.assertIn(b"overloaded", body)
         self.assertGreater(float(headers["retry-after"]), 0.0)
+        count = instance.metrics.registry.get_sample_value(
+            "carobladder_shed_requests_total", {"reason": "more urgent requests"}
+        )
+        self.assertGreater(count, 0.0)
         await instance.call("/open/x", X_Api_Key=None)
         self.assertEqual(self.count_requests(), before + 1)
 
--- a/tests/limits/test_overload.py
+++ b/tests/limits/test_overload.py
@@ -72,6 +72,15 @@
         self.assertGreater(others, 0.9)
         self.assertGreater(surging, 0.4)
 
+    def test_surge_without_shares(self):
+        """The check above must fail without the rule that it guards."""
+        run = OverloadRun(OVERLOAD, AdmissionPolicy())
+        for instance in run.instances:
+            record = instance.admission._record
+            record.is_above_share = lambda priority, team, now: False
+        run.run()
+        self.assertLess(run.measure(lambda caller: caller.team != 0)[0], 0.9)
+
     def test_lowest_priority_keeps_a_quarter_of_the_mean(self):
         _, after = self.compare(load=1.8, urgent_share=0.8)
         lowest, _ = after.measure(lambda caller: caller.priority == 1)
--- a/tests/telemetry/test_forwarding.py
+++ b/tests/telemetry/test_forwarding.py
@@ -50,3 +50,17 @@
             self.read_sample("team_event_pause_seconds_count", team="t"), 2.0
         )
         self.assertIn(b"carobladder_targets 3.0", self.metrics.render())
+
+    def test_overload_is_recorded_by_service_and_reason(self):
+        self.metrics.observe_pressure("stock", 0.6, 2.0)
+        self.metrics.count_shed_request("more urgent requests")
+        self.metrics.observe_refusal_time("overloaded", 0.001)
+        self.assertEqual(self.read_sample("free_slots", service="stock"), 2.0)
+        bucket = self.read_sample(
+            "target_queue_fill_bucket", service="stock", le="0.75"
+        )
+        self.assertEqual(bucket, 1.0)
+        shed = self.read_sample("shed_requests_total", reason="more urgent requests")
+        self.assertEqual(shed, 1.0)
+        seconds = self.read_sample("refusal_seconds_count", reason="overloaded")
+        self.assertEqual(seconds, 1.0)
