Limit targets without refusals by the wait for a slot

Cause: the limit of a target that never refuses counted the time of the answer itself. With streams that last nearly as long as callers allow, any queue would have counted as full. A target without a queue was never known to be full. Change: the limit is the load at which the expected wait is half of the time that callers allow; a target is full half a request below 0.9 of its queue. Both have a test.

--- a/carobladder/limits/shedding.py
+++ b/carobladder/limits/shedding.py
@@ -20,8 +20,9 @@
 _LIMIT_EXPIRY_SECONDS = 10.0
 # Weight of the newest answer in the mean time that a request uses a slot for.
 _SMOOTHING_FACTOR = 0.1
-# Without a known limit, a target takes requests until the expected time of an answer is
-# this part of what callers allow. At 1.0 nearly all answers would come too late.
+# Without a known limit, a target takes requests until the expected wait for a slot is
+# this part of the time that callers allow. At 1.0 nearly all answers would come too
+# late.
 _MAX_PATIENCE_FRACTION = 0.5
 # Decay of the longest time that callers allow, with each request.
 _PATIENCE_DECAY = 0.99
@@ -31,7 +32,8 @@
 # Share of refused requests from which the whole range is used. With less, an overload
 # is so short or slight that the queues of targets absorb most of it.
 _FULL_RANGE_REFUSED_SHARE = 0.5
-# A target counts as full from this part of its queue on, as loads are known late.
+# A target counts as full from this part of its queue on, as loads are known late. One
+# without a queue is full when all of its slots are in use.
 _FULL_FRACTION = 0.9
 # No request is refused while this part of the slots is free.
 _FREE_FRACTION = 0.5
@@ -131,7 +133,10 @@
     def is_full(self, place: TargetPlaces, now: float) -> bool:
         """Return whether a target would probably refuse a request."""
         limit = self._find_shed_limit(place, now)
-        return limit is not None and _compute_fill(place, limit) >= _FULL_FRACTION
+        if limit is None:
+            return False
+        queued = place.slots + _FULL_FRACTION * (limit - place.slots)
+        return place.load > queued - 0.5
 
     def compute_fill(self, places: Sequence[TargetPlaces], now: float) -> float:
         """Return the mean fraction of the targets' queues that is in use.
@@ -185,7 +190,7 @@
             limits.append(shed_limit)
         if self._seconds_per_slot:
             seconds = _MAX_PATIENCE_FRACTION * self._patience_seconds
-            limits.append(place.slots * max(1.0, seconds / self._seconds_per_slot))
+            limits.append(place.slots * (1.0 + seconds / self._seconds_per_slot))
         return min(limits, default=None)
 
     def _find_shed_limit(self, place: TargetPlaces, now: float) -> float | None:
--- a/tests/limits/test_shedding.py
+++ b/tests/limits/test_shedding.py
@@ -114,6 +114,23 @@
         self.assertFalse(self.admission.is_full(build_places(20)[0], 0.0))
         self.assertFalse(self.admission.is_full(place, 11.0))
 
+    def test_target_without_a_queue_is_full_at_its_slots(self):
+        self.admission.note_shed("i-0", SLOTS, 0.0)
+        self.assertTrue(self.admission.is_full(build_places(SLOTS)[0], 0.0))
+        self.assertFalse(self.admission.is_full(build_places(SLOTS - 1)[0], 0.0))
+
+    def test_long_answers_leave_room_for_a_queue(self):
+        """Streams may last nearly as long as callers allow, and still wait shortly."""
+        for _ in range(100):
+            self.admission.note_answer(SLOTS, SLOTS, 10.0)
+        for priority in (0, 1):
+            self.admission.decide(build_request(priority, remaining=12.0), [], 0.0)
+        for load, reason in ((SLOTS + 1, None), (20, RefusalReason.PRIORITY)):
+            request = build_request(1, team="b", remaining=30.0)
+            self.assertEqual(
+                self.admission.decide(request, build_places(load), 0.0), reason
+            )
+
     def test_refusal_below_the_slots_sets_no_lower_limit(self):
         """A target that refuses for another reason must not count as full when idle."""
         self.admission.note_shed("i-0", 0, 0.0)
