Count the memory of engines beside their slots

Cause: long prompts fill the KV cache of an engine before its slots are full, so requests were sent to engines that seemed to have free slots. Ruled out: whole prompts, as shared parts are in the cache once; that would refuse requests that fit. Change: a service with kv_cache_tokens has at most as many slots as requests of the mean size fit (limits/cache.py).

--- a/carobladder/fleet/health.py
+++ b/carobladder/fleet/health.py
@@ -193,7 +193,7 @@
             return None
         return self._load.total, max(0.0, now - self._load_at)
 
-    def states_load_of(self, count: int, now: float) -> bool:
+    def states_load_of(self, count: float, now: float) -> bool:
         """Return whether the target has lately stated at least this many requests."""
         load = self._load
         is_recent = now - self._load_at <= _LOAD_EXPIRY_SECONDS
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -113,10 +113,13 @@
             (target.health.estimate_load(now) or 0.0) > bound for target in usable
         )
 
-    def has_full(self, service: str, now: float) -> bool:
-        """Return whether a target of a service states a load at or above its slots."""
+    def has_full(self, service: str, max_slots: float, now: float) -> bool:
+        """Return whether a target of a service states a load at or above its slots.
+
+        No target has more than ``max_slots`` of them.
+        """
         return any(
-            target.health.states_load_of(target.entry.slots, now)
+            target.health.states_load_of(min(target.entry.slots, max_slots), now)
             for target in self._table.list_registered(service)
         )
 
--- a/carobladder/forwarding/admission.py
+++ b/carobladder/forwarding/admission.py
@@ -1,12 +1,14 @@
 """Admission of calls to services whose targets are overloaded."""
 
+import math
 from collections.abc import Iterable
 
 from carobladder.exceptions import OverloadedError
-from carobladder.fleet import FleetTarget
+from carobladder.fleet import CallMetadata, FleetTarget
 from carobladder.forwarding.attempts import OpenCall
 from carobladder.forwarding.choices import TargetChoice
 from carobladder.forwarding.sends import ForwardedCall
+from carobladder.limits.cache import CacheUse
 from carobladder.limits.lines import WaitingLines
 from carobladder.limits.shedding import (
     AdmissionRequest,
@@ -36,6 +38,7 @@
         self._metrics = metrics
         self.is_enabled = is_enabled
         self._services: dict[str, ServiceAdmission] = {}
+        self._caches: dict[str, CacheUse] = {}
 
     def check(self, call: ForwardedCall, choice: TargetChoice, now: float) -> None:
         """Count a call, and raise OverloadedError unless it may be sent now.
@@ -47,8 +50,9 @@
             return
         admission = self.find(call.service.name)
         places: list[TargetPlaces] = []
-        if admission.has_shed(now) or choice.has_full():
-            places = _list_places(choice.list_candidates(), now)
+        max_slots = self._note_size(call)
+        if admission.has_shed(now) or choice.has_full(max_slots):
+            places = _list_places(choice.list_candidates(), max_slots, now)
         request = AdmissionRequest(call.priority, call.team, call.deadline - now)
         reason = admission.decide(request, places, now)
         if places:
@@ -88,13 +92,14 @@
         admission = self.find(call.service.name)
         return [
             place.target_id
-            for place in _list_places(candidates, now)
+            for place in _list_places(candidates, self._compute_max_slots(call), now)
             if admission.is_full(place, now)
         ]
 
     def note_answer(self, call: ForwardedCall, opened: OpenCall, now: float) -> None:
         """Record a whole answer of a target."""
-        load, slots = opened.facts.load, opened.target.entry.slots
+        load = opened.facts.load
+        slots = min(opened.target.entry.slots, self._compute_max_slots(call))
         if load is not None and slots > 0:
             seconds = now - opened.sent_at
             self.find(call.service.name).note_answer(load.total, slots, seconds)
@@ -111,6 +116,17 @@
             self._services[service] = admission
         return admission
 
+    def _note_size(self, call: ForwardedCall) -> float:
+        """Count the tokens of a call, and return the slots that memory allows."""
+        if call.service.kv_cache_tokens:
+            use = self._caches.setdefault(call.service.name, CacheUse())
+            use.note_request(_count_own_tokens(call.facts))
+        return self._compute_max_slots(call)
+
+    def _compute_max_slots(self, call: ForwardedCall) -> float:
+        use = self._caches.get(call.service.name)
+        return use.compute_slots(call.service.kv_cache_tokens) if use else math.inf
+
     def _report_shed(
         self,
         call: ForwardedCall,
@@ -135,14 +151,26 @@
         )
 
 
-def _list_places(candidates: Iterable[FleetTarget], now: float) -> list[TargetPlaces]:
-    """Return the targets that have stated their load lately."""
+def _count_own_tokens(facts: CallMetadata) -> int:
+    """Return the tokens that no other request shares in the cache of an engine."""
+    prompt_tokens = facts.prompt[-1].tokens if facts.prompt else facts.input_tokens
+    return prompt_tokens + facts.output_tokens
+
+
+def _list_places(
+    candidates: Iterable[FleetTarget], max_slots: float, now: float
+) -> list[TargetPlaces]:
+    """Return the targets that have stated their load lately.
+
+    None of them has more than ``max_slots``.
+    """
     places = []
     for target in candidates:
         latest = target.health.read_latest_load(now)
         load = target.health.estimate_load(now)
         if latest is None or latest[1] > _MAX_LOAD_AGE_SECONDS or load is None:
             continue
-        if target.entry.slots > 0:
-            places.append(TargetPlaces(target.target_id, load, target.entry.slots))
+        slots = min(target.entry.slots, max_slots)
+        if slots > 0:
+            places.append(TargetPlaces(target.target_id, load, slots))
     return places
--- a/carobladder/forwarding/choices.py
+++ b/carobladder/forwarding/choices.py
@@ -37,9 +37,14 @@
         """Exclude targets that are known to be full, until the call ends."""
         self._tried_ids.update(target_ids)
 
-    def has_full(self) -> bool:
-        """Return whether a target of the service states a load at its slots."""
-        return self._selector.has_full(self._call.service.name, self._clock.monotonic())
+    def has_full(self, max_slots: float) -> bool:
+        """Return whether a target of the service states a load at its slots.
+
+        No target has more than ``max_slots`` of them.
+        """
+        return self._selector.has_full(
+            self._call.service.name, max_slots, self._clock.monotonic()
+        )
 
     def list_candidates(self) -> list[FleetTarget]:
         """Return the targets that the call could be sent to now."""
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -6,7 +6,7 @@
 
 from carobladder.clock import SystemClock
 from carobladder.fleet import TargetLoad
-from carobladder.routing import RouteTable
+from carobladder.routing import RouteTable, Service
 from tests.forwarding.fixtures import Instance, build_response, build_target
 from tests.forwarding.test_handler import NOT_RUN, ForwardingTest, echo
 
@@ -101,6 +101,24 @@
         status, _, _ = await instance.call("/unsafe/x", Carobladder_Deadline="1900")
         self.assertEqual(status, 200)
 
+    async def test_memory_limits_the_slots_of_an_engine(self):
+        """Long prompts may fill the cache of an engine before its slots are full."""
+        for cache_tokens, status in ((0, 200), (1000, 503)):
+            instance = await self.start(echo)
+            configuration = instance.table.configuration
+            service = Service("stock", kv_cache_tokens=cache_tokens)
+            instance.table = RouteTable(
+                dataclasses.replace(configuration, services=(service,))
+            )
+            admission = instance.admission.find("stock")
+            for _ in range(100):
+                admission.note_answer(2, 2, 1.0)
+            state_load(instance, SLOTS - 1, 0)
+            result, _, _ = await instance.call(
+                "/unsafe/x", Carobladder_Prompt_Prefix="aa:9,bb:500"
+            )
+            self.assertEqual(result, status)
+
     async def test_service_below_its_slots_is_served_as_before(self):
         """Nothing may change where no target sheds or states a load at its slots."""
         instance = await self.start(echo, echo)
