--- a/carobladder/forwarding/calls.py
+++ b/carobladder/forwarding/calls.py
@@ -1,7 +1,7 @@
 """Retries of a call across the targets of a service."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from carobladder.clients.connection import DeadlineExtender
@@ -51,8 +51,8 @@
     find_budget: Callable[[str], RetryBudget]
     metrics: ForwardMetrics
     crashes: CrashWatch
+    admission: AdmissionControl
     hedging: HedgePolicy | None = None
-    admission: AdmissionControl = field(default_factory=AdmissionControl)
 
     def start(self, call: ForwardedCall) -> "CallSession":
         """Return the session of a new call without sending anything yet."""
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -42,7 +42,8 @@
     at most the fraction ``exposure_share`` of the requests of its service, plus
     ``exposure_slack``. ``hedge_share`` is the part of the requests of a service that
     may also be sent to a second target when their answers are late, within half of the
-    retries; 0 sends none.
+    retries; 0 sends none. With ``admission_control``, less urgent requests are refused
+    first while targets of a service refuse requests or have no free slot.
 
     ``api_address`` is that of the platform's API, None if this fleet has no duties
     there. ``first_duty`` and ``second_duty`` name the duties; without either, all are
@@ -69,6 +70,7 @@
     load_multiple: Annotated[float, msgspec.Meta(gt=1)] = 2.0
     exposure_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.1
     exposure_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    admission_control: bool = True
     hedge_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     api_address: Address | None = None
     api_calls_per_second: Annotated[float, msgspec.Meta(gt=0)] = 50.0
--- a/carobladder/telemetry/builders.py
+++ b/carobladder/telemetry/builders.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
-__all__ = ["LabelledGauge", "build_counter", "build_histogram"]
+__all__ = ["LabelledGauge", "build_counter", "build_gauge", "build_histogram"]
 
 
 class LabelledGauge(Collector):
@@ -59,5 +59,12 @@
     )
 
 
+def build_gauge(registry: CollectorRegistry, name: str, label: str) -> Gauge:
+    """Return a gauge with one label, registered in ``registry``."""
+    return Gauge(
+        f"carobladder_{name}", _build_help_text(name, label), [label], registry=registry
+    )
+
+
 def _build_help_text(name: str, label: str) -> str:
     return f"{name.replace('_', ' ').capitalize()} by {label}"
--- a/tests/forwarding/fixtures.py
+++ b/tests/forwarding/fixtures.py
@@ -21,6 +21,7 @@
     VersionMoves,
 )
 from carobladder.forwarding import (
+    AdmissionControl,
     CallCurrency,
     ConfigurationAgeLimits,
     CrashWatch,
@@ -219,6 +220,7 @@
             ).is_current,
             self.clock,
         )
+        self.admission = AdmissionControl(self.metrics)
         forwarder = Forwarder(
             sender,
             self.selector,
@@ -226,9 +228,9 @@
             lambda service: self.budget,
             self.metrics,
             CrashWatch(self.quarantine, self.client, self.clock),
+            self.admission,
             self.hedging,
         )
-        self.admission = forwarder.admission
         handler = ForwardHandler(
             forwarder,
             codec,
