Shed load and copy requests for services that state slowness only

Both parts would also have applied to earlier deployments, which are to be served as before: hedge_share in the settings file applies to all deployments of the template, takes a part of the retry budget of each service, and targets of all deployments refuse requests when they are full.

Targets that state their slowness share their machines with others, so their capacity changes by the second and a single one of them is slow while others are not. Admission control, copies and the part of the retry budget that is set aside for them now apply to the services of such targets only. Ruled out: a setting for each deployment, as the template is the same for all.

The test of a reload shows that a service without stated slowness sets no copy aside.

--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -205,7 +205,9 @@
             lambda: float(self._target_memory.used_bytes),
         )
         self._admission = AdmissionControl(
-            self._metrics, is_enabled=settings.admission_control
+            self._metrics,
+            is_enabled=settings.admission_control,
+            applies=self._targets.states_slowness,
         )
         self._metrics.add_gauge(
             "waiting_requests",
@@ -228,6 +230,7 @@
             self._ledger,
             clock,
             settings.hedge_share,
+            self._targets.states_slowness,
         )
         selector = TargetSelector(
             self._targets,
@@ -294,6 +297,7 @@
                 clock,
             ).is_current,
             clock,
+            self._targets.states_slowness,
         )
         server = self._build_server(
             control_state,
--- a/carobladder/fleet/budgets.py
+++ b/carobladder/fleet/budgets.py
@@ -1,5 +1,7 @@
 """Per-service retry budgets, scaled by the instance's share of the fleet."""
 
+from collections.abc import Callable
+
 from carobladder.clock import Clock
 from carobladder.fleet.shares import ShareLedger
 from carobladder.retries import RetryBudget
@@ -19,7 +21,8 @@
 
     All instances together may retry a fraction ``ratio`` of the requests, plus
     ``slack`` further requests per window. Each instance uses its share of the slack.
-    ``copy_share`` is the part of its requests of which an instance may send a copy.
+    ``copy_share`` is the part of its requests of which an instance may send a copy, for
+    the services that ``allows_copies`` names.
     """
 
     def __init__(
@@ -29,12 +32,14 @@
         ledger: ShareLedger,
         clock: Clock,
         copy_share: float = 0.0,
+        allows_copies: Callable[[str], bool] = lambda service: True,
     ) -> None:
         self._ratio = ratio * _SAFETY_FACTOR
         self._slack = slack * _SAFETY_FACTOR
         self._ledger = ledger
         self._clock = clock
         self._copy_share = copy_share
+        self._allows_copies = allows_copies
         self._budgets: dict[str, RetryBudget] = {}
 
     def set_bounds(self, ratio: float, slack: float) -> None:
@@ -47,8 +52,8 @@
     def set_copy_share(self, share: float) -> None:
         """Set the part of the requests of which copies may be sent."""
         self._copy_share = share
-        for budget in self._budgets.values():
-            budget.set_copy_ratio(share)
+        for service, budget in self._budgets.items():
+            budget.set_copy_ratio(self._find_copy_ratio(service))
 
     def find(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, creating it on first use."""
@@ -61,11 +66,15 @@
                 burst=self._slack * self._ledger.share,
                 minimum_per_second=0.0,
                 min_capacity=_MIN_CAPACITY,
-                copy_ratio=self._copy_share,
             )
             self._budgets[service] = budget
+        if self._copy_share:
+            budget.set_copy_ratio(self._find_copy_ratio(service))
         return budget
 
+    def _find_copy_ratio(self, service: str) -> float:
+        return self._copy_share if self._allows_copies(service) else 0.0
+
     def count_left(self) -> float:
         """Return the number of retries left in the most exhausted budget."""
         slack = self._slack * self._ledger.share
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -247,6 +247,13 @@
         """Return all targets of a service, including unusable ones."""
         return list(self._by_service.get(service, ()))
 
+    def states_slowness(self, service: str) -> bool:
+        """Return whether any target of a service has stated its slowness."""
+        return any(
+            target.slowness.stated is not None
+            for target in self._by_service.get(service, ())
+        )
+
     def list_reachable(self, service: str) -> list[FleetTarget]:
         """Return the targets of a service outside the emptied data centres."""
         return [
--- a/carobladder/forwarding/admission.py
+++ b/carobladder/forwarding/admission.py
@@ -1,7 +1,7 @@
 """Admission of calls to services whose targets are overloaded."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from carobladder.exceptions import OverloadedError
 from carobladder.fleet import CallMetadata, FleetTarget
@@ -30,13 +30,21 @@
 class AdmissionControl:
     """Admission to all services, and the order of their waiting requests.
 
-    Without ``is_enabled`` all calls are sent. ``now`` is in monotonic seconds.
+    Without ``is_enabled``, and to services that ``applies`` does not name, all calls
+    are sent. ``now`` is in monotonic seconds.
     """
 
-    def __init__(self, metrics: ForwardMetrics, *, is_enabled: bool = True) -> None:
+    def __init__(
+        self,
+        metrics: ForwardMetrics,
+        *,
+        is_enabled: bool = True,
+        applies: Callable[[str], bool] = lambda service: True,
+    ) -> None:
         self.lines = WaitingLines()
         self._metrics = metrics
         self.is_enabled = is_enabled
+        self._applies = applies
         self._services: dict[str, ServiceAdmission] = {}
         self._caches: dict[str, CacheUse] = {}
 
@@ -46,7 +54,7 @@
         The loads of targets are collected only under pressure, as that takes as long
         as the choice of a target.
         """
-        if not self.is_enabled:
+        if not self._is_in_use(call):
             return
         admission = self.find(call.service.name)
         places: list[TargetPlaces] = []
@@ -87,7 +95,7 @@
         self, call: ForwardedCall, candidates: Iterable[FleetTarget], now: float
     ) -> list[str]:
         """Return the ids of the targets that are known to be full."""
-        if not self.is_enabled:
+        if not self._is_in_use(call):
             return []
         admission = self.find(call.service.name)
         return [
@@ -116,6 +124,9 @@
             self._services[service] = admission
         return admission
 
+    def _is_in_use(self, call: ForwardedCall) -> bool:
+        return self.is_enabled and self._applies(call.service.name)
+
     def _note_size(self, call: ForwardedCall) -> float:
         """Count the tokens of a call, and return the slots that memory allows."""
         if call.service.kv_cache_tokens:
--- a/carobladder/forwarding/hedging.py
+++ b/carobladder/forwarding/hedging.py
@@ -73,8 +73,9 @@
     """Policy for copies of late requests, with the evidence that it rests on.
 
     ``share`` is the part of the requests of which copies may be sent; 0 sends none.
-    ``is_current`` tells whether a request that was validated against a version of the
-    configuration would be accepted by this instance now.
+    ``allows_copies`` tells for which services. ``is_current`` tells whether a request
+    that was validated against a version of the configuration would be accepted by this
+    instance now.
     """
 
     def __init__(
@@ -84,7 +85,9 @@
         find_budget: Callable[[str], RetryBudget],
         is_current: Callable[[ForwardedCall], bool],
         clock: Clock,
+        allows_copies: Callable[[str], bool] = lambda service: True,
     ) -> None:
+        self._allows_copies = allows_copies
         self.share = share
         self._table = table
         self._find_budget = find_budget
@@ -97,7 +100,9 @@
     def is_eligible(self, call: ForwardedCall) -> bool:
         """Return whether a call may have a copy, as far as its route tells."""
         route = call.route
-        return self.share > 0.0 and route.may_repeat and route.attempts >= 2
+        if self.share <= 0.0 or not route.may_repeat or route.attempts < 2:
+            return False
+        return self._allows_copies(call.service.name)
 
     def find_delay(self, call: ForwardedCall) -> float | None:
         """Return the seconds after which a call is late, or None if that is unknown."""
--- a/carobladder/limits/shedding.py
+++ b/carobladder/limits/shedding.py
@@ -27,7 +27,7 @@
 # Decay of the longest time that callers allow, with each request.
 _PATIENCE_DECAY = 0.99
 # The least urgent requests are refused from this far below the full queues of targets.
-# Simulated with 0.5 to 1.2; more leaves slots idle in short waves.
+# More leaves slots idle in short waves.
 _LEVEL_RANGE = 0.7
 # Share of refused requests from which the whole range is used. With less, an overload
 # is so short or slight that the queues of targets absorb most of it.
