Let a new holder order targets as soon as it knows the load

An order names an absolute number, so a new holder need not wait for a boot time before its first one; a burst that meets a takeover was answered 13 s late. The trend counts only once its samples cover the whole time, as half a swing looked like growth (8 orders in 600 s instead of at most 4).

--- a/carobladder/duties/demand.py
+++ b/carobladder/duties/demand.py
@@ -17,7 +17,7 @@
 # Arrivals in clumps change the load from one sample to the next; this many samples are
 # averaged before a peak counts.
 _SMOOTHED_SAMPLES = 4
-_MIN_TREND_SAMPLES = 8
+_MIN_TREND_PART = 0.9
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +77,8 @@
         points = [
             (at - now, level) for at, level in self._samples if at >= now - seconds
         ]
-        if len(points) < _MIN_TREND_SAMPLES:
+        if not self.covers(seconds * _MIN_TREND_PART):
+            # Half a swing looks like a trend.
             return 0.0
         mean_at = sum(at for at, _ in points) / len(points)
         mean_level = sum(level for _, level in points) / len(points)
--- a/carobladder/duties/scaling.py
+++ b/carobladder/duties/scaling.py
@@ -16,6 +16,8 @@
 # Time after an order in which its targets must have registered, beyond the boot time.
 _REGISTRATION_SECONDS = 5.0
 _REFUSED_SECONDS = 30.0
+# Loads of a new holder come from the gossip, which tells most of them in this time.
+_FIRST_SAMPLES_SECONDS = 4.0
 # Targets are stopped slowly, since the prompts of each are read again by others.
 _DOWN_INTERVAL_SECONDS = 20.0
 _MAX_DOWN_PART = 0.1
@@ -65,8 +67,8 @@
 class ScalingPlanner:
     """Planner of the orders of one service; ``now`` is in seconds of boot time.
 
-    It plans nothing for a boot time after its start, as targets that a former holder
-    ordered may still be booting.
+    It plans nothing before it has some samples. Orders name absolute numbers, so one
+    that repeats the order of a former holder, whose targets are booting, is harmless.
     """
 
     def __init__(self) -> None:
@@ -88,7 +90,7 @@
     def plan(self, view: ServiceView, now: float) -> ScaleOrder | None:
         """Return the next order, or None."""
         scaling = view.scaling
-        if not self._model.covers(scaling.boot_seconds + _REGISTRATION_SECONDS):
+        if not self._model.covers(_FIRST_SAMPLES_SECONDS):
             return None
         if view.slots <= 0 or not self._may_order(now):
             return None
