--- a/tests/dealing.py
+++ b/tests/dealing.py
@@ -25,6 +25,7 @@
     "tests.demo",
     "tests.entry.test_answer_memory",
     "tests.entry.test_drains",
+    "tests.entry.test_duties",
     "tests.entry.test_early_signals",
     "tests.entry.test_earlylistener",
     "tests.entry.test_endless_bytes",
