Let the holder of the duties follow the time of the fleet

A holder whose wall clock was stepped before its start recorded windows before they ended, and its receipts moved the time of the others. It now follows the median of the others beyond 1 s, and receipts carry no time before three instances have told theirs.

--- a/carobladder/duties/windows.py
+++ b/carobladder/duties/windows.py
@@ -54,10 +54,10 @@
         return self._clock.now().timestamp() - self._clock.boottime()
 
 
-def compute_fleet_difference(differences: list[float]) -> float:
-    """Return how far the fleet's time is ahead of an instance's; 0 if few tell."""
+def compute_fleet_difference(differences: list[float]) -> float | None:
+    """Return how far the fleet's time is ahead of an instance's, None if few tell."""
     if len(differences) < _MIN_REPORTED_DIFFERENCES:
-        return 0.0
+        return None
     return median_low([*differences, 0.0])
 
 
--- a/carobladder/entry/duties.py
+++ b/carobladder/entry/duties.py
@@ -30,6 +30,7 @@
     UsageReport,
 )
 from carobladder.telemetry import (
+    ClockDiffersFromFleet,
     DutyMetrics,
     DutyStoreFailed,
     UsageReported,
@@ -46,6 +47,9 @@
 # Differences of an instance's time that are remembered. A delayed message makes its
 # sender's time appear too early, so the largest one counts.
 _KEPT_DIFFERENCES = 4
+# The holder follows the median of the others only beyond this, as messages that waited
+# for its event loop make all others appear too early.
+_MIN_OWN_DIFFERENCE_SECONDS = 1.0
 # Records that a new holder reports again, as their reports may be lost.
 _REPEATED_WINDOWS = 3
 # A call that is not accepted until so many times the due time is given up.
@@ -283,15 +287,29 @@
             return
         if report.windows:
             self._parts.collection.take(name, report.run, report.windows)
-        now = self._parts.time.now()
+        time_ms = self._compare_times(name, report.time_ms / _MS_PER_SECOND)
+        receipt = UsageReceipt(report.run, list(report.windows), time_ms, notice)
+        self._parts.sharing.send(receipt, name)
+
+    def _compare_times(self, name: str, reported: float) -> int:
+        """Return the time of the fleet in milliseconds, 0 if too few have told theirs.
+
+        Without the median, the holder's own time would mislead others if it was wrong.
+        """
+        time = self._parts.time
+        now = time.now()
         known = self._differences.setdefault(name, deque(maxlen=_KEPT_DIFFERENCES))
-        known.append(report.time_ms / _MS_PER_SECOND - now)
+        known.append(reported - now)
         difference = compute_fleet_difference(
             [max(values) for values in self._differences.values()]
         )
-        time_ms = round((now + difference) * _MS_PER_SECOND)
-        receipt = UsageReceipt(report.run, list(report.windows), time_ms, notice)
-        self._parts.sharing.send(receipt, name)
+        if difference is None:
+            return 0
+        if abs(difference) >= _MIN_OWN_DIFFERENCE_SECONDS:
+            emit(ClockDiffersFromFleet(round(difference, 3)))
+            time.correct(difference)
+            self._differences.clear()
+        return round((now + difference) * _MS_PER_SECOND)
 
     def _take_receipt(self, receipt: UsageReceipt, name: str) -> None:
         notice = self._parts.sharing.notice
--- a/carobladder/entry/usage.py
+++ b/carobladder/entry/usage.py
@@ -66,7 +66,7 @@
             if window in self._sent:
                 self._acknowledged[window] = self._sent[window]
         round_trip = self._clock.boottime() - self._last_sent_at
-        if round_trip <= _MAX_ROUND_TRIP_SECONDS:
+        if receipt.time_ms and round_trip <= _MAX_ROUND_TRIP_SECONDS:
             difference = receipt.time_ms / _MS_PER_SECOND - self._time.now()
             corrected = self._time.correct(difference)
             if corrected:
--- a/carobladder/fleet/messages.py
+++ b/carobladder/fleet/messages.py
@@ -154,7 +154,8 @@
 class UsageReceipt(msgspec.Struct, array_like=True, frozen=True, tag="received"):
     """Answer of the holder of the duties to a ``UsageReport`` of a run.
 
-    ``time_ms`` is the median of the instances' estimates of the Unix time.
+    ``time_ms`` is the median of the instances' estimates of the Unix time, 0 if it is
+    not known.
     """
 
     run: int
