--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 import unittest
 
 from carobladder.exceptions import LogUnavailableError, OffsetDroppedError
+from carobladder.fleet import ConditionalAppend
 from carobladder.platform.store import KeyedTopic
 from standins.store import StoreState
 from tests.platform.fake_store import FakeStore
@@ -51,6 +52,21 @@
             [("rollout/x", b"2"), ("step/x", b"4")],
         )
 
+    async def test_conditional_append_tells_the_era(self):
+        """An append may be accepted in a restored store whose end is the same."""
+        topic = KeyedTopic(self.store.client, "keyed.duties")
+        copy = self.store.state.take_copy()
+        found = await topic.append_at(0, [("a", b"1")])
+        self.assertEqual(found, ConditionalAppend(accepted=True, era=1))
+        found = await topic.append_at(0, [("a", b"2")])
+        self.assertEqual(found, ConditionalAppend(accepted=False, era=1))
+        self.store.state.restore(copy)
+        found = await topic.append_at(0, [("a", b"3")])
+        self.assertEqual(found, ConditionalAppend(accepted=True, era=2))
+        self.store.status = 503
+        with self.assertRaises(LogUnavailableError):
+            await topic.append_at(1, [("a", b"4")])
+
     async def test_write_whose_response_is_lost_may_have_taken_effect(self):
         topic = KeyedTopic(self.store.client, "keyed.status")
         self.store.lose_answers = 1
