Let readers on narrow links take turns in storms of configurations

Cause: in a simulated fleet on links of 5 Mbit/s, instances still read several versions each: readers read together and rarely had a recent proof, pages from an offset held the oldest of several versions and proved nothing, and missing records were read while an answer was on its way.

Change: pauses after large reads are drawn anew, and a reader then reads without waiting. An overdue read after slow answers is one of the newest of each key. Others are asked for three times as long before an own read, while the last proof is recent enough.

With all links at 5 Mbit/s the delay still exceeds the configuration time of 3 s.

--- a/carobladder/topics/__init__.py
+++ b/carobladder/topics/__init__.py
@@ -14,6 +14,7 @@
     outages,
     paces,
     peerupdates,
+    readchoices,
     readpauses,
     recentvalues,
     roles,
@@ -34,6 +35,7 @@
 from carobladder.topics.outages import *  # noqa: F403
 from carobladder.topics.paces import *  # noqa: F403
 from carobladder.topics.peerupdates import *  # noqa: F403
+from carobladder.topics.readchoices import *  # noqa: F403
 from carobladder.topics.readpauses import *  # noqa: F403
 from carobladder.topics.recentvalues import *  # noqa: F403
 from carobladder.topics.roles import *  # noqa: F403
@@ -55,6 +57,7 @@
     *outages.__all__,
     *paces.__all__,
     *peerupdates.__all__,
+    *readchoices.__all__,
     *readpauses.__all__,
     *recentvalues.__all__,
     *roles.__all__,
--- a/carobladder/topics/followers.py
+++ b/carobladder/topics/followers.py
@@ -21,6 +21,7 @@
 from carobladder.topics.knownrecords import STORE_SOURCE, KnownRecords
 from carobladder.topics.paces import ReadPolicy
 from carobladder.topics.peerupdates import PeerUpdates
+from carobladder.topics.readchoices import ReadChoice
 from carobladder.topics.readpauses import LargeReadPause
 from carobladder.topics.roles import ReadRole
 from carobladder.topics.superseding import RecordSelector
@@ -103,8 +104,9 @@
         self._eras.add_listener(self._handle_restored_store)
         self._eras.add_settled_listener(lambda: self._wake_up.set())
         self._fetcher = TopicFetcher(name, clock, backoff, policy.repeat_seconds)
-        self._pause = LargeReadPause(
-            clock, policy.reader_age_seconds or 0.0, policy.passive_age_seconds or 0.0
+        self._pause = LargeReadPause(clock, policy, generator)
+        self._choice = ReadChoice(
+            policy, self._records, proofs.progress, self._fetcher, self._pause, clock
         )
         self._is_restored = False
         self._waiting_read: asyncio.Task[bool] | None = None
@@ -175,9 +177,7 @@
             return False
         passive_age_seconds = self._role.find_passive_age()
         if passive_age_seconds is None:
-            if self._prefers_newest():
-                return await self._read_new_records()
-            return await self._read_as_reader(self._records.next_offset)
+            return await self._read_for_others()
         if not await self._wait_until_due(passive_age_seconds, as_reader=False):
             return False
         return await self._read_new_records()
@@ -207,6 +207,21 @@
         await self._clock.sleep(self._policy.second_read_delay_seconds)
         await self._read_new_records()
 
+    async def _read_for_others(self) -> bool:
+        """Read as a reader; return whether records came.
+
+        Several large records may be missing, of which a waiting read would bring each.
+        """
+        has_several = (
+            self._choice.prefers_newest(is_reader=self._role.is_reader())
+            or self._choice.expects_slow
+        )
+        if has_several and await self._read_new_records():
+            return True
+        if self._records.next_offset is None:
+            return False
+        return await self._read_as_reader(self._records.next_offset)
+
     async def _read_as_reader(self, first: int) -> bool:
         """Wait for records, and poll for missed ones once the last proof is too old.
 
@@ -243,21 +258,15 @@
 
     async def _read_new_records(self) -> bool:
         """Read without waiting, unless all keys must be read again."""
-        if self._prefers_newest() and await self._read_newest():
+        if (
+            self._choice.prefers_newest(is_reader=self._role.is_reader())
+            and await self._read_newest()
+        ):
             return True
         if self._records.next_offset is None:
             return False
         return await self._read_from(self._records.next_offset, 0.0)
 
-    def _prefers_newest(self) -> bool:
-        """Return whether to read the newest of all keys instead of what is missing."""
-        age_seconds = self._proofs.progress.age(self._clock.boottime())
-        limit_seconds = self._policy.reader_age_seconds
-        return self._records.prefers_newest(
-            is_reader=self._role.is_reader(),
-            is_overdue=limit_seconds is not None and age_seconds > limit_seconds,
-        )
-
     async def _read_newest(self) -> bool:
         """Read the newest of all keys instead of each missing record.
 
@@ -344,13 +353,16 @@
         again.
         """
         limit_seconds = age_seconds * self._generator.uniform(*_AGE_JITTER)
+        if self._choice.expects_slow:
+            # Gives the records of a reader the time to arrive.
+            limit_seconds = age_seconds
         while self._records.next_offset is not None:
             now = self._clock.boottime()
             due_at = self._proofs.progress.synced_at + limit_seconds
             if as_reader:
-                due_at += self._find_transfer_time()
+                due_at += self._choice.find_transfer_time()
             due_at = min(due_at, self._settler.due_at)
-            delay_seconds = self._policy.catch_up_delay_seconds
+            delay_seconds = self._choice.find_catch_up_delay()
             catch_up_at = self._records.find_catch_up_time(delay_seconds)
             due_at = min(due_at, self._pause.postpone(catch_up_at))
             if self._role.is_reader() is not as_reader:
@@ -360,17 +372,6 @@
             await self._wake_up.wait(min(due_at - now, _ROLE_CHECK_SECONDS))
         return False
 
-    def _find_transfer_time(self) -> float:
-        """Return the time for a large answer to the waiting read to arrive.
-
-        A second read beside it would delay both.
-        """
-        policy = self._policy
-        if not self._records.expects_large or policy.passive_age_seconds is None:
-            return 0.0
-        longest_seconds = policy.passive_age_seconds - (policy.reader_age_seconds or 0)
-        return min(self._fetcher.transfer_seconds, longest_seconds)
-
     def _record_partial_success(self, timed: TimedPage) -> None:
         """Record a read whose answer was too short to prove that all is known."""
         self._failures.note_success(timed.sent_at, STORE_SOURCE)
--- a/carobladder/topics/knownrecords.py
+++ b/carobladder/topics/knownrecords.py
@@ -52,7 +52,7 @@
         self._clock = clock
         self._selector = selector
         self._large_at = float("-inf")
-        # Records that the last own read has brought; the next one may bring as many.
+        # Records that came last time; the next read may bring as many.
         self._last_step = 0
         self._history = RunHistory(selector)
         self._lag = PeerLag()
@@ -116,7 +116,7 @@
         first = self.next_offset
         records = tuple(record for record in run.records if record.offset >= first)
         self.next_offset = run.next_offset
-        self._last_step = run.next_offset - first if source == STORE_SOURCE else 0
+        self._last_step = run.next_offset - first
         self._extend_history(RecordRun(first, run.next_offset, records))
         superseded = self._find_superseded(records)
         applied = [self._apply(record, superseded) for record in records]
@@ -125,8 +125,9 @@
     def prefers_newest(self, *, is_reader: bool, is_overdue: bool) -> bool:
         """Return whether the newest of all keys take fewer bytes than what is missing.
 
-        A reader, of which others learn what is missing, expects as many records as its
-        last read has brought, and several if its proof is overdue.
+        A reader, of which others learn what is missing, expects as many records as came
+        last time. If the proof is overdue, several are expected unless the last read
+        has brought none.
 
         While lost records may be written again to a restored store, each is needed.
         """
@@ -135,9 +136,10 @@
         if not self.expects_large or self.applier.is_restoring:
             return False
         missing = self._lag.end - self.next_offset if self._is_lagging() else 0
-        if is_reader and (is_overdue or self._last_step >= _MIN_SKIPPED_RECORDS):
+        if is_overdue and self._last_step:
             return True
-        return missing >= _MIN_SKIPPED_RECORDS
+        expected = self._last_step if is_reader else 0
+        return max(missing, expected) >= _MIN_SKIPPED_RECORDS
 
     def apply_newest(self, page: KeyedPage, source: str, synced_at: float) -> bool:
         """Apply the newest records of all keys in place of all missing ones.
--- a/tests/entry/fleet_simulation.py
+++ b/tests/entry/fleet_simulation.py
@@ -216,12 +216,15 @@
         self.topics = {name: SimulatedTopic(self, name) for name in TOPICS}
         self.calls: Counter[str] = Counter()
         self.refused: set[str] = set()
-        self.instances = [SimulatedInstance(self, f"n{n}") for n in range(count)]
+        self.instances = self._build_instances(count)
         self.tasks: list[asyncio.Task[None]] = []
         self.oldest_ages = dict.fromkeys(TOPICS, 0.0)
         self._exchange_announcements()
         self.assign_shares(self.instances)
 
+    def _build_instances(self, count: int) -> list[SimulatedInstance]:
+        return [SimulatedInstance(self, f"n{number}") for number in range(count)]
+
     def _exchange_announcements(self) -> None:
         values = {i.name: i.directory.build_announcement() for i in self.instances}
         for instance in self.instances:
--- a/tests/topics/test_superseding.py
+++ b/tests/topics/test_superseding.py
@@ -214,7 +214,10 @@
         size = self.put_versions(3, 7)
         before = self.store.received_bytes
         instance.follower.handle_peer_end(7)
-        await advance(self.clock, CONFIGURATION_SECONDS)
+        for _ in range(100):
+            await advance(self.clock, CONFIGURATION_SECONDS / 100)
+            if instance.control_state.version == 7:
+                break
         self.assertEqual(instance.versions, [1, 2, 7])
         self.assertLess(self.store.received_bytes - before, 1.5 * size)
         self.assertEqual(instance.follower.next_offset, 7)
