Decode only the routes of a configuration that have changed

Cause: each version of a configuration was decoded whole, which blocked the event loop for 7 ms with 1,640 routes, and longer at half a core.

Ruled out: sharing the objects of services and weights (15.3 to 17.2 ms against 16.1 to 18.1 ms); a thread, since the order of records would depend on it.

Change: the routes of a document are taken apart as raw parts; a part that was in the last valid configuration gives the same Route object as before. A malformed route leaves the memory as it was.

Measured: of 3,000 routes 1 is decoded when 1 changes, 1,400 when 1,400 are added.

--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -1,5 +1,6 @@
 """Conversion of the platform's JSON documents from and to the fleet's types."""
 
+from collections.abc import Iterable
 from ipaddress import ip_address
 from typing import Annotated
 
@@ -32,6 +33,7 @@
 )
 
 __all__ = [
+    "RouteMemory",
     "decode_operator_record",
     "decode_target_entry",
     "encode_move_status",
@@ -109,7 +111,8 @@
 
 class _Configuration(_Document):
     version: int
-    routes: tuple[_Route, ...] = ()
+    # Decoded one by one, and only those that are not known.
+    routes: tuple[msgspec.Raw, ...] = ()
     services: tuple[_Service, ...] = ()
     # Without the field no key is needed; null names nobody, as an empty list does.
     tenants: tuple[_Tenant, ...] | msgspec.UnsetType | None = msgspec.UNSET
@@ -145,16 +148,47 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_UNIX_MS)] = 0
 
 
+_route_decoder = msgspec.json.Decoder(_Route)
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _version_decoder = msgspec.json.Decoder(_ConfigurationVersion)
 _rollout_decoder = msgspec.json.Decoder(_Rollout)
 _server_decoder = msgspec.json.Decoder(_Server)
 
 
-def decode_operator_record(record: KeyedRecord) -> OperatorRecord:
+class RouteMemory:
+    """Routes of the last configuration by their documents, as most changes keep them.
+
+    ``decoded_count`` is the number of routes that were decoded so far.
+    """
+
+    def __init__(self) -> None:
+        self.decoded_count = 0
+        self._routes: dict[bytes, Route] = {}
+
+    def decode(self, documents: Iterable[msgspec.Raw]) -> tuple[Route, ...]:
+        """Decode routes, or find them; raises an error of msgspec for an invalid one.
+
+        Only the routes of these documents are remembered afterwards.
+        """
+        routes: dict[bytes, Route] = {}
+        decoded = []
+        for document in map(bytes, documents):
+            route = self._routes.get(document)
+            if route is None:
+                route = _build_route(_route_decoder.decode(document))
+                self.decoded_count += 1
+            routes[document] = route
+            decoded.append(route)
+        self._routes = routes
+        return tuple(decoded)
+
+
+def decode_operator_record(
+    record: KeyedRecord, memory: RouteMemory | None = None
+) -> OperatorRecord:
     """Decode a record of the operator; an invalid one becomes UnreadableRecord."""
     try:
-        return _parse_operator_record(record.key, record.value, record.offset)
+        return _parse_operator_record(record, memory or RouteMemory())
     except (*DECODE_ERRORS, ValueError) as error:
         return UnreadableRecord(record.key, str(error))
 
@@ -198,9 +232,8 @@
     return ROLLOUT_KEY_PREFIX + step.service, msgspec.json.encode(status)
 
 
-def _parse_operator_record(
-    key: str, value: bytes | None, offset: int
-) -> OperatorRecord:
+def _parse_operator_record(record: KeyedRecord, memory: RouteMemory) -> OperatorRecord:
+    key, value, offset = record.key, record.value, record.offset
     if key.startswith(EVACUATION_KEY_PREFIX):
         data_centre = key.removeprefix(EVACUATION_KEY_PREFIX)
         return DataCentreRecord(data_centre, value is not None)
@@ -215,7 +248,7 @@
             key, "not a known record key, or the configuration was deleted"
         )
     document = _configuration_decoder.decode(value)
-    return ConfigurationRecord(_build_configuration(document))
+    return ConfigurationRecord(_build_configuration(document, memory))
 
 
 def _validate_server(server: _Server) -> None:
@@ -228,11 +261,13 @@
     ip_address(host.removeprefix("[").removesuffix("]"))
 
 
-def _build_configuration(document: _Configuration) -> Configuration:
+def _build_configuration(
+    document: _Configuration, memory: RouteMemory
+) -> Configuration:
     limits = document.limits
     return Configuration(
         version=document.version,
-        routes=tuple(_build_route(route) for route in document.routes),
+        routes=memory.decode(document.routes),
         services=tuple(_build_service(service) for service in document.services),
         teams=_build_teams(document.tenants),
         limits=CallerLimits(
--- a/carobladder/topics/superseding.py
+++ b/carobladder/topics/superseding.py
@@ -5,6 +5,7 @@
 
 from carobladder.fleet import ConfigurationRecord, KeyedRecord, OperatorRecord
 from carobladder.platform.documents import (
+    RouteMemory,
     decode_operator_record,
     peek_configuration_version,
 )
@@ -34,13 +35,14 @@
     def __init__(self, find_version: Callable[[], int]) -> None:
         self._find_version = find_version
         self._last: tuple[bytes, OperatorRecord] | None = None
+        self._routes = RouteMemory()
 
     def decode(self, record: KeyedRecord) -> OperatorRecord:
         """Decode a record; the same configuration is decoded once in a row."""
         if record.key != CONFIGURATION_KEY or record.value is None:
             return decode_operator_record(record)
         if self._last is None or self._last[0] != record.value:
-            self._last = record.value, decode_operator_record(record)
+            self._last = record.value, decode_operator_record(record, self._routes)
         return self._last[1]
 
     def find_superseded(self, records: Sequence[KeyedRecord]) -> frozenset[int]:
