Log and count what is sent and rejected of large configurations

Cause: it could not be seen whether large configurations reach other instances. Change: an event for records whose long value cannot be restored, and two gauges, the bytes of long values that were sent and the runs that were rejected.

--- a/carobladder/entry/exchange.py
+++ b/carobladder/entry/exchange.py
@@ -105,7 +105,7 @@
         values: RecentValues | None = None,
     ) -> None:
         self.dropped = 0
-        self._packer = RunPacker(values or RecentValues(), clock)
+        self.packer = RunPacker(values or RecentValues(), clock)
         # Reads the version of the configuration in force.
         self.find_version: Callable[[], int] = lambda: 0
         self._eras = eras or EraMonitor()
@@ -213,12 +213,12 @@
     def _(self, message: PeerReply, peer: Peer) -> None:
         self._directory.set_reader(peer.name, message.is_reader)
         self._eras.note(message.era)
-        self._packer.note_answer(message.question)
+        self.packer.note_answer(message.question)
         asked_at = self._pending_queries.pop(message.question, None)
         if asked_at is None or message.era != self._eras.era:
             return
         for follower, packed in zip(self._followers, message.runs, strict=False):
-            run = None if packed is None else self._packer.unpack(packed)
+            run = None if packed is None else self.packer.unpack(packed)
             if run is not None:
                 follower.apply_peer_run(run)
         is_proof = message.version <= self.find_version()
@@ -352,7 +352,7 @@
     ) -> PeerStatus:
         ends = [follower.next_offset or 0 for follower in self._followers]
         accepted_bytes, bases = (
-            self._packer.describe_question(query_number) if query_number else (0, [])
+            self.packer.describe_question(query_number) if query_number else (0, [])
         )
         return PeerStatus(
             query_number,
@@ -370,7 +370,7 @@
         # Otherwise the sender's offsets are those of another era.
         if message.era == self._eras.era:
             runs = [
-                self._packer.pack(
+                self.packer.pack(
                     follower.collect_run(end), message.accepted_bytes, message.bases
                 )
                 for follower, end in peer_ends
--- a/carobladder/entry/runpacking.py
+++ b/carobladder/entry/runpacking.py
@@ -5,6 +5,7 @@
 from carobladder.clock import Clock
 from carobladder.fleet import PackedRun, RecordRun, pack_run, unpack_run
 from carobladder.fleet.deltas import Delta
+from carobladder.telemetry import PeerRunRejected, emit
 from carobladder.topics import LARGE_VALUE_BYTES, RecentValues
 
 __all__ = ["RunPacker"]
@@ -29,6 +30,8 @@
     """
 
     def __init__(self, values: RecentValues, clock: Clock) -> None:
+        self.sent_delta_bytes = 0
+        self.rejected_runs = 0
         self._values = values
         self._clock = clock
         self._tokens = _DELTA_BURST_BYTES
@@ -76,14 +79,18 @@
                 }
                 run = truncated
                 break
-        self._tokens -= sum(delta.size for delta in deltas.values())
+        sent_bytes = sum(delta.size for delta in deltas.values())
+        self.sent_delta_bytes += sent_bytes
+        self._tokens -= sent_bytes
         return pack_run(run, deltas)
 
     def unpack(self, packed: PackedRun) -> RecordRun | None:
         """Return a run, or None if one of its values cannot be restored."""
         try:
             return unpack_run(packed, self._values.apply_delta)
-        except ValueError:
+        except ValueError as error:
+            self.rejected_runs += 1
+            emit(PeerRunRejected(packed.first, str(error)))
             return None
 
     def _refill(self) -> float:
--- a/carobladder/entry/status.py
+++ b/carobladder/entry/status.py
@@ -70,6 +70,16 @@
         "Datagrams that no known instance has sent in this form",
         lambda: parts.exchange.dropped,
     )
+    add(
+        "peer_delta_bytes",
+        "Bytes of long values that were sent to other instances",
+        lambda: parts.exchange.packer.sent_delta_bytes,
+    )
+    add(
+        "peer_runs_rejected",
+        "Runs of records of other instances whose long values could not be restored",
+        lambda: parts.exchange.packer.rejected_runs,
+    )
     add("targets", "Registered targets", lambda: len(parts.targets))
     add(
         "quarantined_parts",
--- a/carobladder/telemetry/events/instance.py
+++ b/carobladder/telemetry/events/instance.py
@@ -14,6 +14,7 @@
     "InstanceStarted",
     "InstanceStopped",
     "ListenerClosed",
+    "PeerRunRejected",
     "RecordNotApplied",
     "SettingsNotReloaded",
     "SettingsReloaded",
@@ -149,6 +150,19 @@
     superseded: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PeerRunRejected(Event):
+    """Records of another instance were dropped, as a long value cannot be restored.
+
+    ``first`` is the offset from which on they are asked for again or read.
+    """
+
+    first: int
+    why: str
+
+    level: ClassVar[int] = logging.WARNING
+
+
 @dataclass(frozen=True, slots=True)
 class RecordNotApplied(Event):
     """A record of a topic caused an error and is passed over; a defect to report."""
--- a/tests/entry/test_runpacking.py
+++ b/tests/entry/test_runpacking.py
@@ -97,7 +97,12 @@
         packed = self.sender.pack(build_run(self.value), accepted, bases)
         other = RecentValues()
         other.note(build_document(7, ROUTES))
-        self.assertIsNone(RunPacker(other, self.clock).unpack(packed))
+        receiver = RunPacker(other, self.clock)
+        with self.assertLogs("carobladder", "WARNING") as logs:
+            self.assertIsNone(receiver.unpack(packed))
+        self.assertIn("peer_run_rejected", logs.output[0])
+        self.assertEqual(receiver.rejected_runs, 1)
+        self.assertGreater(self.sender.sent_delta_bytes, 0)
 
     def test_answers_are_bounded_in_bytes(self):
         value = random.Random(1).randbytes(MAX_BYTES - 1000)
