--- a/tests/forwarding/hedgedinstances.py
+++ b/tests/forwarding/hedgedinstances.py
@@ -151,6 +151,11 @@
         instance.hedging.note_first_byte(call, USUAL_SECONDS)
 
 
+def render_metrics(instance: Instance) -> str:
+    """Return the metrics of an instance."""
+    return instance.metrics.render().decode()
+
+
 def set_attempts(instance: Instance, attempts: int) -> None:
     """Let requests of all routes run on this number of targets."""
     assert instance.table is not None
--- a/tests/forwarding/test_hedging_simulation.py
+++ b/tests/forwarding/test_hedging_simulation.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import replace
 
-from tests.forwarding.hedging_simulation import (
+from tests.forwarding.hedging_scenarios import (
     ALL_SLOW,
     HEAVY_TAIL,
     LARGE_FLEET,
@@ -12,12 +12,10 @@
     STORM,
     UNEVEN,
     UNEVEN_SWINGS,
-    Result,
-    Scenario,
-    Simulation,
     find_quantile,
     run_seeds,
 )
+from tests.forwarding.hedging_simulation import Result, Scenario, Simulation
 
 SEEDS = (1, 2)
 
