--- a/carobladder/platform/documents.py
+++ b/carobladder/platform/documents.py
@@ -266,9 +266,12 @@
     try:
         return _build_configuration(_configuration_decoder.decode(value), memory)
     except msgspec.ValidationError:
-        without_nulls = msgspec.json.encode(_drop_nulls(msgspec.json.decode(value)))
-        document = _configuration_decoder.decode(without_nulls)
-        return _build_configuration(document, memory)
+        document = msgspec.json.decode(value)
+        without_nulls = _drop_nulls(document)
+        if without_nulls == document:
+            raise
+        decoded = _configuration_decoder.decode(msgspec.json.encode(without_nulls))
+        return _build_configuration(decoded, memory)
 
 
 def _drop_nulls(value: Any) -> Any:
