--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -298,6 +298,7 @@
             ).is_current,
             clock,
             self._targets.states_slowness,
+            self._prompt_directory.cached_prompts.is_known_holder,
         )
         server = self._build_server(
             control_state,
--- a/carobladder/forwarding/hedging.py
+++ b/carobladder/forwarding/hedging.py
@@ -75,7 +75,8 @@
     ``share`` is the part of the requests of which copies may be sent; 0 sends none.
     ``allows_copies`` tells for which services. ``is_current`` tells whether a request
     that was validated against a version of the configuration would be accepted by this
-    instance now.
+    instance now. ``has_prompt`` tells whether a target has a shared prompt, given by its
+    key, in its cache.
     """
 
     def __init__(
@@ -86,7 +87,9 @@
         is_current: Callable[[ForwardedCall], bool],
         clock: Clock,
         allows_copies: Callable[[str], bool] = lambda service: True,
+        has_prompt: Callable[[int, FleetTarget], bool] = lambda prefix, target: True,
     ) -> None:
+        self._has_prompt = has_prompt
         self._allows_copies = allows_copies
         self.share = share
         self._table = table
@@ -159,10 +162,19 @@
     ) -> set[str]:
         """Return the ids of the targets that must not get the copy of a call.
 
-        ``first`` is the target that the call was sent to at ``sent_at``.
+        ``first`` is the target that the call was sent to at ``sent_at``. Reading a
+        shared prompt again takes a target longer than most late answers, and delays the
+        other requests there.
         """
         targets = self._table.list_registered(call.service.name)
-        return list_unfit(targets, first, sent_at, self._clock.monotonic())
+        unfit = list_unfit(targets, first, sent_at, self._clock.monotonic())
+        if call.affinity is not None:
+            unfit |= {
+                target.target_id
+                for target in targets
+                if not self._has_prompt(call.affinity, target)
+            }
+        return unfit
 
     def withdraw(self, call: ForwardedCall) -> bool:
         """Charge a copy to the retry budget; return whether it may be sent."""
--- a/tests/forwarding/hedges.py
+++ b/tests/forwarding/hedges.py
@@ -54,12 +54,17 @@
         ledger.assign(frozenset(range(96)))
         self.budgets = ServiceBudgets(0.2, 10.0, ledger, self.clock, share)
         self.is_current = True
+        # Ids of the targets that have a shared prompt, by its key.
+        self.prompt_holders: dict[int, set[str]] = {}
         self.policy = HedgePolicy(
             share,
             self.table,
             self.budgets.find,
             lambda call: self.is_current,
             self.clock,
+            has_prompt=lambda prefix, target: (
+                target.target_id in self.prompt_holders.get(prefix, ())
+            ),
         )
         self.call = build_call(self.clock)
 
--- a/tests/forwarding/test_hedging.py
+++ b/tests/forwarding/test_hedging.py
@@ -1,5 +1,6 @@
 """Tests of the decision on copies of late requests."""
 
+import dataclasses
 import unittest
 
 from carobladder.forwarding import FirstByteTimes, WithholdReason
@@ -183,6 +184,13 @@
                     self.case.state_load(0, 5)
                 self.assertEqual(self.list_fit(), ["i-2"])
 
+    def test_target_without_the_shared_prompt_is_not_fit(self):
+        """The copy would make it read the prompt again."""
+        self.case.call = dataclasses.replace(self.case.call, prefix_keys=(7, 3))
+        self.assertEqual(self.list_fit(), [])
+        self.case.prompt_holders = {7: {"i-2"}, 3: {"i-1"}}
+        self.assertEqual(self.list_fit(), ["i-2"])
+
     def test_target_without_a_free_slot_is_not_fit(self):
         self.case.state_load(0, 9)
         self.case.state_load(1, 6)
