--- a/carobladder/forwarding/hedging.py
+++ b/carobladder/forwarding/hedging.py
@@ -75,8 +75,8 @@
     ``share`` is the part of the requests of which copies may be sent; 0 sends none.
     ``allows_copies`` tells for which services. ``is_current`` tells whether a request
     that was validated against a version of the configuration would be accepted by this
-    instance now. ``has_prompt`` tells whether a target has a shared prompt, given by its
-    key, in its cache.
+    instance now. ``has_prompt`` tells whether a target has the shared prompt with a
+    key in its cache.
     """
 
     def __init__(
