--- a/carobladder/entry/dutyassembly.py
+++ b/carobladder/entry/dutyassembly.py
@@ -57,7 +57,7 @@
 
 def _is_duty_set(settings: EntrySettings, duty: str) -> bool:
     """Return whether this fleet performs a duty."""
-    named = {settings.first_duty, settings.second_duty} - {""}
+    named = {name.strip() for name in settings.duties.split(",")} - {""}
     return settings.api_address is not None and (not named or duty in named)
 
 
--- a/carobladder/settings/entry.py
+++ b/carobladder/settings/entry.py
@@ -46,7 +46,7 @@
     first while targets of a service refuse requests or have no free slot.
 
     ``api_address`` is that of the platform's API, None if this fleet has no duties
-    there. ``first_duty`` and ``second_duty`` name the duties; without either, all are
+    there. ``duties`` names the duties, separated by commas; if it is empty, all are
     performed. The counts of a window of ``usage_window_seconds`` are due
     ``usage_late_seconds`` after its end, and may be wrong by ``usage_tolerance``.
     """
@@ -74,8 +74,7 @@
     hedge_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     api_address: Address | None = None
     api_calls_per_second: Annotated[float, msgspec.Meta(gt=0)] = 50.0
-    first_duty: str = ""
-    second_duty: str = ""
+    duties: str = ""
     duty_lease_ms: Annotated[float, msgspec.Meta(ge=500)] = 3000.0
     usage_window_seconds: Annotated[float, msgspec.Meta(gt=0)] = 5.0
     usage_late_seconds: Annotated[float, msgspec.Meta(gt=0)] = 10.0
