--- a/carobladder/entry/assembly.py
+++ b/carobladder/entry/assembly.py
@@ -4,9 +4,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from carobladder.clients.http import HttpClient
 from carobladder.clock import Clock
-from carobladder.entry.draining import KEEP_ALIVE_SECONDS
+from carobladder.entry.callerserver import (
+    apply_caller_limits,
+    build_caller_server,
+)
+from carobladder.entry.clients import build_clients
 from carobladder.entry.duties import DutyKeeper
 from carobladder.entry.dutyassembly import DutySurroundings, build_duties
 from carobladder.entry.dutysharing import DutySharing
@@ -58,10 +61,7 @@
     LoadMonitor,
     TargetSender,
 )
-from carobladder.gateway.loopholds import LoopHolds
-from carobladder.gateway.requests import RequestLimits
 from carobladder.gateway.server import GatewayServer
-from carobladder.memory import MemoryBudget
 from carobladder.platform.documents import (
     encode_move_status,
 )
@@ -72,9 +72,9 @@
     MOVE_EVIDENCE_TOPIC,
     STATUS_TOPIC,
 )
-from carobladder.platform.store import KeyedTopic, PlatformStore
+from carobladder.platform.store import KeyedTopic
 from carobladder.quarantine import PartQuarantine
-from carobladder.routing import CallerLimits, Service
+from carobladder.routing import Service
 from carobladder.settings.entry import EntrySettings
 from carobladder.telemetry import ForwardMetrics, GatewayMetrics
 from carobladder.topics import (
@@ -90,23 +90,6 @@
 
 _MS_PER_SECOND = 1000.0
 _BYTES_PER_MB = 1_000_000
-# Parts of the memory for what targets and the store make the process keep: incomplete
-# events, bodies that are read whole, and bytes that are not read yet.
-_TARGETS_DIVISOR = 8
-_STORE_DIVISOR = 8
-# Long bodies of requests may use this part. Each is copied on its way to a target.
-_BODY_DIVISOR = 8
-# Answers that callers have not taken yet may use this part. The process grows by more
-# than that, as freed blocks of changing sizes leave gaps.
-_UNSENT_DIVISOR = 16
-# The store starts its answer to a read within this time, in addition to the read's
-# own wait.
-_STORE_ANSWER_SECONDS = 0.8
-_CONNECT_SECONDS = 0.4
-_STORE_SILENCE_SECONDS = 3.0
-# A configuration of a few thousand routes takes a second on the slowest link, longer
-# with other traffic.
-_STORE_BODY_SECONDS = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,22 +137,10 @@
         self._generator = random.Random()
         self._revocation_seconds = settings.key_revocation_ms / _MS_PER_SECOND
         self._memory_bytes = settings.memory_mb * _BYTES_PER_MB
-        self._target_memory = MemoryBudget(self._memory_bytes // _TARGETS_DIVISOR)
-        self._client = HttpClient(
-            clock,
-            connect_timeout_seconds=_CONNECT_SECONDS,
-            memory=self._target_memory,
-        )
-        store_client = HttpClient(
-            clock,
-            connect_timeout_seconds=_CONNECT_SECONDS,
-            tcp_user_timeout_seconds=_STORE_SILENCE_SECONDS,
-            body_timeout_seconds=_STORE_BODY_SECONDS,
-            memory=MemoryBudget(self._memory_bytes // _STORE_DIVISOR),
-        )
-        self._store = PlatformStore(
-            store_client, settings.store_address, _STORE_ANSWER_SECONDS
-        )
+        clients = build_clients(settings, clock, self._memory_bytes)
+        self._target_memory = clients.target_memory
+        self._client = clients.target_client
+        self._store = clients.store
         self._eras = EraMonitor()
         self._values = RecentValues()
         self._targets = TargetTable()
@@ -309,7 +280,7 @@
             exchange,
             targets_follower.freshness,
         )
-        control_state.on_caller_limits = lambda limits: _apply_caller_limits(
+        control_state.on_caller_limits = lambda limits: apply_caller_limits(
             server, limits
         )
         return InstanceParts(
@@ -470,27 +441,10 @@
             self._metrics,
             self._target_memory,
         )
-        return GatewayServer(
+        return build_caller_server(
             handler,
-            RequestLimits(),
-            self._clock,
             self._server_metrics,
+            self._memory_bytes,
+            self._clock,
             self._generator,
-            adds_request_id=False,
-            keep_alive_seconds=KEEP_ALIVE_SECONDS,
-            head_handler=handler,
-            body_budget=MemoryBudget(self._memory_bytes // _BODY_DIVISOR),
-            max_unsent_bytes=self._memory_bytes // _UNSENT_DIVISOR,
-            holds=LoopHolds(self._clock),
-        )
-
-
-def _apply_caller_limits(server: GatewayServer, limits: CallerLimits) -> None:
-    server.set_limits(
-        RequestLimits(
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            read_seconds=limits.header_seconds,
-            idle_seconds=limits.idle_seconds,
         )
-    )
