State once which duties there are and what stated slowness is

Read-through of the change: the names of the two duties stood in three modules (entry/duties.py, entry/scaling.py, entry/dutyassembly.py), and the test whether any target has stated its slowness stood twice, in TargetTable and beside the choice by predicted completion. Each stands once now, with the data that it tests. Ruled out for now: a flag for each service in place of the scan over its targets, since a flag would outlive the targets that have stated it.

--- a/carobladder/entry/duties.py
+++ b/carobladder/entry/duties.py
@@ -38,7 +38,7 @@
     emit,
 )
 
-__all__ = ["ELECTION_INTERVAL_SECONDS", "DutyKeeper", "DutyParts"]
+__all__ = ["ELECTION_INTERVAL_SECONDS", "USAGE_DUTY", "DutyKeeper", "DutyParts"]
 
 ELECTION_INTERVAL_SECONDS = 0.4
 _INTERVAL_SECONDS = 0.2
@@ -54,7 +54,7 @@
 _REPEATED_WINDOWS = 3
 # A call that is not accepted until so many times the due time is given up.
 _MAX_LATENESS = 3.0
-_USAGE = "usage_report"
+USAGE_DUTY = "usage_report"
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,7 +229,7 @@
     def _give_up(self, window: int) -> None:
         instances = len(self._parts.collection.find(window).list_senders())
         emit(UsageWindowGivenUp(window, instances))
-        self._parts.metrics.count_call(_USAGE, "given_up")
+        self._parts.metrics.count_call(USAGE_DUTY, "given_up")
         self._given_up = window
         self._announce_recorded(window)
 
@@ -248,7 +248,7 @@
             if permit is None:
                 return
             outcome = await self._parts.api.report_usage(permit, window, record.counts)
-            term.note_outcome(_USAGE, str(window), permit.token, outcome)
+            term.note_outcome(USAGE_DUTY, str(window), permit.token, outcome)
             if not self._is_done(window, permit.token, record.counts, outcome):
                 return
 
--- a/carobladder/entry/dutyassembly.py
+++ b/carobladder/entry/dutyassembly.py
@@ -15,12 +15,13 @@
 )
 from carobladder.entry.duties import (
     ELECTION_INTERVAL_SECONDS,
+    USAGE_DUTY,
     DutyKeeper,
     DutyParts,
 )
 from carobladder.entry.dutysharing import DutySharing
 from carobladder.entry.dutyterm import CallTimes, DutyTerm, DutyTopic, TermParts
-from carobladder.entry.scaling import ScalingSources, TargetScaler
+from carobladder.entry.scaling import SCALING_DUTY, ScalingSources, TargetScaler
 from carobladder.entry.usage import UsageReporter
 from carobladder.eras import EraMonitor
 from carobladder.fleet import PeerDirectory, ShareLedger
@@ -30,8 +31,6 @@
 
 __all__ = ["DutySurroundings", "build_duties"]
 
-_USAGE_DUTY = "usage_report"
-_SCALING_DUTY = "autoscale"
 _MS_PER_SECOND = 1000.0
 _RUN_BITS = 32
 # Longest time of a call, as a part of the lease: time is left for a second one.
@@ -113,9 +112,9 @@
         run,
         times,
         clock,
-        reports_usage=_is_duty_set(settings, _USAGE_DUTY),
+        reports_usage=_is_duty_set(settings, USAGE_DUTY),
     )
-    if _is_duty_set(settings, _SCALING_DUTY):
+    if _is_duty_set(settings, SCALING_DUTY):
         scaler = TargetScaler(term, api, surroundings.scaling, clock)
         keeper.extra_duty = scaler.run_due
     surroundings.metrics.add_gauge(
--- a/carobladder/entry/scaling.py
+++ b/carobladder/entry/scaling.py
@@ -16,12 +16,12 @@
 from carobladder.routing import Service
 from carobladder.telemetry import TargetsOrdered, emit
 
-__all__ = ["ScalingSources", "TargetScaler"]
+__all__ = ["SCALING_DUTY", "ScalingSources", "TargetScaler"]
 
 _SAMPLE_SECONDS = 0.5
 # Older loads are not used; those of the other targets stand for the target's.
 _MAX_LOAD_AGE_SECONDS = 5.0
-_DUTY = "autoscale"
+SCALING_DUTY = "autoscale"
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +85,7 @@
             permit, service.name, order.data_centre, order.count
         )
         subject = f"{service.name}/{order.data_centre}"
-        self._term.note_outcome(_DUTY, subject, permit.token, outcome)
+        self._term.note_outcome(SCALING_DUTY, subject, permit.token, outcome)
         now = self._clock.boottime()
         if outcome is not CallOutcome.ACCEPTED:
             planner.note_failed(order, now, is_refused=outcome is CallOutcome.REFUSED)
--- a/carobladder/fleet/completionchoice.py
+++ b/carobladder/fleet/completionchoice.py
@@ -8,7 +8,7 @@
 from carobladder.fleet.targets import FleetTarget
 from carobladder.routing import Route
 
-__all__ = ["CompletionChoice", "has_stated_slowness"]
+__all__ = ["CompletionChoice"]
 
 # Targets compared for one request. More cost time, and make instances that know the
 # same loads choose the same target.
@@ -63,8 +63,3 @@
         error_factor = 1.0 + _ERROR_WEIGHT * health.error_share
         jitter = 1.0 + _JITTER * self._generator.random()
         return seconds * occupancy_factor * error_factor * jitter
-
-
-def has_stated_slowness(targets: Sequence[FleetTarget]) -> bool:
-    """Return whether any of the targets has stated its slowness."""
-    return any(target.slowness.stated is not None for target in targets)
--- a/carobladder/fleet/selection.py
+++ b/carobladder/fleet/selection.py
@@ -6,14 +6,11 @@
 
 from carobladder.fleet.affinity import AffinityChoice
 from carobladder.fleet.completion import CompletionPredictor
-from carobladder.fleet.completionchoice import (
-    CompletionChoice,
-    has_stated_slowness,
-)
+from carobladder.fleet.completionchoice import CompletionChoice
 from carobladder.fleet.health import Condition
 from carobladder.fleet.loadbounds import LoadBounds
 from carobladder.fleet.pacing import ColdPacer, RatePacer
-from carobladder.fleet.targets import FleetTarget, TargetTable
+from carobladder.fleet.targets import FleetTarget, TargetTable, has_stated_slowness
 from carobladder.fleet.versions import VersionMoves
 from carobladder.routing import Route, Service
 
--- a/carobladder/fleet/targets.py
+++ b/carobladder/fleet/targets.py
@@ -1,6 +1,7 @@
 """Registry of the targets that an instance knows."""
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -10,7 +11,7 @@
 from carobladder.fleet.health import TargetHealth
 from carobladder.fleet.slowness import SlownessTrend, TargetSlowness
 
-__all__ = ["FleetTarget", "TargetTable"]
+__all__ = ["FleetTarget", "TargetTable", "has_stated_slowness"]
 
 # Live targets renew entries that expired during a store outage within this time after
 # the store is back.
@@ -135,6 +136,11 @@
     service: str
 
 
+def has_stated_slowness(targets: Sequence[FleetTarget]) -> bool:
+    """Return whether any of the targets has stated its slowness."""
+    return any(target.slowness.stated is not None for target in targets)
+
+
 class TargetTable:
     """Registered targets, indexed by id, service and tag.
 
@@ -249,10 +255,7 @@
 
     def states_slowness(self, service: str) -> bool:
         """Return whether any target of a service has stated its slowness."""
-        return any(
-            target.slowness.stated is not None
-            for target in self._by_service.get(service, ())
-        )
+        return has_stated_slowness(self._by_service.get(service, ()))
 
     def list_reachable(self, service: str) -> list[FleetTarget]:
         """Return the targets of a service outside the emptied data centres."""
